--- /dev/null
+++ b/core/errs.go
@@ -0,0 +1,28 @@
+package core
+
+import "fmt"
+
+// CallError is a failed call to a backend server or another host. NotRun is
+// set only on proof: a failed dial or an explicit refusal before the start.
+type CallError struct {
+	Op     string // operation, such as "read"
+	Target string // address or host
+	Reason Reason
+	NotRun bool
+	Cause  error
+}
+
+// Error names the operation, the target and the cause.
+func (e *CallError) Error() string {
+	run := "may have run"
+	if e.NotRun {
+		run = "not run"
+	}
+	if e.Cause == nil {
+		return fmt.Sprintf("%s %s: %s (%s)", e.Op, e.Target, e.Reason, run)
+	}
+	return fmt.Sprintf("%s %s: %s (%s): %v", e.Op, e.Target, e.Reason, run, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/core/host.go
@@ -0,0 +1,93 @@
+package core
+
+import "slices"
+
+// Host is one host of the query tier as the host list publishes it.
+type Host struct {
+	id         HostID
+	dataCentre DataCentre
+	address    string
+}
+
+// NewHost returns a host that other hosts reach at address (TCP and UDP).
+func NewHost(id HostID, dc DataCentre, address string) Host {
+	return Host{id: id, dataCentre: dc, address: address}
+}
+
+// ID returns the host's name.
+func (h Host) ID() HostID { return h.id }
+
+// DataCentre returns where the host runs.
+func (h Host) DataCentre() DataCentre { return h.dataCentre }
+
+// Address returns the host's peer address.
+func (h Host) Address() string { return h.address }
+
+// View is an immutable set of hosts that are usable now, ordered by name.
+type View struct {
+	version uint64
+	hosts   []Host
+}
+
+// NewView returns a view over hosts. The version grows with each change.
+func NewView(version uint64, hosts []Host) View {
+	sorted := slices.Clone(hosts)
+	slices.SortFunc(sorted, func(a, b Host) int {
+		if a.id < b.id {
+			return -1
+		}
+		if a.id > b.id {
+			return 1
+		}
+		return 0
+	})
+	return View{version: version, hosts: sorted}
+}
+
+// Version identifies the view on its host.
+func (v View) Version() uint64 { return v.version }
+
+// Hosts returns the hosts of the view. The caller must not change the slice.
+func (v View) Hosts() []Host { return v.hosts }
+
+// Lookup returns the host named id.
+func (v View) Lookup(id HostID) (Host, bool) {
+	i, ok := slices.BinarySearchFunc(v.hosts, id, func(h Host, id HostID) int {
+		if h.id < id {
+			return -1
+		}
+		if h.id > id {
+			return 1
+		}
+		return 0
+	})
+	if !ok {
+		return Host{}, false
+	}
+	return v.hosts[i], true
+}
+
+// PeerState is what a host believes about another host.
+type PeerState int32
+
+// Peer states, in the order in which the same incarnation may pass them.
+const (
+	PeerAlive PeerState = iota
+	PeerLeaving
+	PeerSuspect
+	PeerDead
+)
+
+// String returns the state's name in snake case.
+func (p PeerState) String() string {
+	switch p {
+	case PeerAlive:
+		return "alive"
+	case PeerLeaving:
+		return "leaving"
+	case PeerSuspect:
+		return "suspect"
+	default:
+		return "dead"
+	}
+}
--- /dev/null
+++ b/core/iface.go
@@ -0,0 +1,122 @@
+package core
+
+import (
+	"context"
+	"time"
+)
+
+// Placer decides which host owns what in a view.
+type Placer interface {
+	// OwnerSet returns the hosts that may own groups of the service.
+	OwnerSet(v View, s ServiceName) []HostID
+	// Owner returns the owner and the standby of a group; either may be empty.
+	Owner(v View, s ServiceName, g GroupID) (owner, standby HostID)
+	// Readers returns the hosts of a data centre that watch the platform.
+	Readers(v View, dc DataCentre) []HostID
+}
+
+// Selector chooses the snapshot of a query.
+type Selector interface {
+	Select(s ServiceName) (Pin, bool)
+}
+
+// Admitter decides whether a caller's request may start now. The release
+// function must be called when the request ends.
+type Admitter interface {
+	Admit(now time.Time, c Caller) (release func(), refused *Refusal)
+}
+
+// Refusal is a decision not to run a request, with a hint when to try again.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Settings gives the sections in force.
+type Settings interface {
+	Service(s ServiceName) (Service, bool)
+	Services() []Service
+	Caller(c CallerName) (Caller, bool)
+	// Revision is the highest platform revision seen.
+	Revision() Revision
+}
+
+// ReplicaStatus is what a backend server reports about itself. It may lag.
+type ReplicaStatus struct {
+	Incarnation Incarnation
+	State       ReplicaState
+	Load        int
+	Snapshots   []GroupSnapshot // Group is not set
+}
+
+// ReplicaState is the state that a backend server reports.
+type ReplicaState string
+
+// Replica states.
+const (
+	ReplicaReady    ReplicaState = "ready"
+	ReplicaCold     ReplicaState = "cold"
+	ReplicaDraining ReplicaState = "draining"
+)
+
+// ReadCall is one call of one shard to one replica.
+type ReadCall struct {
+	CallID    string
+	RequestID RequestID
+	Service   ServiceName
+	Snapshot  SnapshotID
+	Shard     ShardID
+	Body      []byte
+	Deadline  time.Time
+	MaxBytes  int
+}
+
+// OrderRun is one order to one replica.
+type OrderRun struct {
+	OrderID   string
+	RequestID RequestID
+	Service   ServiceName
+	Key       string
+	Body      []byte
+	Deadline  time.Time
+	MaxBytes  int
+}
+
+// Backend calls backend servers. Errors are *CallError.
+type Backend interface {
+	Status(ctx context.Context, address string) (ReplicaStatus, error)
+	Read(ctx context.Context, address string, c ReadCall) ([]byte, error)
+	// Cancel asks the server to end a call. The call itself then returns.
+	Cancel(ctx context.Context, address, callID string) error
+	Order(ctx context.Context, address string, o OrderRun) ([]byte, error)
+}
+
+// Peers sends requests to other hosts.
+type Peers interface {
+	// Read sends a batch. It calls sink for each shard result and returns when
+	// all came, the context ended, or the owner was lost.
+	Read(ctx context.Context, h Host, b ReadBatch, sink func(ShardResult)) error
+	Order(ctx context.Context, h Host, id string, req RequestID, o Order, g GroupID, deadline time.Time) (OrderResult, error)
+	Redeem(ctx context.Context, h Host, token string, req RequestID, o Order, deadline time.Time) (OrderResult, error)
+	Snapshots(ctx context.Context, h Host, s ServiceName) ([]GroupSnapshot, error)
+}
+
+// HostEntry is one line of the published host list.
+type HostEntry struct {
+	Host    Host
+	Leaving bool
+}
+
+// Document is one revision of the configuration document.
+type Document struct {
+	Revision Revision
+	Text     []byte
+}
+
+// Platform reads what the platform publishes. It writes nothing.
+type Platform interface {
+	// Document waits until the document's revision is above after, or the
+	// service's own wait time ended (then it returns the current one).
+	Document(ctx context.Context, after Revision) (Document, error)
+	Hosts(ctx context.Context) ([]HostEntry, error)
+}
--- /dev/null
+++ b/core/merge/merge.go
@@ -0,0 +1,113 @@
+// Package merge assembles the answer to one query. Each shard counts once, only
+// rows of the pinned snapshot count, and a closed merge takes nothing more.
+//
+// # Usage
+//
+//	m := merge.New(pin)
+//	m.Add(result)
+//	answer := m.Close(0.95)
+package merge
+
+import (
+	"slices"
+	"sync"
+
+	"oriolebarrow/core"
+)
+
+// Verdict tells what became of a shard result.
+type Verdict string
+
+// Verdicts on a shard result.
+const (
+	Counted       Verdict = "counted"
+	Duplicate     Verdict = "duplicate"
+	Late          Verdict = "late"
+	WrongSnapshot Verdict = "wrong_snapshot"
+	WrongShard    Verdict = "wrong_shard"
+	NoRows        Verdict = "no_rows"
+)
+
+// Merge collects the shards of one query. It is safe for concurrent use; it
+// has one lock and calls nothing while it holds it.
+type Merge struct {
+	mu       sync.Mutex
+	pin      core.Pin
+	rows     [][]byte
+	reasons  []core.Reason
+	answered int
+	closed   bool
+}
+
+// New returns an empty merge for the pinned snapshot.
+func New(pin core.Pin) *Merge {
+	m := &Merge{
+		pin:     pin,
+		rows:    make([][]byte, pin.ShardCount()),
+		reasons: make([]core.Reason, pin.ShardCount()),
+	}
+	for i := range m.reasons {
+		m.reasons[i] = core.ReasonDeadline
+		if pin.Group(core.ShardID(i)) == core.NoGroup {
+			m.reasons[i] = core.ReasonNoReplica
+		}
+	}
+	return m
+}
+
+// Add takes one shard result.
+func (m *Merge) Add(r core.ShardResult) Verdict {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.closed:
+		return Late
+	case r.Shard < 0 || int(r.Shard) >= len(m.rows):
+		return WrongShard
+	case m.rows[r.Shard] != nil:
+		return Duplicate
+	case r.Missing != "":
+		m.reasons[r.Shard] = r.Missing
+		return NoRows
+	case r.Snapshot != m.pin.Snapshot():
+		m.reasons[r.Shard] = core.ReasonWrongAnswer
+		return WrongSnapshot
+	case r.Rows == nil:
+		m.reasons[r.Shard] = core.ReasonWrongAnswer
+		return NoRows
+	}
+	m.rows[r.Shard] = r.Rows
+	m.answered++
+	return Counted
+}
+
+// Answered returns the number of distinct shards answered so far.
+func (m *Merge) Answered() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answered
+}
+
+// Close ends the merge and returns the answer. Later results are refused.
+func (m *Merge) Close(minCoverage float64) core.Answer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+	a := core.Answer{
+		Outcome:  core.Complete,
+		Snapshot: m.pin.Snapshot(),
+		Answered: m.answered,
+		Total:    len(m.rows),
+	}
+	for i, rows := range m.rows {
+		if rows == nil {
+			a.Missing = append(a.Missing, core.MissingShard{Shard: core.ShardID(i), Reason: m.reasons[i]})
+		}
+	}
+	a.Rows = slices.DeleteFunc(slices.Clone(m.rows), func(r []byte) bool { return r == nil })
+	if len(a.Missing) > 0 {
+		a.Outcome = core.Partial
+	}
+	a.BelowMinimum = float64(a.Answered) < minCoverage*float64(a.Total)
+	return a
+}
--- /dev/null
+++ b/core/snaps/snaps.go
@@ -0,0 +1,127 @@
+// Package snaps keeps which replica group holds which snapshot and chooses the
+// snapshot of a query.
+//
+// # Usage
+//
+//	t := snaps.New()
+//	t.Update("tickets", 3, []core.GroupSnapshot{{Group: 3, Snapshot: 41, ShardCount: 20, Shards: []core.ShardID{3}}})
+//	pin, ok := t.Select("tickets")
+package snaps
+
+import (
+	"sync"
+
+	"oriolebarrow/core"
+)
+
+// maxShards bounds the memory that a wrong report can claim.
+const maxShards = 1 << 16
+
+// Table holds the snapshots of each group of each service. It is safe for
+// concurrent use; it has one lock and calls nothing while it holds it.
+type Table struct {
+	mu       sync.RWMutex
+	services map[core.ServiceName]map[core.GroupID][]core.GroupSnapshot
+}
+
+var _ core.Selector = (*Table)(nil)
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{services: make(map[core.ServiceName]map[core.GroupID][]core.GroupSnapshot)}
+}
+
+// Update replaces what is known of one group.
+func (t *Table) Update(s core.ServiceName, g core.GroupID, held []core.GroupSnapshot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	groups := t.services[s]
+	if groups == nil {
+		groups = make(map[core.GroupID][]core.GroupSnapshot)
+		t.services[s] = groups
+	}
+	groups[g] = held
+}
+
+// Drop removes one snapshot of one group, after a refusal said it is gone.
+func (t *Table) Drop(s core.ServiceName, g core.GroupID, snapshot core.SnapshotID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var kept []core.GroupSnapshot
+	for _, h := range t.services[s][g] {
+		if h.Snapshot != snapshot {
+			kept = append(kept, h)
+		}
+	}
+	if groups := t.services[s]; groups != nil {
+		groups[g] = kept
+	}
+}
+
+// Held returns what is known of one group.
+func (t *Table) Held(s core.ServiceName, g core.GroupID) []core.GroupSnapshot {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.services[s][g]
+}
+
+// Select returns the newest snapshot in which every shard is held by a group,
+// else the one with the best coverage (the newest of these).
+func (t *Table) Select(s core.ServiceName) (core.Pin, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	maps := make(map[core.SnapshotID]*shardMap)
+	for g, held := range t.services[s] {
+		for _, h := range held {
+			addTo(maps, g, h)
+		}
+	}
+	var best *shardMap
+	for _, m := range maps {
+		if best == nil || m.betterThan(best) {
+			best = m
+		}
+	}
+	if best == nil {
+		return core.Pin{}, false
+	}
+	return core.NewPin(best.snapshot, best.groups), true
+}
+
+type shardMap struct {
+	snapshot core.SnapshotID
+	groups   []core.GroupID
+	known    int
+}
+
+func addTo(maps map[core.SnapshotID]*shardMap, g core.GroupID, h core.GroupSnapshot) {
+	if h.ShardCount <= 0 || h.ShardCount > maxShards {
+		return
+	}
+	m := maps[h.Snapshot]
+	if m == nil {
+		m = &shardMap{snapshot: h.Snapshot, groups: make([]core.GroupID, h.ShardCount)}
+		for i := range m.groups {
+			m.groups[i] = core.NoGroup
+		}
+		maps[h.Snapshot] = m
+	}
+	for _, shard := range h.Shards {
+		if shard < 0 || int(shard) >= len(m.groups) {
+			continue
+		}
+		if m.groups[shard] == core.NoGroup {
+			m.known++
+		}
+		m.groups[shard] = max(m.groups[shard], g)
+	}
+}
+
+func (m *shardMap) betterThan(other *shardMap) bool {
+	// Compares known/total without division: a/b > c/d when a*d > c*b.
+	a, b := m.known*len(other.groups), other.known*len(m.groups)
+	if a != b {
+		return a > b
+	}
+	return m.snapshot > other.snapshot
+}
