--- /dev/null
+++ b/bench/demo/demo.go
@@ -0,0 +1,254 @@
+// Package demo sends queries and orders to hosts, prints what each request got,
+// and checks the answers against the journal of the stand-ins.
+//
+// # Usage
+//
+//	code := demo.Main(ctx, os.Args[2:], os.Stdout, os.Stderr)
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oriolebarrow/bench/verify"
+	"oriolebarrow/standin/server"
+)
+
+const (
+	orderEvery    = 5 // one order for so many queries
+	clientSlack   = 2 * time.Second
+	readyTimeout  = 20 * time.Second
+	maxReplyBytes = 64 << 20
+	maxTries      = 3
+)
+
+type settings struct {
+	hosts    []string
+	control  string
+	caller   string
+	service  string
+	rate     float64
+	duration time.Duration
+	deadline time.Duration
+}
+
+// Main runs the demo load and returns the exit code: 0 when no rule was broken.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
+	var s settings
+	var hosts string
+	fs := flag.NewFlagSet("demo", flag.ContinueOnError)
+	fs.SetOutput(errOut)
+	fs.StringVar(&hosts, "hosts", "", "caller addresses of the hosts, separated by commas")
+	fs.StringVar(&s.control, "control", "127.0.0.1:20001", "control address of the stand-ins")
+	fs.StringVar(&s.caller, "caller", "", "caller section")
+	fs.StringVar(&s.service, "service", "", "service")
+	fs.Float64Var(&s.rate, "rate", 20, "queries a second")
+	fs.DurationVar(&s.duration, "duration", 6*time.Second, "length of the load")
+	fs.DurationVar(&s.deadline, "deadline", 500*time.Millisecond, "deadline of each request")
+	if fs.Parse(args) != nil || hosts == "" || s.caller == "" || s.service == "" || s.rate <= 0 {
+		_, _ = fmt.Fprintln(errOut, "bench demo: want -hosts, -caller, -service and a rate above 0")
+		return 2
+	}
+	s.hosts = strings.Split(hosts, ",")
+	d := &driver{settings: s, out: out, http: &http.Client{}}
+	report, err := d.run(ctx)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, "bench demo:", err)
+		return 1
+	}
+	_ = json.NewEncoder(out).Encode(report)
+	if !report.OK() {
+		return 1
+	}
+	return 0
+}
+
+type driver struct {
+	settings
+	out  io.Writer
+	http *http.Client
+
+	mu      sync.Mutex // guards the fields below and out
+	queries []verify.Query
+	orders  []verify.Order
+}
+
+func (d *driver) run(ctx context.Context) (*verify.Report, error) {
+	if err := d.waitReady(ctx); err != nil {
+		return nil, err
+	}
+	d.load(ctx)
+	var journal []server.Entry
+	res, err := d.http.Get("http://" + d.control + "/servers/journal")
+	if err != nil {
+		return nil, errors.Wrap(err, "read journal")
+	}
+	defer func() { _ = res.Body.Close() }()
+	if err := json.NewDecoder(res.Body).Decode(&journal); err != nil {
+		return nil, errors.Wrap(err, "decode journal")
+	}
+	report := verify.Check(d.queries, d.orders, journal)
+	if report.QueryResults["complete"] == 0 || report.OrderResults["complete"] == 0 {
+		return report, errors.New("no query or no order was complete")
+	}
+	return report, nil
+}
+
+// waitReady sends queries until every host has answered one completely.
+func (d *driver) waitReady(ctx context.Context) error {
+	end := time.Now().Add(readyTimeout)
+	for _, host := range d.hosts {
+		for {
+			q := d.query(ctx, host)
+			if q.Outcome == "complete" {
+				break
+			}
+			if time.Now().After(end) || ctx.Err() != nil {
+				return errors.Errorf("host %s is not ready: last outcome %q", host, q.Outcome)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	_, _ = fmt.Fprintln(d.out, "demo: all hosts ready")
+	return nil
+}
+
+// load sends requests on a fixed schedule, whatever earlier ones got.
+func (d *driver) load(ctx context.Context) {
+	interval := time.Duration(float64(time.Second) / d.rate)
+	n := int(d.duration / interval)
+	started := time.Now()
+	var wait sync.WaitGroup
+	for i := range n {
+		select {
+		case <-time.After(time.Until(started.Add(time.Duration(i) * interval))):
+		case <-ctx.Done():
+			return
+		}
+		host := d.hosts[i%len(d.hosts)]
+		wait.Go(func() { d.keepQuery(d.query(ctx, host)) })
+		if i%orderEvery == 0 {
+			wait.Go(func() { d.keepOrder(d.order(ctx, i)) })
+		}
+	}
+	wait.Wait()
+}
+
+func (d *driver) keepQuery(q verify.Query) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queries = append(d.queries, q)
+	_, _ = fmt.Fprintf(d.out, "query %s: %s, %d of %d shards, snapshot %d, %d ms\n",
+		q.RequestID, orLost(q.Outcome), q.Answered, q.Total, q.Snapshot, q.Took.Milliseconds())
+}
+
+func (d *driver) keepOrder(o verify.Order) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.orders = append(d.orders, o)
+	shown := make([]string, 0, len(o.Outcomes))
+	for _, outcome := range o.Outcomes {
+		shown = append(shown, orLost(outcome))
+	}
+	_, _ = fmt.Fprintf(d.out, "order %s: %s\n", o.Token, strings.Join(shown, ", "))
+}
+
+func orLost(outcome string) string {
+	if outcome == "" {
+		return "connection lost"
+	}
+	return outcome
+}
+
+type queryReply struct {
+	RequestID string `json:"request_id"`
+	Outcome   string `json:"outcome"`
+	Snapshot  uint64 `json:"snapshot"`
+	Coverage  struct {
+		Answered int `json:"answered"`
+		Total    int `json:"total"`
+		Missing  []struct {
+			Shard int32 `json:"shard"`
+		} `json:"missing"`
+	} `json:"coverage"`
+	Rows []json.RawMessage `json:"rows"`
+}
+
+func (d *driver) query(ctx context.Context, host string) verify.Query {
+	var reply queryReply
+	started := time.Now()
+	err := d.post(ctx, host, "/v1/query", map[string]any{
+		"caller": d.caller, "service": d.service, "deadline_ms": d.deadline.Milliseconds(), "body": map[string]string{"plate": "P-123"},
+	}, &reply)
+	q := verify.Query{Took: time.Since(started), Deadline: d.deadline}
+	if err != nil {
+		return q
+	}
+	q.RequestID, q.Outcome, q.Snapshot = reply.RequestID, reply.Outcome, reply.Snapshot
+	q.Answered, q.Total, q.Rows = reply.Coverage.Answered, reply.Coverage.Total, reply.Rows
+	for _, m := range reply.Coverage.Missing {
+		q.Missing = append(q.Missing, m.Shard)
+	}
+	return q
+}
+
+// order asks one host for a token and sends the order to others, repeating it
+// until the outcome is final.
+func (d *driver) order(ctx context.Context, i int) verify.Order {
+	o := verify.Order{Deadline: d.deadline}
+	var token struct {
+		Token string `json:"token"`
+	}
+	if err := d.post(ctx, d.hosts[i%len(d.hosts)], "/v1/tokens", map[string]any{}, &token); err != nil || token.Token == "" {
+		return o
+	}
+	o.Token = token.Token
+	for try := range maxTries {
+		var reply struct {
+			Outcome string `json:"outcome"`
+		}
+		started := time.Now()
+		err := d.post(ctx, d.hosts[(i+1+try)%len(d.hosts)], "/v1/orders", map[string]any{
+			"caller": d.caller, "service": d.service, "key": fmt.Sprint(i), "token": o.Token,
+			"deadline_ms": d.deadline.Milliseconds(), "body": map[string]int{"number": i},
+		}, &reply)
+		if err != nil {
+			reply.Outcome = ""
+		}
+		o.Outcomes = append(o.Outcomes, reply.Outcome)
+		o.Took = append(o.Took, time.Since(started))
+		if reply.Outcome == "complete" || reply.Outcome == "not_run" {
+			break
+		}
+	}
+	return o
+}
+
+func (d *driver) post(ctx context.Context, host, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, d.deadline+clientSlack)
+	defer cancel()
+	raw, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+path, bytes.NewReader(raw))
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	res, err := d.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "send")
+	}
+	defer func() { _ = res.Body.Close() }()
+	return errors.Wrap(json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(out), "decode")
+}
--- /dev/null
+++ b/bench/verify/verify_test.go
@@ -0,0 +1,78 @@
+package verify_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"oriolebarrow/bench/verify"
+	"oriolebarrow/standin/server"
+)
+
+func rows(t *testing.T, snapshot uint64, shard int32) json.RawMessage {
+	t.Helper()
+	raw, err := json.Marshal(server.Rows(snapshot, shard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// A checker that accepts a broken rule would hide every fault of the product.
+func TestCheckFindsPlantedFaults(t *testing.T) {
+	good := func() ([]verify.Query, []verify.Order, []server.Entry) {
+		q := verify.Query{
+			RequestID: "q1", Outcome: "complete", Snapshot: 41, Answered: 2, Total: 2,
+			Rows: []json.RawMessage{rows(t, 41, 0), rows(t, 41, 1)}, Deadline: 1e9,
+		}
+		o := verify.Order{Token: "o1", Outcomes: []string{"unknown", "complete"}, Deadline: 1e9}
+		journal := []server.Entry{
+			{Kind: "read", RequestID: "q1", Snapshot: 41, Shard: 0},
+			{Kind: "read", RequestID: "q1", Snapshot: 41, Shard: 1},
+			{Kind: "order", ID: "o1"},
+		}
+		return []verify.Query{q}, []verify.Order{o}, journal
+	}
+	tests := []struct {
+		name  string
+		plant func(q *verify.Query, o *verify.Order, j *[]server.Entry)
+		ok    bool
+	}{
+		{"no fault", func(*verify.Query, *verify.Order, *[]server.Entry) {}, true},
+		{"order twice", func(_ *verify.Query, _ *verify.Order, j *[]server.Entry) {
+			*j = append(*j, server.Entry{Kind: "order", ID: "o1"})
+		}, false},
+		{"not_run that ran", func(_ *verify.Query, o *verify.Order, _ *[]server.Entry) {
+			o.Outcomes = []string{"not_run"}
+		}, false},
+		{"complete that did not run", func(_ *verify.Query, _ *verify.Order, j *[]server.Entry) {
+			*j = (*j)[:2]
+		}, false},
+		{"row of another snapshot", func(q *verify.Query, _ *verify.Order, _ *[]server.Entry) {
+			q.Rows[1] = rows(t, 40, 1)
+		}, false},
+		{"shard twice", func(q *verify.Query, _ *verify.Order, _ *[]server.Entry) {
+			q.Rows[1] = q.Rows[0]
+		}, false},
+		{"coverage too high", func(q *verify.Query, _ *verify.Order, _ *[]server.Entry) {
+			q.Rows = q.Rows[:1]
+		}, false},
+		{"partial called complete", func(q *verify.Query, _ *verify.Order, _ *[]server.Entry) {
+			q.Rows, q.Answered, q.Missing = q.Rows[:1], 1, []int32{1}
+		}, false},
+		{"shard that never ran", func(_ *verify.Query, _ *verify.Order, j *[]server.Entry) {
+			*j = (*j)[1:]
+		}, false},
+		{"late", func(q *verify.Query, _ *verify.Order, _ *[]server.Entry) {
+			q.Took = q.Deadline + verify.Tolerance + 1
+		}, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			queries, orders, journal := good()
+			tc.plant(&queries[0], &orders[0], &journal)
+			if got := verify.Check(queries, orders, journal); got.OK() != tc.ok {
+				t.Errorf("OK() = %v, want %v; faults: %v", got.OK(), tc.ok, got.Faults)
+			}
+		})
+	}
+}
--- a/core/iface.go
+++ b/core/iface.go
@@ -120,3 +120,24 @@
 	Document(ctx context.Context, after Revision) (Document, error)
 	Hosts(ctx context.Context) ([]HostEntry, error)
 }
+
+// GroupOwner serves the replica groups that this host owns.
+type GroupOwner interface {
+	// Read calls sink once for each shard and returns when all are decided.
+	Read(ctx context.Context, b ReadBatch, sink func(ShardResult))
+	Order(ctx context.Context, run OrderRun, g GroupID) OrderResult
+	Snapshots(ctx context.Context, s ServiceName, ids []GroupID) []GroupSnapshot
+}
+
+// Views gives the live view and takes hints about lost hosts.
+type Views interface {
+	View(now time.Time) View
+	MarkDown(now time.Time, id HostID)
+}
+
+// Requests serves what callers ask of a host.
+type Requests interface {
+	Query(ctx context.Context, q Query) Answer
+	IssueToken() OrderResult
+	Order(ctx context.Context, token string, req RequestID, o Order, deadline time.Time) OrderResult
+}
--- /dev/null
+++ b/io/entry/entry.go
@@ -0,0 +1,206 @@
+// Package entry serves caller requests on the host where they arrive: it pins a
+// snapshot, plans a query over the owners of its shards and merges the results.
+//
+// # Usage
+//
+//	e := entry.New(entry.Parts{...})
+//	answer := e.Query(ctx, query)
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/merge"
+	"oriolebarrow/core/order"
+	"oriolebarrow/core/snaps"
+)
+
+const (
+	// sendReserve is kept from the deadline for writing the answer.
+	sendReserve = 5 * time.Millisecond
+	// maxRestarts bounds how often a query starts again on a newer snapshot.
+	maxRestarts = 2
+	// restartShare is the share of the time that must be left for a restart.
+	restartShare = 3
+)
+
+// Parts are the dependencies of an Entry.
+type Parts struct {
+	Self        core.HostID
+	Incarnation core.Incarnation
+	Settings    core.Settings
+	Placer      core.Placer
+	Table       *snaps.Table
+	Views       core.Views
+	Peers       core.Peers
+	Local       core.GroupOwner
+	Tokens      *order.Table
+	Log         *slog.Logger
+}
+
+// Entry serves caller requests. It is safe for concurrent use.
+type Entry struct {
+	Parts
+}
+
+// New returns an entry over its parts.
+func New(p Parts) *Entry { return &Entry{Parts: p} }
+
+// Query answers one query before its deadline.
+func (e *Entry) Query(ctx context.Context, q core.Query) core.Answer {
+	end := q.Deadline.Add(-sendReserve)
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	started := time.Now()
+	var answer core.Answer
+	for try := 0; ; try++ {
+		pin, ok := e.pin(ctx, q.Service)
+		if !ok {
+			return core.Answer{Outcome: core.NotRun, Reason: core.ReasonNoReplica}
+		}
+		if try > 0 && pin.Snapshot() <= answer.Snapshot {
+			return answer
+		}
+		e.Log.Info("entry: snapshot pinned", "request_id", q.ID, "service", q.Service,
+			"snapshot", pin.Snapshot(), "shards", pin.ShardCount(), "try", try)
+		answer = e.run(ctx, q, pin)
+		left := time.Until(end)
+		if try >= maxRestarts || !lostSnapshot(answer) || left < time.Since(started)/restartShare {
+			return answer
+		}
+		e.refresh(ctx, q.Service)
+	}
+}
+
+func lostSnapshot(a core.Answer) bool {
+	for _, m := range a.Missing {
+		if m.Reason == core.ReasonSnapshotGone {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Entry) pin(ctx context.Context, s core.ServiceName) (core.Pin, bool) {
+	if pin, ok := e.Table.Select(s); ok {
+		return pin, true
+	}
+	e.refresh(ctx, s)
+	return e.Table.Select(s)
+}
+
+// run sends one batch to each owner and merges until all came or time is up.
+func (e *Entry) run(ctx context.Context, q core.Query, pin core.Pin) core.Answer {
+	m := merge.New(pin)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, p := range e.plan(q, pin) {
+		wait.Go(func() { e.send(ctx, q, pin, m, p) })
+	}
+	all := make(chan struct{})
+	go func() {
+		wait.Wait()
+		close(all)
+	}()
+	select {
+	case <-all:
+	case <-ctx.Done():
+	}
+	return m.Close(q.MinCoverage)
+}
+
+// part is the share of a query that goes to one owner.
+type part struct {
+	owner   core.HostID
+	standby map[core.HostID][]core.ShardRef
+	shards  []core.ShardRef
+}
+
+func (e *Entry) plan(q core.Query, pin core.Pin) map[core.HostID]*part {
+	view := e.Views.View(time.Now())
+	parts := make(map[core.HostID]*part)
+	for i := range pin.ShardCount() {
+		ref := core.ShardRef{Shard: core.ShardID(i), Group: pin.Group(core.ShardID(i))}
+		if ref.Group == core.NoGroup {
+			continue
+		}
+		owner, standby := e.Placer.Owner(view, q.Service, ref.Group)
+		p := parts[owner]
+		if p == nil {
+			p = &part{owner: owner, standby: make(map[core.HostID][]core.ShardRef)}
+			parts[owner] = p
+		}
+		p.shards = append(p.shards, ref)
+		if standby != "" {
+			p.standby[standby] = append(p.standby[standby], ref)
+		}
+	}
+	for id, p := range parts {
+		e.Log.Info("entry: batch planned", "request_id", q.ID, "service", q.Service,
+			"owner", id, "shards", len(p.shards), "view", view.Version(), "reason", "owner")
+	}
+	return parts
+}
+
+// send asks the owner and, when it is lost, the standbys for what is missing.
+func (e *Entry) send(ctx context.Context, q core.Query, pin core.Pin, m *merge.Merge, p *part) {
+	var mu sync.Mutex // guards answered
+	answered := make(map[core.ShardID]bool)
+	sink := func(r core.ShardResult) {
+		if v := m.Add(r); v == merge.WrongSnapshot || v == merge.WrongShard {
+			e.Log.Warn("entry: shard result rejected", "request_id", q.ID, "shard", r.Shard, "verdict", v)
+		}
+		if r.Missing == core.ReasonSnapshotGone {
+			e.Table.Drop(q.Service, pin.Group(r.Shard), pin.Snapshot())
+		}
+		mu.Lock()
+		answered[r.Shard] = true
+		mu.Unlock()
+	}
+	if e.ask(ctx, p.owner, q, pin, p.shards, sink) == nil {
+		return
+	}
+	for id, refs := range p.standby {
+		mu.Lock()
+		var open []core.ShardRef
+		for _, ref := range refs {
+			if !answered[ref.Shard] {
+				open = append(open, ref)
+			}
+		}
+		mu.Unlock()
+		if len(open) == 0 || ctx.Err() != nil {
+			continue
+		}
+		e.Log.Info("entry: batch planned", "request_id", q.ID, "service", q.Service,
+			"owner", id, "shards", len(open), "reason", "standby")
+		if err := e.ask(ctx, id, q, pin, open, sink); err != nil {
+			for _, ref := range open {
+				m.Add(core.ShardResult{Shard: ref.Shard, Missing: core.ReasonOwnerLost})
+			}
+		}
+	}
+}
+
+func (e *Entry) ask(ctx context.Context, id core.HostID, q core.Query, pin core.Pin, refs []core.ShardRef, sink func(core.ShardResult)) error {
+	b := core.ReadBatch{Query: q, Snapshot: pin.Snapshot(), Shards: refs}
+	if id == e.Self {
+		e.Local.Read(ctx, b, sink)
+		return nil
+	}
+	host, ok := e.Views.View(time.Now()).Lookup(id)
+	if !ok {
+		return &core.CallError{Op: "read", Target: string(id), Reason: core.ReasonNoOwner, NotRun: true}
+	}
+	err := e.Peers.Read(ctx, host, b, sink)
+	if err != nil && ctx.Err() == nil {
+		e.Log.Warn("entry: owner lost", "request_id", q.ID, "owner", id, "err", err)
+		e.Views.MarkDown(time.Now(), id)
+	}
+	return err
+}
--- /dev/null
+++ b/io/entry/order.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/order"
+)
+
+// tableFullRetry is when a caller may ask again after a full token table.
+const tableFullRetry = time.Second
+
+// IssueToken returns a token for one order, or a refusal.
+func (e *Entry) IssueToken() core.OrderResult {
+	token, ok := e.Tokens.Issue(time.Now())
+	if !ok {
+		return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonTableFull, RetryAfter: tableFullRetry}
+	}
+	return core.OrderResult{Outcome: core.NotRun, Token: token}
+}
+
+// Order runs an order at most once for its token, at the host that issued it.
+func (e *Entry) Order(ctx context.Context, token string, req core.RequestID, o core.Order, deadline time.Time) core.OrderResult {
+	if token == "" {
+		r := e.IssueToken()
+		if r.Reason == "" {
+			r.Reason = core.ReasonNoToken
+		}
+		return r
+	}
+	host, inc, err := order.Issuer(token)
+	if err != nil {
+		return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonTokenUnknown}
+	}
+	if host == e.Self {
+		if inc != e.Incarnation {
+			return core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonIssuerGone}
+		}
+		return e.Redeem(ctx, token, req, o, deadline)
+	}
+	return e.forward(ctx, host, token, req, o, deadline)
+}
+
+func (e *Entry) forward(ctx context.Context, issuer core.HostID, token string, req core.RequestID, o core.Order, deadline time.Time) core.OrderResult {
+	unknown := core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonIssuerGone}
+	host, ok := e.Views.View(time.Now()).Lookup(issuer)
+	if !ok {
+		return unknown
+	}
+	e.Log.Info("entry: order forwarded", "request_id", req, "service", o.Service, "host", issuer, "reason", "token_issuer")
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-sendReserve))
+	defer cancel()
+	r, err := e.Peers.Redeem(ctx, host, token, req, o, deadline.Add(-sendReserve))
+	if err != nil {
+		// An earlier request with this token may have run, so not_run is never
+		// answered here, even when this one was not sent.
+		unknown.Reason = core.ReasonUnclear
+		return unknown
+	}
+	return r
+}
+
+// Redeem decides a token that this host issued.
+func (e *Entry) Redeem(ctx context.Context, token string, req core.RequestID, o core.Order, deadline time.Time) core.OrderResult {
+	_, inc, err := order.Issuer(token)
+	if err != nil || inc != e.Incarnation {
+		return core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonIssuerGone}
+	}
+	print := order.Fingerprint(o)
+	for {
+		d := e.Tokens.Redeem(time.Now(), token, print)
+		switch d.Verdict {
+		case order.Run:
+			return e.runOrder(ctx, token, req, o, deadline)
+		case order.Answer:
+			return d.Result
+		case order.Differs:
+			return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonTokenUnknown}
+		case order.NoEntry:
+			return core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonTokenExpired}
+		}
+		select {
+		case <-d.Changed:
+		case <-ctx.Done():
+			return core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonDeadline}
+		}
+	}
+}
+
+// runOrder runs the order in the background, so that its result is kept for a
+// repeat even when this request is given up.
+func (e *Entry) runOrder(ctx context.Context, token string, req core.RequestID, o core.Order, deadline time.Time) core.OrderResult {
+	done := make(chan core.OrderResult, 1)
+	go func() {
+		ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(-sendReserve))
+		defer cancel()
+		r := e.place(ctx, token, req, o, deadline.Add(-sendReserve))
+		e.Tokens.Finish(time.Now(), token, r)
+		done <- r
+	}()
+	select {
+	case r := <-done:
+		return r
+	case <-ctx.Done():
+		return core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonDeadline}
+	}
+}
+
+// place sends the order to the owner of its group, once.
+func (e *Entry) place(ctx context.Context, token string, req core.RequestID, o core.Order, deadline time.Time) core.OrderResult {
+	service, ok := e.Settings.Service(o.Service)
+	if !ok || len(service.Groups()) == 0 {
+		return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonUnknownService}
+	}
+	group := core.GroupID(xxhash.Sum64String(o.Key) % uint64(len(service.Groups())))
+	view := e.Views.View(time.Now())
+	owner, _ := e.Placer.Owner(view, o.Service, group)
+	e.Log.Info("entry: order placed", "request_id", req, "service", o.Service, "group", group,
+		"owner", owner, "view", view.Version(), "reason", "owner")
+	if owner == e.Self {
+		return e.Local.Order(ctx, core.OrderRun{
+			OrderID: token, RequestID: req, Service: o.Service, Key: o.Key, Body: o.Body, Deadline: deadline,
+		}, group)
+	}
+	host, ok := view.Lookup(owner)
+	if !ok {
+		return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonNoOwner}
+	}
+	r, err := e.Peers.Order(ctx, host, token, req, o, group, deadline)
+	var call *core.CallError
+	if errors.As(err, &call) {
+		r = core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonUnclear}
+		if call.NotRun {
+			r = core.OrderResult{Outcome: core.NotRun, Reason: call.Reason}
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/io/entry/refresh.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"oriolebarrow/core"
+)
+
+const (
+	refreshInterval = 250 * time.Millisecond
+	refreshTimeout  = 500 * time.Millisecond
+)
+
+// Run keeps the snapshot table fresh until ctx ends.
+func (e *Entry) Run(ctx context.Context) error {
+	tick := time.NewTicker(refreshInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			e.Tokens.Expire(now)
+			for _, s := range e.Settings.Services() {
+				e.refresh(ctx, s.Name())
+			}
+		}
+	}
+}
+
+// refresh asks the owners of a service which snapshots their groups hold.
+func (e *Entry) refresh(ctx context.Context, s core.ServiceName) {
+	service, ok := e.Settings.Service(s)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	view := e.Views.View(time.Now())
+	owned := make(map[core.HostID][]core.GroupID)
+	for i := range service.Groups() {
+		owner, _ := e.Placer.Owner(view, s, core.GroupID(i))
+		owned[owner] = append(owned[owner], core.GroupID(i))
+	}
+	var wait sync.WaitGroup
+	for id, groups := range owned {
+		wait.Go(func() { e.refreshFrom(ctx, view, id, s, groups) })
+	}
+	wait.Wait()
+}
+
+func (e *Entry) refreshFrom(ctx context.Context, view core.View, id core.HostID, s core.ServiceName, groups []core.GroupID) {
+	var held []core.GroupSnapshot
+	if id == e.Self {
+		held = e.Local.Snapshots(ctx, s, groups)
+	} else {
+		host, ok := view.Lookup(id)
+		if !ok {
+			return
+		}
+		var err error
+		if held, err = e.Peers.Snapshots(ctx, host, s); err != nil {
+			return
+		}
+	}
+	byGroup := make(map[core.GroupID][]core.GroupSnapshot)
+	for _, h := range held {
+		byGroup[h.Group] = append(byGroup[h.Group], h)
+	}
+	for _, g := range groups {
+		e.Table.Update(s, g, byGroup[g])
+	}
+}
+
+// Owned returns what the groups hold that this host owns in its own view.
+func (e *Entry) Owned(ctx context.Context, s core.ServiceName) []core.GroupSnapshot {
+	service, ok := e.Settings.Service(s)
+	if !ok {
+		return nil
+	}
+	view := e.Views.View(time.Now())
+	var ids []core.GroupID
+	for i := range service.Groups() {
+		owner, standby := e.Placer.Owner(view, s, core.GroupID(i))
+		if owner == e.Self || standby == e.Self {
+			ids = append(ids, core.GroupID(i))
+		}
+	}
+	return e.Local.Snapshots(ctx, s, ids)
+}
--- /dev/null
+++ b/io/node/handler.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/io/peer"
+	"oriolebarrow/io/wire"
+)
+
+// handler answers the requests of other hosts.
+type handler struct {
+	node *Node
+}
+
+var _ peer.Handler = handler{}
+
+// Handle implements peer.Handler.
+func (h handler) Handle(ctx context.Context, f *wire.Frame, reply peer.Reply) {
+	switch body := f.Body.(type) {
+	case *wire.Frame_ReadBatch:
+		h.read(ctx, body.ReadBatch, reply)
+	case *wire.Frame_OrderCall:
+		h.order(ctx, body.OrderCall, reply)
+	case *wire.Frame_Redeem:
+		h.redeem(ctx, body.Redeem, reply)
+	case *wire.Frame_SnapshotsGet:
+		held := h.node.entry.Owned(ctx, core.ServiceName(body.SnapshotsGet.Service))
+		_ = reply(true, &wire.Frame{Body: &wire.Frame_SnapshotsReply{SnapshotsReply: peer.SnapshotsToWire(held)}})
+	default:
+		_ = reply(true, &wire.Frame{Body: &wire.Frame_Refusal{Refusal: &wire.Refusal{Reason: "unknown_message"}}})
+	}
+}
+
+func (h handler) read(ctx context.Context, w *wire.ReadBatch, reply peer.Reply) {
+	b := peer.BatchFromWire(w, time.Now())
+	ack := &wire.Frame{Body: &wire.Frame_ReadAck{ReadAck: &wire.ReadAck{Accepted: int32(len(b.Shards))}}}
+	if reply(false, ack) != nil {
+		return
+	}
+	h.node.owner.Read(ctx, b, func(r core.ShardResult) {
+		_ = reply(false, &wire.Frame{Body: &wire.Frame_ShardResult{ShardResult: peer.ResultToWire(r)}})
+	})
+	_ = reply(true, &wire.Frame{Body: &wire.Frame_ReadAck{ReadAck: &wire.ReadAck{}}})
+}
+
+func (h handler) order(ctx context.Context, w *wire.OrderCall, reply peer.Reply) {
+	o := peer.OrderFromWire(w.Order)
+	r := h.node.owner.Order(ctx, core.OrderRun{
+		OrderID:   w.OrderId,
+		RequestID: core.RequestID(w.RequestId),
+		Service:   o.Service,
+		Key:       o.Key,
+		Body:      o.Body,
+		Deadline:  time.Now().Add(time.Duration(w.RemainingUs) * time.Microsecond),
+	}, core.GroupID(w.Group))
+	_ = reply(true, orderResult(r))
+}
+
+func (h handler) redeem(ctx context.Context, w *wire.Redeem, reply peer.Reply) {
+	deadline := time.Now().Add(time.Duration(w.RemainingUs) * time.Microsecond)
+	r := h.node.entry.Redeem(ctx, w.Token, core.RequestID(w.RequestId), peer.OrderFromWire(w.Order), deadline)
+	_ = reply(true, orderResult(r))
+}
+
+func orderResult(r core.OrderResult) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_OrderResult{OrderResult: peer.OrderResultToWire(r)}}
+}
--- /dev/null
+++ b/io/owner/owner.go
@@ -0,0 +1,148 @@
+// Package owner runs the calls to the replica groups that a host owns. It keeps
+// one scheduler for each group and carries out its actions.
+//
+// # Usage
+//
+//	o := owner.New("host-1.7", settings, backend, log)
+//	go o.Run(ctx)
+//	o.Read(ctx, batch, sink)
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"oriolebarrow/core"
+)
+
+const (
+	// pollInterval keeps the learnt state of a replica well inside the 3 s in
+	// which new work to a leaving server must stop.
+	pollInterval = 250 * time.Millisecond
+	pollTimeout  = time.Second
+	// groupIdle is how long a group is polled after its last use.
+	groupIdle = time.Minute
+)
+
+type groupKey struct {
+	service core.ServiceName
+	group   core.GroupID
+}
+
+// Owner holds the groups of one host. Lock order: Owner.mu, then group.mu; no
+// call leaves the host under either.
+type Owner struct {
+	name     string
+	settings core.Settings
+	backend  core.Backend
+	log      *slog.Logger
+
+	mu     sync.Mutex
+	groups map[groupKey]*group
+	made   uint64 // groups created so far
+}
+
+// New returns an owner without groups. The name tells its calls from those of
+// other hosts and of earlier incarnations.
+func New(name string, settings core.Settings, backend core.Backend, log *slog.Logger) *Owner {
+	return &Owner{name: name, settings: settings, backend: backend, log: log, groups: make(map[groupKey]*group)}
+}
+
+// Run polls the replicas of the groups in use until ctx ends.
+func (o *Owner) Run(ctx context.Context) error {
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			o.retire(now)
+			for _, g := range o.all() {
+				go g.poll(ctx)
+			}
+		}
+	}
+}
+
+func (o *Owner) retire(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for key, g := range o.groups {
+		if g.idleSince(now) > groupIdle {
+			delete(o.groups, key)
+		}
+	}
+}
+
+func (o *Owner) all() []*group {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]*group, 0, len(o.groups))
+	for _, g := range o.groups {
+		out = append(out, g)
+	}
+	return out
+}
+
+// group returns the group, created and polled once when it is new.
+func (o *Owner) group(ctx context.Context, s core.ServiceName, id core.GroupID) *group {
+	key := groupKey{service: s, group: id}
+	service, ok := o.settings.Service(s)
+	replicas := service.Group(id)
+	if !ok || len(replicas) == 0 {
+		return nil
+	}
+	o.mu.Lock()
+	g := o.groups[key]
+	if g == nil || !g.matches(service, replicas) {
+		o.made++
+		g = newGroup(o, o.made, service, id, replicas)
+		o.groups[key] = g
+	}
+	o.mu.Unlock()
+	g.first.Do(func() { g.poll(ctx) })
+	return g
+}
+
+// Read queues the shards of a batch and calls sink once for each.
+func (o *Owner) Read(ctx context.Context, b core.ReadBatch, sink func(core.ShardResult)) {
+	var wait sync.WaitGroup
+	for _, ref := range b.Shards {
+		g := o.group(ctx, b.Query.Service, ref.Group)
+		if g == nil {
+			sink(core.ShardResult{Shard: ref.Shard, Missing: core.ReasonUnknownService})
+			continue
+		}
+		wait.Add(1)
+		g.read(ctx, b, ref.Shard, func(r core.ShardResult) {
+			sink(r)
+			wait.Done()
+		})
+	}
+	wait.Wait()
+}
+
+// Order runs an order on one replica of a group, at most once.
+func (o *Owner) Order(ctx context.Context, run core.OrderRun, id core.GroupID) core.OrderResult {
+	g := o.group(ctx, run.Service, id)
+	if g == nil {
+		return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonUnknownService}
+	}
+	done := make(chan core.OrderResult, 1)
+	g.order(ctx, run, func(r core.OrderResult) { done <- r })
+	return <-done
+}
+
+// Snapshots returns what the given groups of a service hold.
+func (o *Owner) Snapshots(ctx context.Context, s core.ServiceName, ids []core.GroupID) []core.GroupSnapshot {
+	var out []core.GroupSnapshot
+	for _, id := range ids {
+		if g := o.group(ctx, s, id); g != nil {
+			out = append(out, g.held()...)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,233 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oriolebarrow/core"
+	"oriolebarrow/io/wire"
+)
+
+// Dial opens a connection to another host.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// ackTimeout is a small multiple of the usual time to acknowledge (below
+	// 2 ms between data centres), so that a lost owner costs little of the deadline.
+	ackTimeout = 25 * time.Millisecond
+)
+
+// Client calls other hosts. It is safe for concurrent use; its lock is held
+// only for the table of links, never while dialing.
+type Client struct {
+	hello *wire.Hello
+	dial  Dial
+
+	mu    sync.Mutex
+	links map[core.HostID]*slot
+}
+
+var _ core.Peers = (*Client)(nil)
+
+// slot serialises dialing to one host.
+type slot struct {
+	mu   sync.Mutex
+	link *link
+}
+
+// NewClient returns a client that introduces itself as host.
+func NewClient(host core.HostID, inc core.Incarnation, dial Dial) *Client {
+	return &Client{
+		hello: &wire.Hello{Host: string(host), Incarnation: uint64(inc)},
+		dial:  dial,
+		links: make(map[core.HostID]*slot),
+	}
+}
+
+// Close ends all links.
+func (c *Client) Close() {
+	c.mu.Lock()
+	slots := c.links
+	c.links = make(map[core.HostID]*slot)
+	c.mu.Unlock()
+	for _, s := range slots {
+		s.mu.Lock()
+		if s.link != nil {
+			s.link.fail(ErrLinkClosed)
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (c *Client) link(ctx context.Context, h core.Host) (*link, error) {
+	c.mu.Lock()
+	s := c.links[h.ID()]
+	if s == nil {
+		s = new(slot)
+		c.links[h.ID()] = s
+	}
+	c.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.link != nil && s.link.alive() {
+		return s.link, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dial(ctx, "tcp", h.Address())
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: dial %s", h.ID())
+	}
+	s.link, err = openLink(conn, c.hello)
+	return s.link, err
+}
+
+// Read sends a batch to the owner of its shards.
+func (c *Client) Read(ctx context.Context, h core.Host, b core.ReadBatch, sink func(core.ShardResult)) error {
+	link, err := c.link(ctx, h)
+	if err != nil {
+		return &core.CallError{Op: "read", Target: string(h.ID()), Reason: core.ReasonOwnerLost, NotRun: true, Cause: err}
+	}
+	acked := make(chan struct{}, 1)
+	done := make(chan error, 1)
+	refused := core.Reason("")
+	end, err := link.call(ctx, &wire.Frame{Body: &wire.Frame_ReadBatch{ReadBatch: batchToWire(b)}}, exchange{
+		frame: func(f *wire.Frame) {
+			switch body := f.Body.(type) {
+			case *wire.Frame_ReadAck:
+				select {
+				case acked <- struct{}{}:
+				default: // a repeated acknowledgement says nothing new
+				}
+
+			case *wire.Frame_ShardResult:
+				sink(resultFromWire(body.ShardResult))
+			case *wire.Frame_Refusal:
+				refused = core.Reason(body.Refusal.Reason)
+			}
+			if f.Last {
+				done <- nil
+			}
+		},
+		closed: func(err error) { done <- err },
+	})
+	if err != nil {
+		return lost("read", h, err)
+	}
+	defer end()
+	timer := time.NewTimer(ackTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case <-acked:
+			timer.Stop()
+		case err := <-done:
+			if err == nil && refused != "" {
+				return &core.CallError{Op: "read", Target: string(h.ID()), Reason: refused, NotRun: true}
+			}
+			if err != nil {
+				return lost("read", h, err)
+			}
+			return nil
+		case <-timer.C:
+			return lost("read", h, errors.New("no acknowledgement"))
+		case <-ctx.Done():
+			return lost("read", h, ctx.Err())
+		}
+	}
+}
+
+// Order sends an order to the owner of a group, once.
+func (c *Client) Order(ctx context.Context, h core.Host, id string, req core.RequestID, o core.Order, g core.GroupID, deadline time.Time) (core.OrderResult, error) {
+	return c.order(ctx, "order", h, func(remaining time.Duration) *wire.Frame {
+		return &wire.Frame{Body: &wire.Frame_OrderCall{OrderCall: &wire.OrderCall{
+			OrderId:     id,
+			RequestId:   string(req),
+			Order:       orderToWire(o),
+			Group:       int32(g),
+			RemainingUs: remaining.Microseconds(),
+		}}}
+	}, deadline)
+}
+
+// Redeem sends an order to the host that issued its token.
+func (c *Client) Redeem(ctx context.Context, h core.Host, token string, req core.RequestID, o core.Order, deadline time.Time) (core.OrderResult, error) {
+	return c.order(ctx, "redeem", h, func(remaining time.Duration) *wire.Frame {
+		return &wire.Frame{Body: &wire.Frame_Redeem{Redeem: &wire.Redeem{
+			Token:       token,
+			RequestId:   string(req),
+			Order:       orderToWire(o),
+			RemainingUs: remaining.Microseconds(),
+		}}}
+	}, deadline)
+}
+
+func (c *Client) order(ctx context.Context, op string, h core.Host, build func(time.Duration) *wire.Frame, deadline time.Time) (core.OrderResult, error) {
+	link, err := c.link(ctx, h)
+	if err != nil {
+		return core.OrderResult{}, &core.CallError{Op: op, Target: string(h.ID()), Reason: core.ReasonOwnerLost, NotRun: true, Cause: err}
+	}
+	// The remaining time is read here, after dialing, since dialing takes time.
+	remaining := time.Until(deadline)
+	if remaining <= 0 {
+		return core.OrderResult{}, &core.CallError{Op: op, Target: string(h.ID()), Reason: core.ReasonDeadline, NotRun: true}
+	}
+	f, err := c.ask(ctx, link, build(remaining))
+	if err != nil {
+		return core.OrderResult{}, lost(op, h, err)
+	}
+	body, ok := f.Body.(*wire.Frame_OrderResult)
+	if !ok {
+		return core.OrderResult{}, lost(op, h, errors.Errorf("unexpected reply %T", f.Body))
+	}
+	return orderResultFromWire(body.OrderResult), nil
+}
+
+// Snapshots asks a host which snapshots its groups of a service hold.
+func (c *Client) Snapshots(ctx context.Context, h core.Host, s core.ServiceName) ([]core.GroupSnapshot, error) {
+	link, err := c.link(ctx, h)
+	if err != nil {
+		return nil, lost("snapshots", h, err)
+	}
+	f, err := c.ask(ctx, link, &wire.Frame{Body: &wire.Frame_SnapshotsGet{SnapshotsGet: &wire.SnapshotsGet{Service: string(s)}}})
+	if err != nil {
+		return nil, lost("snapshots", h, err)
+	}
+	body, ok := f.Body.(*wire.Frame_SnapshotsReply)
+	if !ok {
+		return nil, lost("snapshots", h, errors.Errorf("unexpected reply %T", f.Body))
+	}
+	return snapshotsFromWire(body.SnapshotsReply), nil
+}
+
+// ask sends a request that has one reply.
+func (c *Client) ask(ctx context.Context, l *link, f *wire.Frame) (*wire.Frame, error) {
+	type reply struct {
+		frame *wire.Frame
+		err   error
+	}
+	got := make(chan reply, 1)
+	end, err := l.call(ctx, f, exchange{
+		frame:  func(f *wire.Frame) { got <- reply{frame: f} },
+		closed: func(err error) { got <- reply{err: err} },
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	select {
+	case r := <-got:
+		return r.frame, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func lost(op string, h core.Host, err error) error {
+	return &core.CallError{Op: op, Target: string(h.ID()), Reason: core.ReasonOwnerLost, Cause: err}
+}
--- /dev/null
+++ b/io/remote/remote.go
@@ -0,0 +1,328 @@
+// Package remote calls backend servers over HTTP. Each replica has a transport
+// of its own, so that its connections are bounded.
+//
+// # Usage
+//
+//	c := remote.New(remote.Options{Connections: 5})
+//	rows, err := c.Read(ctx, "10.0.0.7:9000", call)
+package remote
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oriolebarrow/core"
+)
+
+// ChecksumHeader carries the CRC-32C of a response body in hexadecimal.
+const ChecksumHeader = "X-Crc32c"
+
+const (
+	defaultMaxBytes = 1 << 20
+	envelopeBytes   = 4 << 10 // room for the fields around the rows
+	dialTimeout     = time.Second
+	idleTimeout     = 5 * time.Minute // warm connections save the set-up cost
+	errorBodyBytes  = 4 << 10
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Options configures a client.
+type Options struct {
+	Connections int // open connections to one replica at most
+}
+
+// Client calls backend servers. It is safe for concurrent use; its lock guards
+// only the table of transports.
+type Client struct {
+	opts Options
+
+	mu      sync.Mutex
+	clients map[string]*http.Client
+}
+
+var _ core.Backend = (*Client)(nil)
+
+// New returns a client without open connections.
+func New(opts Options) *Client {
+	return &Client{opts: opts, clients: make(map[string]*http.Client)}
+}
+
+func (c *Client) client(address string) *http.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.clients[address]
+	if h == nil {
+		dialer := &net.Dialer{Timeout: dialTimeout}
+		h = &http.Client{
+			Transport: &http.Transport{
+				DialContext:         dialer.DialContext,
+				MaxConnsPerHost:     c.opts.Connections,
+				MaxIdleConnsPerHost: c.opts.Connections,
+				IdleConnTimeout:     idleTimeout,
+				DisableCompression:  true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
+		c.clients[address] = h
+	}
+	return h
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.clients {
+		h.CloseIdleConnections()
+	}
+}
+
+type statusBody struct {
+	Incarnation uint64         `json:"incarnation"`
+	State       string         `json:"state"`
+	Load        int            `json:"load"`
+	Snapshots   []snapshotBody `json:"snapshots"`
+}
+
+type snapshotBody struct {
+	Snapshot   uint64  `json:"snapshot"`
+	ShardCount int     `json:"shard_count"`
+	Shards     []int32 `json:"shards"`
+}
+
+// Status asks a replica for its state.
+func (c *Client) Status(ctx context.Context, address string) (core.ReplicaStatus, error) {
+	var body statusBody
+	if err := c.do(ctx, request{op: "status", method: http.MethodGet, address: address, path: "/v1/status", out: &body}); err != nil {
+		return core.ReplicaStatus{}, err
+	}
+	status := core.ReplicaStatus{
+		Incarnation: core.Incarnation(body.Incarnation),
+		State:       core.ReplicaState(body.State),
+		Load:        body.Load,
+	}
+	for _, s := range body.Snapshots {
+		held := core.GroupSnapshot{Snapshot: core.SnapshotID(s.Snapshot), ShardCount: s.ShardCount}
+		for _, shard := range s.Shards {
+			held.Shards = append(held.Shards, core.ShardID(shard))
+		}
+		status.Snapshots = append(status.Snapshots, held)
+	}
+	return status, nil
+}
+
+type readBody struct {
+	CallID      string          `json:"call_id"`
+	RequestID   string          `json:"request_id"`
+	Service     string          `json:"service"`
+	Snapshot    uint64          `json:"snapshot"`
+	Shard       int32           `json:"shard"`
+	RemainingUS int64           `json:"remaining_us"`
+	Body        json.RawMessage `json:"body,omitempty"`
+}
+
+type rowsBody struct {
+	Snapshot uint64          `json:"snapshot"`
+	Shard    int32           `json:"shard"`
+	Rows     json.RawMessage `json:"rows"`
+}
+
+// Read calls one shard and returns its rows as a JSON array.
+func (c *Client) Read(ctx context.Context, address string, call core.ReadCall) ([]byte, error) {
+	var rows rowsBody
+	err := c.do(ctx, request{
+		op: "read", method: http.MethodPost, address: address, path: "/v1/read", out: &rows,
+		maxBytes: call.MaxBytes, deadline: call.Deadline, checksum: true,
+		in: func(remaining time.Duration) any {
+			return readBody{
+				CallID: call.CallID, RequestID: string(call.RequestID), Service: string(call.Service),
+				Snapshot: uint64(call.Snapshot), Shard: int32(call.Shard),
+				RemainingUS: remaining.Microseconds(), Body: call.Body,
+			}
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if rows.Snapshot != uint64(call.Snapshot) || rows.Shard != int32(call.Shard) || !isArray(rows.Rows) {
+		return nil, &core.CallError{
+			Op: "read", Target: address, Reason: core.ReasonWrongAnswer,
+			Cause: errors.Errorf("asked for snapshot %d shard %d, got snapshot %d shard %d", call.Snapshot, call.Shard, rows.Snapshot, rows.Shard),
+		}
+	}
+	return rows.Rows, nil
+}
+
+func isArray(raw json.RawMessage) bool {
+	raw = bytes.TrimLeft(raw, " \t\r\n")
+	return len(raw) > 0 && raw[0] == '['
+}
+
+// Cancel asks the server to end a call.
+func (c *Client) Cancel(ctx context.Context, address, callID string) error {
+	return c.do(ctx, request{
+		op: "cancel", method: http.MethodPost, address: address, path: "/v1/cancel",
+		in: func(time.Duration) any { return map[string]string{"call_id": callID} },
+	})
+}
+
+type orderBody struct {
+	OrderID     string          `json:"order_id"`
+	RequestID   string          `json:"request_id"`
+	Service     string          `json:"service"`
+	Key         string          `json:"key"`
+	RemainingUS int64           `json:"remaining_us"`
+	Body        json.RawMessage `json:"body,omitempty"`
+}
+
+// Order runs an order on one server. It is sent at most once: the request is a
+// POST without idempotency headers and its body can't be rewound, so that
+// net/http resends it only when it wrote none of it.
+func (c *Client) Order(ctx context.Context, address string, o core.OrderRun) ([]byte, error) {
+	var out struct {
+		OrderID string          `json:"order_id"`
+		Result  json.RawMessage `json:"result"`
+	}
+	err := c.do(ctx, request{
+		op: "order", method: http.MethodPost, address: address, path: "/v1/order", out: &out,
+		maxBytes: o.MaxBytes, deadline: o.Deadline, checksum: true,
+		in: func(remaining time.Duration) any {
+			return orderBody{
+				OrderID: o.OrderID, RequestID: string(o.RequestID), Service: string(o.Service),
+				Key: o.Key, RemainingUS: remaining.Microseconds(), Body: o.Body,
+			}
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if out.OrderID != o.OrderID {
+		return nil, &core.CallError{Op: "order", Target: address, Reason: core.ReasonWrongAnswer}
+	}
+	return out.Result, nil
+}
+
+type request struct {
+	op       string
+	method   string
+	address  string
+	path     string
+	in       func(remaining time.Duration) any
+	out      any
+	maxBytes int
+	deadline time.Time
+	checksum bool
+}
+
+// oneShot hides the type of its reader, so that net/http can't rewind the body.
+type oneShot struct{ io.Reader }
+
+func (c *Client) do(ctx context.Context, r request) error {
+	remaining := time.Duration(0)
+	if !r.deadline.IsZero() {
+		// Read just before sending, since the process may have been stopped.
+		remaining = time.Until(r.deadline)
+		if remaining <= 0 {
+			return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonDeadline, NotRun: true}
+		}
+	}
+	var body io.Reader
+	size := int64(0)
+	if r.in != nil {
+		raw, err := json.Marshal(r.in(remaining))
+		if err != nil {
+			return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonBackendError, NotRun: true, Cause: err}
+		}
+		body = oneShot{bytes.NewReader(raw)}
+		size = int64(len(raw))
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+r.address+r.path, body)
+	if err != nil {
+		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonBackendError, NotRun: true, Cause: err}
+	}
+	req.ContentLength = size
+	req.Header.Set("Content-Type", "application/json")
+	res, err := c.client(r.address).Do(req)
+	if err != nil {
+		// Without a connection nothing can have been written.
+		return &core.CallError{Op: r.op, Target: r.address, Reason: reasonOf(ctx), NotRun: !connected.Load(), Cause: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return refusal(r, res)
+	}
+	return decode(ctx, r, res)
+}
+
+func reasonOf(ctx context.Context) core.Reason {
+	if ctx.Err() != nil {
+		return core.ReasonDeadline
+	}
+	return core.ReasonBackendError
+}
+
+// refusal turns an error status into a CallError. Only an explicit "ran": false
+// proves that the request did not run.
+func refusal(r request, res *http.Response) error {
+	var body struct {
+		Refused string `json:"refused"`
+		Ran     *bool  `json:"ran"`
+	}
+	raw, _ := io.ReadAll(io.LimitReader(res.Body, errorBodyBytes))
+	_ = json.Unmarshal(raw, &body)
+	reason := core.Reason(body.Refused)
+	if reason == "" {
+		reason = core.ReasonBackendError
+	}
+	return &core.CallError{
+		Op: r.op, Target: r.address, Reason: reason,
+		NotRun: body.Ran != nil && !*body.Ran,
+		Cause:  errors.Errorf("status %d", res.StatusCode),
+	}
+}
+
+func decode(ctx context.Context, r request, res *http.Response) error {
+	limit := r.maxBytes
+	if limit == 0 {
+		limit = defaultMaxBytes
+	}
+	raw, err := io.ReadAll(io.LimitReader(res.Body, int64(limit+envelopeBytes+1)))
+	if err != nil {
+		return &core.CallError{Op: r.op, Target: r.address, Reason: reasonOf(ctx), Cause: err}
+	}
+	if len(raw) > limit+envelopeBytes {
+		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonTooLarge, Cause: errors.Errorf("more than %d bytes", limit)}
+	}
+	if r.checksum && res.Header.Get(ChecksumHeader) != Checksum(raw) {
+		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonWrongAnswer, Cause: errors.New("checksum differs")}
+	}
+	if r.out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(raw, r.out); err != nil {
+		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonWrongAnswer, Cause: err}
+	}
+	return nil
+}
+
+// Checksum returns the value of ChecksumHeader for a body.
+func Checksum(body []byte) string {
+	return fmt.Sprintf("%08x", crc32.Checksum(body, castagnoli))
+}
--- /dev/null
+++ b/standin/plat/plat.go
@@ -0,0 +1,271 @@
+// Package plat is a stand-in for the platform: a configuration service that can
+// be read and watched, and a host list that lags.
+//
+// # Usage
+//
+//	p := plat.New(time.Second)
+//	p.Publish(1, text)
+//	server := httptest.NewServer(p)
+package plat
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"oriolebarrow/core"
+)
+
+const (
+	readsPerSecond = 2000
+	watchWait      = 10 * time.Second
+	maxValueBytes  = 1 << 20
+)
+
+// Mode is how the service behaves.
+type Mode string
+
+// Modes of the service.
+const (
+	Up    Mode = "up"
+	Down  Mode = "down"  // refuses every read
+	Stale Mode = "stale" // serves an earlier revision
+	Empty Mode = "empty" // serves an empty document
+)
+
+type document struct {
+	revision core.Revision
+	text     []byte
+}
+
+type hostList struct {
+	from  time.Time
+	hosts []core.HostEntry
+}
+
+// Platform is the stand-in. It is safe for concurrent use; its one lock covers
+// all fields.
+type Platform struct {
+	lag time.Duration
+
+	mu       sync.Mutex
+	mode     Mode
+	history  []document
+	staleAt  core.Revision
+	changed  chan struct{}
+	lists    []hostList
+	second   int64
+	reads    int
+	total    int
+	refused  int
+	watching int
+}
+
+// New returns a platform whose host list shows changes after lag.
+func New(lag time.Duration) *Platform {
+	return &Platform{lag: lag, mode: Up, changed: make(chan struct{})}
+}
+
+// Publish stores a revision of the document.
+func (p *Platform) Publish(r core.Revision, text []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.history = append(p.history, document{revision: r, text: text})
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// SetHosts changes the host list; readers see it after the lag.
+func (p *Platform) SetHosts(hosts []core.HostEntry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	from := time.Now().Add(p.lag)
+	if len(p.lists) == 0 {
+		from = time.Now()
+	}
+	p.lists = append(p.lists, hostList{from: from, hosts: hosts})
+}
+
+// SetMode changes how the service behaves. Stale serves revision r.
+func (p *Platform) SetMode(m Mode, r core.Revision) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	p.staleAt = r
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// ServeHTTP implements the published interface.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !p.admit() {
+		http.Error(w, "too many reads or down", http.StatusServiceUnavailable)
+		return
+	}
+	switch {
+	case r.Method != http.MethodGet:
+		http.Error(w, "read only", http.StatusMethodNotAllowed)
+	case r.URL.Path == "/v1/config":
+		p.config(w, r)
+	case r.URL.Path == "/v1/hosts":
+		p.hosts(w)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// admit counts a read and refuses those above the rate.
+func (p *Platform) admit() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := time.Now().Unix(); now != p.second {
+		p.second, p.reads = now, p.watching
+	}
+	p.total++
+	p.reads++
+	if p.reads > readsPerSecond || p.mode == Down {
+		p.refused++
+		return false
+	}
+	return true
+}
+
+func (p *Platform) config(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	deadline := time.NewTimer(watchWait)
+	defer deadline.Stop()
+	p.watch(1)
+	defer p.watch(-1)
+	for {
+		doc, changed := p.current()
+		if after == 0 || doc.revision > core.Revision(after) {
+			writeDocument(w, doc)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			writeDocument(w, doc)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) watch(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.watching += n
+}
+
+func (p *Platform) current() (document, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.history) == 0 {
+		return document{}, p.changed
+	}
+	doc := p.history[len(p.history)-1]
+	switch p.mode {
+	case Stale:
+		for _, d := range p.history {
+			if d.revision <= p.staleAt {
+				doc = d
+			}
+		}
+	case Empty:
+		doc.text = nil
+	}
+	return doc, p.changed
+}
+
+func writeDocument(w http.ResponseWriter, d document) {
+	w.Header().Set("X-Revision", strconv.FormatUint(uint64(d.revision), 10))
+	_, _ = w.Write(d.text)
+}
+
+type hostOut struct {
+	ID         string `json:"id"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+	State      string `json:"state"`
+}
+
+type hostsOut struct {
+	Hosts []hostOut `json:"hosts"`
+}
+
+func (p *Platform) hosts(w http.ResponseWriter) {
+	p.mu.Lock()
+	var shown []core.HostEntry
+	now := time.Now()
+	for _, l := range p.lists {
+		if !l.from.After(now) {
+			shown = l.hosts
+		}
+	}
+	p.mu.Unlock()
+	out := hostsOut{Hosts: []hostOut{}}
+	for _, h := range shown {
+		state := "live"
+		if h.Leaving {
+			state = "leaving"
+		}
+		out.Hosts = append(out.Hosts, hostOut{
+			ID: string(h.Host.ID()), DataCentre: string(h.Host.DataCentre()), Address: h.Host.Address(), State: state,
+		})
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// Stats counts what the service was asked.
+type Stats struct {
+	Reads    int `json:"reads"`
+	Refused  int `json:"refused"`
+	Watching int `json:"watching"`
+}
+
+// Stats returns the counts so far.
+func (p *Platform) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Stats{Reads: p.total, Refused: p.refused, Watching: p.watching}
+}
+
+// Register adds the control interface to a mux.
+func (p *Platform) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /platform/stats", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(p.Stats())
+	})
+	mux.HandleFunc("PUT /platform/config", func(w http.ResponseWriter, r *http.Request) {
+		rev, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+		text, readErr := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes))
+		if err != nil || readErr != nil {
+			http.Error(w, "want revision=N and at most 1 MB", http.StatusBadRequest)
+			return
+		}
+		p.Publish(core.Revision(rev), text)
+	})
+	mux.HandleFunc("PUT /platform/mode", func(_ http.ResponseWriter, r *http.Request) {
+		rev, _ := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+		p.SetMode(Mode(r.URL.Query().Get("mode")), core.Revision(rev))
+	})
+	mux.HandleFunc("PUT /platform/hosts", func(w http.ResponseWriter, r *http.Request) {
+		var in hostsOut
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		var hosts []core.HostEntry
+		for _, h := range in.Hosts {
+			hosts = append(hosts, core.HostEntry{
+				Host:    core.NewHost(core.HostID(h.ID), core.DataCentre(h.DataCentre), h.Address),
+				Leaving: h.State == "leaving",
+			})
+		}
+		p.SetHosts(hosts)
+	})
+}
