feat: detect lost hosts by heartbeats and distribute configuration by gossip

Cause: every host read the platform itself, a starting host was ready after its first document, and a failed dial alone decided who is in the view.

- io/gossip: UDP packets of at most 1,200 bytes; two readers a data centre; other hosts pull what differs by 256 bucket digests, zstd-compressed.
- core/config: digests; duplicate sections and several unreadable sections are all reported; faults name section, key and line also for unknown and nested keys; a part with two YAML documents is refused instead of half read.
- io/peer: Sections and Hosts exchanges.

Ruled out: a digest per section in each request (about 30 KB for a document of 1 MB; buckets need 2 KB) and taking a host out of the view on gossip alone (a false suspicion would move groups).

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -47,7 +47,7 @@
 		reject(e, fs, "%s", fault)
 		return ExitUsage
 	}
-	n := node.New(node.Options{
+	n, err := node.New(node.Options{
 		ID:            core.HostID(f.id),
 		DataCentre:    core.DataCentre(f.dataCentre),
 		PeerAddress:   f.peerAddress,
@@ -57,6 +57,10 @@
 		TokenMax:      f.tokenMax,
 		Connections:   f.connections,
 	}, f.logger(e))
+	if err != nil {
+		_, _ = fmt.Fprintf(e.err, "oriolebarrow serve: %v\n", err)
+		return ExitFault
+	}
 	if err := n.Run(ctx); err != nil {
 		_, _ = fmt.Fprintf(e.err, "oriolebarrow serve: %v\n", err)
 		return ExitFault
--- a/core/config/check.go
+++ b/core/config/check.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -60,8 +61,8 @@
 		edition: core.Edition(f.Edition),
 		removed: f.Removed,
 	}
-	c.name("name", f.Name)
-	c.name("team", f.Team)
+	c.identifier("name", f.Name)
+	c.identifier("team", f.Team)
 	if f.Edition == 0 {
 		c.fail("edition", "want an integer above 0, raised with each change")
 	}
@@ -124,19 +125,21 @@
 	seen := make(map[string]bool)
 	groups := make([][]core.Replica, 0, len(c.in.Groups))
 	for i, replicas := range c.in.Groups {
+		path := fmt.Sprintf("groups[%d]", i)
 		if len(replicas) == 0 {
-			c.fail("groups", "group %d has no replica", i)
+			c.fail(path, "group %d has no replica", i)
 		}
 		group := make([]core.Replica, 0, len(replicas))
-		for _, r := range replicas {
+		for j, r := range replicas {
+			item := fmt.Sprintf("%s[%d]", path, j)
 			if _, err := netip.ParseAddrPort(r.Address); err != nil {
-				c.fail("groups", "group %d: want an IP number and port, got %q", i, r.Address)
+				c.fail(item+".address", "group %d: want an IP number and port, got %q", i, r.Address)
 			}
 			if seen[r.Address] {
-				c.fail("groups", "group %d: address %s is listed twice", i, r.Address)
+				c.fail(item+".address", "group %d: address %s is listed twice", i, r.Address)
 			}
 			if r.DataCentre == "" {
-				c.fail("groups", "group %d: replica %s has no data_centre", i, r.Address)
+				c.fail(item, "group %d: replica %s has no data_centre", i, r.Address)
 			}
 			seen[r.Address] = true
 			group = append(group, core.NewReplica(r.Address, core.DataCentre(r.DataCentre)))
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -88,7 +88,14 @@
 }
 
 func isSeparator(line []byte) bool {
-	return bytes.Equal(bytes.TrimRight(line, " \t\r\n"), []byte("---"))
+	rest, ok := bytes.CutPrefix(line, []byte("---"))
+	if !ok {
+		return false
+	}
+	// YAML allows a comment after the marker. Content there would be lost, so
+	// such a line stays in its part, which is then refused.
+	rest = bytes.TrimSpace(rest)
+	return len(rest) == 0 || rest[0] == '#'
 }
 
 func hasContent(text []byte) bool {
--- a/core/config/ledger.go
+++ b/core/config/ledger.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"bytes"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -43,9 +45,10 @@
 
 // Refused tells why a published section is not in force.
 type Refused struct {
-	Key      string
+	Key      string // kind and name, or the line when they are not readable
 	Revision core.Revision
 	Reason   string
+	Faults   []Fault // broken rules of an invalid section
 }
 
 // Ledger holds the sections in force on one host. It is safe for concurrent
@@ -53,13 +56,20 @@
 type Ledger struct {
 	mu       sync.RWMutex
 	versions map[Key]Version
+	parsed   map[uint64]*Section // sections in force by the hash of their text
+	buckets  [Buckets]uint64
 	refused  map[string]Refused
 	revision core.Revision
+	document bool
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{versions: make(map[Key]Version), refused: make(map[string]Refused)}
+	return &Ledger{
+		versions: make(map[Key]Version),
+		parsed:   make(map[uint64]*Section),
+		refused:  make(map[string]Refused),
+	}
 }
 
 // Apply merges a document and returns the keys that changed. An empty or
@@ -71,29 +81,50 @@
 	}
 	var changed []Key
 	refused := make(map[string]Refused)
+	seen := make(map[Key]int)
 	for _, p := range parts {
-		section, faults := Parse(p)
+		section, faults := l.parse(p)
 		if len(faults) > 0 {
-			f := faults[0]
-			refused[f.Section] = Refused{Key: f.Section, Revision: doc.Revision, Reason: f.Error()}
+			name := faults[0].Section
+			if name == "" {
+				name = fmt.Sprintf("line %d", p.line)
+			}
+			refused[name] = Refused{Key: name, Revision: doc.Revision, Reason: faults[0].Error(), Faults: faults}
 			continue
 		}
 		ok, reason := l.Merge(NewVersion(section, doc.Revision))
 		if ok {
 			changed = append(changed, section.key)
 		}
+		if line, twice := seen[section.key]; twice {
+			reason = fmt.Sprintf("the section is listed twice, at lines %d and %d", line, p.line)
+		}
+		seen[section.key] = p.line
 		if reason != "" {
 			name := section.key.String()
 			refused[name] = Refused{Key: name, Revision: doc.Revision, Reason: reason}
 		}
 	}
-	l.noteRevision(doc.Revision, refused)
+	l.noteDocument(doc.Revision, refused)
 	return changed, nil
 }
 
-func (l *Ledger) noteRevision(r core.Revision, refused map[string]Refused) {
+// parse reuses the section in force when the text is unchanged, since most
+// sections of a new document are.
+func (l *Ledger) parse(p Part) (*Section, []Fault) {
+	l.mu.RLock()
+	old := l.parsed[textHash(p.text)]
+	l.mu.RUnlock()
+	if old != nil && bytes.Equal(bytes.TrimSpace(old.text), bytes.TrimSpace(p.text)) {
+		return old, nil
+	}
+	return Parse(p)
+}
+
+func (l *Ledger) noteDocument(r core.Revision, refused map[string]Refused) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.document = true
 	// Refusals of an older document are not news.
 	if r >= l.revision {
 		l.revision = r
@@ -107,15 +138,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.revision = max(l.revision, v.revision)
-	key := v.section.key
-	old, ok := l.versions[key]
+	old, ok := l.versions[v.section.key]
 	if !ok {
-		l.versions[key] = v
+		l.put(v)
 		return true, ""
 	}
 	same := old.section.edition == v.section.edition && old.section.hash == v.section.hash
 	if v.Beats(old) {
-		l.versions[key] = v
+		l.drop(old)
+		l.put(v)
 		return !same, ""
 	}
 	switch {
@@ -128,6 +159,17 @@
 	}
 }
 
+func (l *Ledger) put(v Version) {
+	l.versions[v.section.key] = v
+	l.parsed[v.section.hash] = v.section
+	l.buckets[v.section.key.bucket()] ^= v.digest()
+}
+
+func (l *Ledger) drop(v Version) {
+	delete(l.parsed, v.section.hash)
+	l.buckets[v.section.key.bucket()] ^= v.digest()
+}
+
 // Versions returns the versions in force, ordered by key, removed ones too.
 func (l *Ledger) Versions() []Version {
 	l.mu.RLock()
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -10,6 +10,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
 	"github.com/pkg/errors"
 
 	"oriolebarrow/core"
@@ -107,65 +108,117 @@
 // Parse decodes one section strictly, sets defaults and validates it. The
 // section is nil when there are faults.
 func Parse(p Part) (*Section, []Fault) {
-	f := new(file)
 	tree, err := parser.ParseBytes(p.text, 0)
 	if err != nil {
-		return nil, []Fault{syntaxFault(p, err)}
+		return nil, []Fault{syntaxFault(p, "", err)}
+	}
+	f := new(file)
+	c := newChecker(p, f, tree)
+	if len(tree.Docs) != 1 {
+		return nil, []Fault{{Section: c.name(), Line: p.line, Rule: "want one YAML document"}}
 	}
 	dec := yaml.NewDecoder(bytes.NewReader(p.text), yaml.Strict())
 	if err := dec.Decode(f); err != nil {
-		return nil, []Fault{syntaxFault(p, err)}
+		return nil, []Fault{syntaxFault(p, c.name(), err)}
 	}
 	setDefaults(f)
-	c := newChecker(p, f, tree)
 	section := c.section()
 	if len(c.faults) > 0 {
 		return nil, c.faults
 	}
 	section.text = p.text
-	section.hash = xxhash.Sum64(bytes.TrimSpace(p.text))
+	section.hash = textHash(p.text)
 	return section, nil
 }
 
-func syntaxFault(p Part, err error) Fault {
-	line, msg := p.line, err.Error()
+func textHash(text []byte) uint64 { return xxhash.Sum64(bytes.TrimSpace(text)) }
+
+// syntaxFault names the key as far as the decoder's token shows it.
+func syntaxFault(p Part, section string, err error) Fault {
+	fault := Fault{Section: section, Line: p.line, Rule: strings.TrimSpace(err.Error())}
 	var ye yaml.Error
 	if errors.As(err, &ye) {
-		msg = ye.GetMessage()
+		fault.Rule = strings.TrimSpace(ye.GetMessage())
 		if t := ye.GetToken(); t != nil {
-			line += t.Position.Line - 1
+			fault.Line += t.Position.Line - 1
+			fault.Key = keyOf(t)
+		}
+	}
+	return fault
+}
+
+// keyOf returns the key that a token is or whose value it is.
+func keyOf(t *token.Token) string {
+	if t.Next != nil && t.Next.Type == token.MappingValueType {
+		return t.Value
+	}
+	for ; t != nil; t = t.Prev {
+		if t.Type == token.MappingValueType && t.Prev != nil {
+			return t.Prev.Value
 		}
 	}
-	return Fault{Line: line, Rule: strings.TrimSpace(msg)}
+	return ""
 }
 
 // checker validates a decoded section and collects every fault.
 type checker struct {
 	part   Part
 	in     *file
-	lines  map[string]int
+	lines  map[string]int    // by path, such as groups[0][1].address
+	values map[string]string // top-level scalars
 	faults []Fault
 }
 
 func newChecker(p Part, f *file, tree *ast.File) *checker {
-	c := &checker{part: p, in: f, lines: make(map[string]int)}
+	c := &checker{part: p, in: f, lines: make(map[string]int), values: make(map[string]string)}
 	for _, doc := range tree.Docs {
-		if m, ok := doc.Body.(*ast.MappingNode); ok {
-			for _, v := range m.Values {
-				c.lines[v.Key.String()] = v.Key.GetToken().Position.Line
-			}
-		}
+		c.walk("", doc.Body)
 	}
 	return c
 }
 
+// walk records the line of every key and list item.
+func (c *checker) walk(path string, n ast.Node) {
+	switch n := n.(type) {
+	case *ast.MappingNode:
+		for _, v := range n.Values {
+			c.walk(path, v)
+		}
+	case *ast.MappingValueNode:
+		key := n.Key.String()
+		if path != "" {
+			key = path + "." + key
+		}
+		c.lines[key] = n.Key.GetToken().Position.Line
+		if scalar, ok := n.Value.(ast.ScalarNode); ok && path == "" {
+			c.values[key] = fmt.Sprint(scalar.GetValue())
+		}
+		c.walk(key, n.Value)
+	case *ast.SequenceNode:
+		for i, v := range n.Values {
+			item := fmt.Sprintf("%s[%d]", path, i)
+			c.lines[item] = v.GetToken().Position.Line
+			c.walk(item, v)
+		}
+	}
+}
+
+// name returns kind and name as far as they are readable.
+func (c *checker) name() string {
+	kind, name := c.values["kind"], c.values["name"]
+	if kind == "" && name == "" {
+		return ""
+	}
+	return kind + "/" + name
+}
+
 func (c *checker) fail(key, format string, args ...any) {
 	line := c.part.line
 	if l := c.lines[key]; l > 0 {
 		line += l - 1
 	}
 	c.faults = append(c.faults, Fault{
-		Section: c.in.Kind + "/" + c.in.Name,
+		Section: c.name(),
 		Key:     key,
 		Line:    line,
 		Rule:    fmt.Sprintf(format, args...),
@@ -196,7 +249,7 @@
 	}
 }
 
-func (c *checker) name(key, text string) {
+func (c *checker) identifier(key, text string) {
 	if text == "" || len(text) > maxNameBytes {
 		c.fail(key, "want 1 to %d bytes", maxNameBytes)
 		return
--- /dev/null
+++ b/io/gossip/config.go
@@ -0,0 +1,223 @@
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/config"
+	"oriolebarrow/core/member"
+	"oriolebarrow/io/wire"
+)
+
+const (
+	// chunkBytes bounds the text of one reply, so that a document of 1 MB does
+	// not delay other frames of the same link for long.
+	chunkBytes = 128 << 10
+	// maxChunks bounds what one exchange may bring.
+	maxChunks = 64
+
+	readerCheck   = time.Second // how often a host looks whether it is a reader
+	startInterval = 200 * time.Millisecond
+	backoffMin    = 200 * time.Millisecond
+	backoffMax    = 5 * time.Second
+	// watchTimeout is above the service's own wait time of 10 s.
+	watchTimeout = 30 * time.Second
+	quickWatch   = time.Second
+)
+
+// ErrTooMuch is returned when an exchange brings more than a document can hold.
+var ErrTooMuch = errors.New("gossip: exchange brings too much")
+
+// reader reports whether this host watches the platform. A host that knows no
+// other host does, so that it learns of them.
+func (a *Agent) reader() bool {
+	for _, id := range a.Placer.Readers(a.Detector.View(time.Now()), a.Self.DataCentre()) {
+		if id == a.Self.ID() {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Agent) watchConfig(ctx context.Context) error {
+	after := core.Revision(0)
+	delay := backoffMin
+	for ctx.Err() == nil {
+		if !a.reader() {
+			pause(ctx, jitter(readerCheck))
+			continue
+		}
+		started := time.Now()
+		doc, err := a.readDocument(ctx, after)
+		if err != nil {
+			a.Log.Warn("config: document not taken", "revision", doc.Revision, "err", err)
+			pause(ctx, jitter(delay))
+			delay = min(2*delay, backoffMax)
+			continue
+		}
+		delay = backoffMin
+		// A service that answers a watch at once without news must not be asked
+		// in a loop.
+		if doc.Revision <= after && time.Since(started) < quickWatch {
+			pause(ctx, jitter(quickWatch))
+		}
+		// The revision may be lower than the last one when the service is stale;
+		// the next watch then returns as soon as it recovers.
+		after = doc.Revision
+	}
+	return nil
+}
+
+func (a *Agent) readDocument(ctx context.Context, after core.Revision) (core.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	doc, err := a.Platform.Document(ctx, after)
+	if err != nil {
+		return doc, err
+	}
+	digest := a.Ledger.Digest()
+	changed, err := a.Ledger.Apply(doc)
+	if err != nil {
+		return doc, err
+	}
+	for _, key := range changed {
+		a.Log.Info("config: section in force", "section", key.String(), "revision", doc.Revision, "from", "platform")
+	}
+	if a.Ledger.Digest() != digest {
+		a.announce()
+	}
+	return doc, nil
+}
+
+// pullSections takes from another host what differs.
+func (a *Agent) pullSections(ctx context.Context, from core.Host) (core.SectionsNews, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	digest := a.Ledger.Digest()
+	a.pulled.Add(1)
+	chunks := 0
+	news, err := a.Exchange.Sections(ctx, from, a.Ledger.Digests(), func(texts []core.SectionText) {
+		if chunks++; chunks <= maxChunks {
+			a.mergeTexts(from, texts)
+		}
+	})
+	if err == nil && chunks > maxChunks {
+		err = ErrTooMuch
+	}
+	if err != nil {
+		a.pullFails.Add(1)
+		a.Log.Debug("config: exchange failed", "host", from.ID(), "err", err)
+	} else if news.HasDocument {
+		a.Ledger.NoteDocument()
+	}
+	if a.Ledger.Digest() != digest {
+		a.announce()
+	}
+	return news, err
+}
+
+func (a *Agent) mergeTexts(from core.Host, texts []core.SectionText) {
+	for _, t := range texts {
+		changed, err := a.Ledger.MergeText(t)
+		if err != nil {
+			a.refused.Add(1)
+			a.Log.Warn("config: section not taken", "host", from.ID(), "revision", t.Revision, "err", err)
+			continue
+		}
+		if changed {
+			a.Log.Info("config: section in force", "revision", t.Revision, "from", from.ID())
+		}
+	}
+}
+
+// SectionsReplies answers another host: the sections that differ, in chunks. The
+// last reply ends the exchange; there is always one.
+func (a *Agent) SectionsReplies(get *wire.SectionsGet) ([]*wire.SectionsReply, error) {
+	// Read before the sections, so that a reply never claims more than it brings.
+	ready, document := a.Ready(), a.Ledger.HasDocument()
+	var out []*wire.SectionsReply
+	for _, set := range chunk(a.Ledger.Differing(get.Buckets)) {
+		raw, err := a.packer.Pack(set)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, &wire.SectionsReply{Compressed: raw, Ready: ready, HasDocument: document})
+	}
+	return out, nil
+}
+
+func chunk(versions []config.Version) []*wire.SectionSet {
+	sets := []*wire.SectionSet{{}}
+	size := 0
+	for _, v := range versions {
+		text := v.Section().Text()
+		if size > 0 && size+len(text) > chunkBytes {
+			sets = append(sets, &wire.SectionSet{})
+			size = 0
+		}
+		set := sets[len(sets)-1]
+		set.Sections = append(set.Sections, &wire.Section{Revision: uint64(v.Revision()), Text: text})
+		size += len(text)
+	}
+	return sets
+}
+
+// start compares the document with other hosts until this host is ready.
+func (a *Agent) start(ctx context.Context) error {
+	for ctx.Err() == nil {
+		roster, candidate, found := a.survey()
+		if found {
+			if news, err := a.pullSections(ctx, candidate); err == nil {
+				a.mu.Lock()
+				a.readiness.Compared(candidate.ID(), news.Ready)
+				a.mu.Unlock()
+			}
+		}
+		a.mu.Lock()
+		known := a.hosts.Version() > 0
+		rule := a.readiness.Check(a.Ledger.HasDocument(), known, roster)
+		a.mu.Unlock()
+		if rule != member.NotReady {
+			a.ready.Store(true)
+			a.Log.Info("node: host is ready", "rule", rule, "revision", a.Ledger.Revision())
+			a.announce()
+			return nil
+		}
+		pause(ctx, jitter(startInterval))
+	}
+	return nil
+}
+
+// survey returns the other live hosts of the roster and one to compare with
+// next, preferring hosts that said they are ready.
+func (a *Agent) survey() (roster []core.HostID, candidate core.Host, found bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var good, rest []core.Host
+	for _, i := range a.Detector.Peers() {
+		if i.Heard {
+			a.readiness.Answered(i.Host.ID(), i.Status.Ready)
+		}
+		if !i.Listed {
+			continue
+		}
+		roster = append(roster, i.Host.ID())
+		switch {
+		case i.State == core.PeerDead || a.readiness.HasCompared(i.Host.ID()):
+		case i.Status.Ready:
+			good = append(good, i.Host)
+		default:
+			rest = append(rest, i.Host)
+		}
+	}
+	if len(good) == 0 {
+		good = rest
+	}
+	if len(good) == 0 {
+		return roster, core.Host{}, false
+	}
+	return roster, good[pick(len(good))], true
+}
--- /dev/null
+++ b/io/gossip/hosts.go
@@ -0,0 +1,112 @@
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/io/wire"
+)
+
+const (
+	hostsInterval = time.Second
+	hostsTimeout  = 5 * time.Second
+)
+
+func pick(n int) int { return rand.IntN(n) }
+
+// watchHosts reads the host list as long as this host is a reader.
+func (a *Agent) watchHosts(ctx context.Context) error {
+	delay := backoffMin
+	for ctx.Err() == nil {
+		if !a.reader() {
+			pause(ctx, jitter(readerCheck))
+			continue
+		}
+		if err := a.readHosts(ctx); err != nil {
+			a.Log.Warn("member: host list not read", "err", err)
+			pause(ctx, jitter(delay))
+			delay = min(2*delay, backoffMax)
+			continue
+		}
+		delay = backoffMin
+		pause(ctx, jitter(hostsInterval))
+	}
+	return nil
+}
+
+func (a *Agent) readHosts(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, hostsTimeout)
+	defer cancel()
+	entries, err := a.Platform.Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	changed := a.hosts.Fetched(time.Now(), entries)
+	a.mu.Unlock()
+	if changed {
+		a.publishHosts("platform")
+	}
+	return nil
+}
+
+func (a *Agent) pullHosts(ctx context.Context, from core.Host) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	a.mu.Lock()
+	digests := a.hosts.Digests()
+	a.mu.Unlock()
+	a.pulled.Add(1)
+	news, err := a.Exchange.Hosts(ctx, from, digests)
+	if err != nil {
+		a.pullFails.Add(1)
+		a.Log.Debug("member: host list not pulled", "host", from.ID(), "err", err)
+		return
+	}
+	a.mu.Lock()
+	changed := a.hosts.Merge(time.Now(), news.Version, news.Buckets)
+	a.mu.Unlock()
+	if changed {
+		a.publishHosts(string(from.ID()))
+	}
+}
+
+func (a *Agent) publishHosts(from string) {
+	a.mu.Lock()
+	entries, version := a.hosts.Entries(), a.hosts.Version()
+	a.mu.Unlock()
+	a.Log.Info("member: host list in force", "version", version, "hosts", len(entries), "from", from)
+	a.Detector.Publish(time.Now(), entries)
+	a.announce()
+}
+
+// HostsReply answers another host with the part of the host list that differs.
+func (a *Agent) HostsReply(get *wire.HostsGet) (*wire.HostsReply, error) {
+	a.mu.Lock()
+	version, differing := a.hosts.Version(), a.hosts.Differing(get.Buckets)
+	a.mu.Unlock()
+	set := new(wire.HostSet)
+	for index, entries := range differing {
+		set.Buckets = append(set.Buckets, hostBucket(index, entries))
+	}
+	raw, err := a.packer.Pack(set)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.HostsReply{Version: version, Compressed: raw}, nil
+}
+
+func hostBucket(index int, entries []core.HostEntry) *wire.HostBucket {
+	b := &wire.HostBucket{Index: int32(index)}
+	for _, e := range entries {
+		b.Hosts = append(b.Hosts, &wire.HostEntry{
+			Host:       string(e.Host.ID()),
+			DataCentre: string(e.Host.DataCentre()),
+			Address:    e.Host.Address(),
+			Leaving:    e.Leaving,
+		})
+	}
+	return b
+}
--- a/io/node/handler.go
+++ b/io/node/handler.go
@@ -28,6 +28,10 @@
 	case *wire.Frame_SnapshotsGet:
 		held := h.node.entry.Owned(ctx, core.ServiceName(body.SnapshotsGet.Service))
 		_ = reply(true, &wire.Frame{Body: &wire.Frame_SnapshotsReply{SnapshotsReply: peer.SnapshotsToWire(held)}})
+	case *wire.Frame_SectionsGet:
+		h.sections(body.SectionsGet, reply)
+	case *wire.Frame_HostsGet:
+		h.hosts(body.HostsGet, reply)
 	default:
 		_ = reply(true, &wire.Frame{Body: &wire.Frame_Refusal{Refusal: &wire.Refusal{Reason: "unknown_message"}}})
 	}
--- /dev/null
+++ b/io/node/hosts.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"context"
+	"net"
+
+	"github.com/pkg/errors"
+
+	"oriolebarrow/core/place"
+	"oriolebarrow/io/gossip"
+)
+
+func (n *Node) newAgent() (*gossip.Agent, error) {
+	return gossip.New(gossip.Parts{
+		Self:     n.self,
+		Detector: n.roster,
+		Ledger:   n.ledger,
+		Platform: n.platform,
+		Placer:   place.New(place.DefaultSetSize),
+		Exchange: n.peers,
+		Log:      n.log,
+	})
+}
+
+// runGossip keeps membership, host list and configuration until ctx ends.
+func (n *Node) runGossip(ctx context.Context) error {
+	conn, err := new(net.ListenConfig).ListenPacket(ctx, "udp", n.opts.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "node: listen for gossip")
+	}
+	return n.agent.Run(ctx, conn)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -10,9 +10,9 @@
 	"context"
 	"crypto/rand"
 	"log/slog"
+	mrand "math/rand/v2"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +27,7 @@
 	"oriolebarrow/core/snaps"
 	"oriolebarrow/io/caller"
 	"oriolebarrow/io/entry"
+	"oriolebarrow/io/gossip"
 	"oriolebarrow/io/owner"
 	"oriolebarrow/io/peer"
 	"oriolebarrow/io/plat"
@@ -36,8 +37,6 @@
 const (
 	headerTimeout  = 5 * time.Second
 	maxHeaderBytes = 16 << 10
-	hostsInterval  = time.Second
-	backoffMin     = 200 * time.Millisecond
 )
 
 // Options are the settings of one host.
@@ -58,18 +57,18 @@
 	log      *slog.Logger
 	self     core.Host
 	ledger   *config.Ledger
-	roster   *member.Roster
+	roster   *member.Detector
 	platform core.Platform
 	backend  *remote.Client
 	peers    *peer.Client
 	owner    *owner.Owner
 	entry    *entry.Entry
 	handler  *caller.Handler
-	ready    atomic.Bool
+	agent    *gossip.Agent
 }
 
 // New returns a host that is not running yet.
-func New(o Options, log *slog.Logger) *Node {
+func New(o Options, log *slog.Logger) (*Node, error) {
 	inc := core.Incarnation(time.Now().UnixNano())
 	n := &Node{
 		opts:     o,
@@ -79,9 +78,14 @@
 		platform: plat.New(o.Platform, &http.Client{}),
 		backend:  remote.New(remote.Options{Connections: o.Connections}),
 	}
-	n.roster = member.NewRoster(n.self)
+	n.roster = member.New(n.self, inc, mrand.New(mrand.NewPCG(uint64(inc), mrand.Uint64())))
 	n.peers = peer.NewClient(o.ID, inc, new(net.Dialer).DialContext)
 	n.owner = owner.New(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger, n.backend, log)
+	agent, err := n.newAgent()
+	if err != nil {
+		return nil, err
+	}
+	n.agent = agent
 	tokens := order.New(o.ID, inc, order.Options{Max: o.TokenMax, Lifetime: o.TokenLifetime}, rand.Reader)
 	n.entry = entry.New(entry.Parts{
 		Self:        o.ID,
@@ -99,10 +103,10 @@
 		Requests: n.entry,
 		Settings: n.ledger,
 		Admitter: admit.New(),
-		Ready:    n.ready.Load,
+		Ready:    n.agent.Ready,
 		Lifetime: o.TokenLifetime,
 	})
-	return n
+	return n, nil
 }
 
 // Run serves until ctx ends.
@@ -129,8 +133,7 @@
 	group.Go(func() error { return n.serveCallers(ctx, callers) })
 	group.Go(func() error { return n.owner.Run(ctx) })
 	group.Go(func() error { return n.entry.Run(ctx) })
-	group.Go(func() error { return n.watchConfig(ctx) })
-	group.Go(func() error { return n.watchHosts(ctx) })
+	group.Go(func() error { return n.runGossip(ctx) })
 	return group.Wait()
 }
 
@@ -138,42 +141,3 @@
 	s := &http.Server{Handler: n.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return caller.Serve(ctx, s, func() error { return s.Serve(l) })
 }
-
-func (n *Node) watchConfig(ctx context.Context) error {
-	for ctx.Err() == nil {
-		doc, err := n.platform.Document(ctx, n.ledger.Revision())
-		if err == nil {
-			_, err = n.ledger.Apply(doc)
-		}
-		if err != nil {
-			n.log.Warn("config: document not taken", "err", err)
-			pause(ctx, backoffMin)
-			continue
-		}
-		if !n.ready.Swap(true) {
-			n.log.Info("node: host is ready", "revision", n.ledger.Revision())
-		}
-	}
-	return nil
-}
-
-func (n *Node) watchHosts(ctx context.Context) error {
-	for ctx.Err() == nil {
-		entries, err := n.platform.Hosts(ctx)
-		if err != nil {
-			n.log.Warn("member: host list not read", "err", err)
-		}
-		n.roster.Publish(entries)
-		pause(ctx, hostsInterval)
-	}
-	return nil
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -25,8 +25,9 @@
 // Client calls other hosts. It is safe for concurrent use; its lock is held
 // only for the table of links, never while dialing.
 type Client struct {
-	hello *wire.Hello
-	dial  Dial
+	hello  *wire.Hello
+	dial   Dial
+	packer func() (*wire.Packer, error) // made at first use
 
 	mu    sync.Mutex
 	links map[core.HostID]*slot
@@ -43,9 +44,10 @@
 // NewClient returns a client that introduces itself as host.
 func NewClient(host core.HostID, inc core.Incarnation, dial Dial) *Client {
 	return &Client{
-		hello: &wire.Hello{Host: string(host), Incarnation: uint64(inc)},
-		dial:  dial,
-		links: make(map[core.HostID]*slot),
+		hello:  &wire.Hello{Host: string(host), Incarnation: uint64(inc)},
+		dial:   dial,
+		packer: sync.OnceValues(wire.NewPacker),
+		links:  make(map[core.HostID]*slot),
 	}
 }
 
