test: check the join rules and the fault reports of the configuration

Cause: the ledger, Split and Parse had no tests.

A section with a syntax error is now reported under its kind and name when a plain line shows them, before only by its line.

--- /dev/null
+++ b/core/config/config_test.go
@@ -0,0 +1,153 @@
+package config_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/config"
+)
+
+func TestMain(m *testing.M) {
+	// A fixed seed makes a failure repeatable.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+const end = "---\nkind: end\n"
+
+func caller(name string, edition int, rate int) string {
+	return fmt.Sprintf("---\nkind: caller\nname: %s\nteam: clerks\nedition: %d\nrate: %d\nservices: [tickets]\n", name, edition, rate)
+}
+
+func doc(r core.Revision, sections ...string) core.Document {
+	return core.Document{Revision: r, Text: []byte(strings.Join(sections, "") + end)}
+}
+
+// Guards against a broken document replacing or removing what is in force.
+func TestBrokenDocumentsChangeNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want error
+	}{
+		"empty":     {"", config.ErrEmpty},
+		"blank":     {" \n\t\n", config.ErrEmpty},
+		"truncated": {caller("a", 2, 9), config.ErrTruncated},
+		"cut end":   {caller("a", 2, 9) + "---\nkind: en", config.ErrTruncated},
+		"too large": {caller("a", 2, 9) + strings.Repeat("#\n", 1<<19) + end, config.ErrTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := config.NewLedger()
+			mustApply(t, l, doc(1, caller("a", 1, 5)))
+			before := l.Digest()
+			_, err := l.Apply(core.Document{Revision: 2, Text: []byte(c.text)})
+			if !errors.Is(err, c.want) {
+				t.Errorf("error %v, want %v", err, c.want)
+			}
+			if l.Digest() != before || l.Revision() != 1 {
+				t.Errorf("ledger changed: revision %d", l.Revision())
+			}
+		})
+	}
+}
+
+func mustApply(t *testing.T, l *config.Ledger, d core.Document) {
+	t.Helper()
+	if _, err := l.Apply(d); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Each step applies a document; rate is what must be in force for caller a
+// afterwards (0: not in force), refused the keys that must be reported.
+func TestJoinRules(t *testing.T) {
+	type step struct {
+		doc     core.Document
+		rate    float64
+		refused []string
+	}
+	removed := "---\nkind: caller\nname: a\nteam: clerks\nedition: 3\nremoved: true\n"
+	backend := "---\nkind: backend\nname: a\nteam: clerks\nedition: 9\nslots: 1\nconnections: 2\ngroups: [[{address: '10.0.0.1:1', data_centre: x}]]\n"
+	for name, steps := range map[string][]step{
+		"higher edition wins":                    {{doc(1, caller("a", 1, 5)), 5, nil}, {doc(2, caller("a", 2, 6)), 6, nil}},
+		"second change under an edition refused": {{doc(1, caller("a", 1, 5)), 5, nil}, {doc(2, caller("a", 1, 6)), 5, []string{"caller/a"}}},
+		"first change learnt late":               {{doc(2, caller("a", 1, 6)), 6, nil}, {doc(1, caller("a", 1, 5)), 5, nil}},
+		"stale read":                             {{doc(2, caller("a", 2, 6)), 6, nil}, {doc(1, caller("a", 1, 5)), 6, nil}},
+		"operator with an old copy":              {{doc(1, caller("a", 2, 6)), 6, nil}, {doc(2, caller("a", 1, 5)), 6, []string{"caller/a"}}},
+		"absent section stays":                   {{doc(1, caller("a", 1, 5)), 5, nil}, {doc(2, caller("b", 1, 5)), 5, nil}},
+		"removed and back":                       {{doc(1, caller("a", 1, 5)), 5, nil}, {doc(2, removed), 0, nil}, {doc(1, caller("a", 1, 5)), 0, nil}, {doc(3, caller("a", 4, 7)), 7, nil}},
+		"removed under the same edition":         {{doc(1, caller("a", 3, 5)), 5, nil}, {doc(2, removed), 5, []string{"caller/a"}}},
+		"invalid keeps last good, others advance": {{doc(1, caller("a", 1, 5)), 5, nil},
+			{doc(2, caller("b", 1, -1), caller("a", 2, 6)), 6, []string{"caller/b"}},
+			{doc(3, caller("a", 3, -1), caller("b", 1, 1)), 6, []string{"caller/a"}}},
+		"syntax errors reported one by one": {{doc(1, caller("a", 1, 5), "---\n{\n", "---\n[\n"), 5, []string{"line 11", "line 9"}}},
+		"listed twice":                      {{doc(1, caller("a", 1, 5), caller("a", 2, 6)), 6, []string{"caller/a"}}},
+		"kinds are separate":                {{doc(1, caller("a", 1, 5)), 5, nil}, {doc(2, backend), 5, nil}, {doc(3, backend, removed), 0, nil}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := config.NewLedger()
+			for i, s := range steps {
+				mustApply(t, l, s.doc)
+				c, _ := l.Caller("a")
+				var refused []string
+				for _, r := range l.Refused() {
+					refused = append(refused, r.Key)
+				}
+				if c.Policy().Rate != s.rate || !cmp.Equal(refused, s.refused) {
+					t.Errorf("step %d: rate %v and refused %v, want %v and %v", i, c.Policy().Rate, refused, s.rate, s.refused)
+				}
+			}
+		})
+	}
+}
+
+// Guards against reports that send an operator to the wrong line. The section
+// starts at line 5, after a first section and a comment.
+func TestFaultsNameSectionKeyAndLine(t *testing.T) {
+	head := "kind: caller\nname: x\n\n--- # second\n"
+	callerHead := "kind: caller\nname: a\nteam: clerks\nedition: 1\nservices: [s]\n"
+	backendHead := "kind: backend\nname: b\nteam: clerks\nedition: 1\nslots: 1\nconnections: 2\n"
+	for name, c := range map[string]struct {
+		text    string
+		section string
+		key     string
+		line    int
+	}{
+		"value":            {callerHead + "priority: 12\n", "caller/a", "priority", 10},
+		"unknown key":      {callerHead + "priorty: 1\n", "caller/a", "priorty", 10},
+		"wrong type":       {callerHead + "rate: fast\n", "caller/a", "rate", 10},
+		"foreign key":      {callerHead + "slots: 2\n", "caller/a", "slots", 10},
+		"missing key":      {"kind: caller\nname: a\nteam: clerks\nedition: 1\n", "caller/a", "services", 5},
+		"syntax":           {callerHead + "rate: [1\n", "caller/a", "rate", 10},
+		"nested value":     {backendHead + "groups:\n  - - address: nowhere\n      data_centre: x\n", "backend/b", "groups[0][0].address", 12},
+		"nested, second":   {backendHead + "groups:\n  - - {address: '10.0.0.1:1', data_centre: x}\n    - {address: '10.0.0.2:1'}\n", "backend/b", "groups[0][1]", 13},
+		"nested unknown":   {backendHead + "groups:\n  - - address: '10.0.0.1:1'\n      data_center: x\n", "backend/b", "data_center", 13},
+		"two YAML in one":  {callerHead + "--- {a: b}\n", "caller/a", "", 5},
+		"duplicate key":    {callerHead + "rate: 1\nrate: 2\n", "caller/a", "rate", 11},
+		"edition missing":  {"kind: caller\nname: a\nteam: clerks\nservices: [s]\n", "caller/a", "edition", 5},
+		"name of any kind": {"kind: other\nname: a\nteam: clerks\nedition: 1\n", "other/a", "kind", 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			parts, err := config.Split([]byte(head + c.text + end))
+			if err != nil || len(parts) != 2 {
+				t.Fatalf("%d parts, error %v", len(parts), err)
+			}
+			_, faults := config.Parse(parts[1])
+			if len(faults) == 0 {
+				t.Fatal("no fault")
+			}
+			f := faults[0]
+			if f.Section != c.section || f.Line != c.line || f.Key != c.key {
+				t.Errorf("got %v; want section %q, key %q, line %d", f, c.section, c.key, c.line)
+			}
+		})
+	}
+}
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -110,7 +110,7 @@
 func Parse(p Part) (*Section, []Fault) {
 	tree, err := parser.ParseBytes(p.text, 0)
 	if err != nil {
-		return nil, []Fault{syntaxFault(p, "", err)}
+		return nil, []Fault{syntaxFault(p, scanName(p.text), err)}
 	}
 	f := new(file)
 	c := newChecker(p, f, tree)
@@ -131,6 +131,23 @@
 	return section, nil
 }
 
+// scanName finds kind and name in a text that has no valid syntax.
+func scanName(text []byte) string {
+	var kind, name string
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "kind:"); ok {
+			kind = strings.TrimSpace(rest)
+		}
+		if rest, ok := strings.CutPrefix(line, "name:"); ok {
+			name = strings.TrimSpace(rest)
+		}
+	}
+	if kind == "" && name == "" {
+		return ""
+	}
+	return kind + "/" + name
+}
+
 func textHash(text []byte) uint64 { return xxhash.Sum64(bytes.TrimSpace(text)) }
 
 // syntaxFault names the key as far as the decoder's token shows it.
