--- a/core/member/fleet_test.go
+++ b/core/member/fleet_test.go
@@ -190,6 +190,12 @@
 			if f.sees("a00", "b01") {
 				t.Error("a00 uses b01, which it cannot reach")
 			}
+			// The relays answer for b01, so nobody had to refute a suspicion.
+			for _, u := range f.nodes["b01"].Updates()[:1] {
+				if u.Incarnation != 2 {
+					t.Errorf("b01 was suspected: incarnation %d", u.Incarnation)
+				}
+			}
 		})
 	}
 }
@@ -287,8 +293,13 @@
 	f.start("c99", 50)
 	f.nodes["c99"].Publish(f.now, []core.HostEntry{{Host: f.hosts["a00"]}})
 	f.run(8 * time.Second)
-	f.publish()
 	f.publish("a00", "b01")
+	f.publish()
+	for _, i := range f.nodes["c02"].Peers() {
+		if want := i.Host.ID() == "a00" || i.Host.ID() == "b01"; i.Listed != want {
+			t.Errorf("after an empty list %s is listed: %v", i.Host.ID(), i.Listed)
+		}
+	}
 	f.run(15 * time.Second)
 	f.wantViews(all)
 	f.stopped["c02"] = true
