--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -64,7 +64,8 @@
 }
 
 // Agent keeps one host in step with the others. Its lock covers the host list
-// and the readiness and is not held during calls to other packages' locks.
+// and the readiness. It is taken before the locks of detector and ledger, never
+// while one of them is held.
 type Agent struct {
 	Parts
 	packer *wire.Packer
