feat: hedge, retry and eject under budgets in the owner

Cause: the scheduler had no hedges, retried without a budget, sent a retry to the replica that had just refused, scanned every task on each tick, counted withdrawn tasks as waiting and gave a storm of one caller the whole queue.

Ruled out: a budget per replica group (too few calls to learn from at 20 groups), and hedges behind waiting first attempts (their queries already wait for the last shard, and the budget bounds them).

Conclusion: core/budget and core/eject hold the learnt delay, the budgets and the health of replicas; core/queue decides by them; io/owner runs it. The connection cap comes from the section of the service.

--- /dev/null
+++ b/core/budget/histogram.go
@@ -0,0 +1,65 @@
+package budget
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	buckets = 88
+	// lowest and ratio span 50 us to 390 s in steps of 20%.
+	lowest = 50 * time.Microsecond
+	ratio  = 1.2
+	// window is the weight at which older observations are halved, so that the
+	// estimate follows a service that changes.
+	window = 2048
+)
+
+// histogram counts service times in exponential buckets and forgets old ones.
+type histogram struct {
+	counts [buckets]float64
+	total  float64
+	sum    float64
+}
+
+func (h *histogram) add(d time.Duration) {
+	if h.total >= window {
+		for i := range h.counts {
+			h.counts[i] /= 2
+		}
+		h.total /= 2
+		h.sum /= 2
+	}
+	h.counts[bucketOf(d)]++
+	h.total++
+	h.sum += float64(d)
+}
+
+func bucketOf(d time.Duration) int {
+	if d <= lowest {
+		return 0
+	}
+	i := int(math.Log(float64(d)/float64(lowest)) / math.Log(ratio))
+	return min(i, buckets-1)
+}
+
+func (h *histogram) mean() time.Duration {
+	if h.total == 0 {
+		return 0
+	}
+	return time.Duration(h.sum / h.total)
+}
+
+// quantile interpolates inside the bucket that contains it.
+func (h *histogram) quantile(q float64) time.Duration {
+	want := q * h.total
+	below := 0.0
+	for i, n := range h.counts {
+		if n > 0 && below+n >= want {
+			low := float64(lowest) * math.Pow(ratio, float64(i))
+			return time.Duration(low * math.Pow(ratio, (want-below)/n))
+		}
+		below += n
+	}
+	return 0
+}
--- a/core/iface.go
+++ b/core/iface.go
@@ -91,6 +91,11 @@
 	Order(ctx context.Context, address string, o OrderRun) ([]byte, error)
 }
 
+// Bounder limits the open connections to one backend server.
+type Bounder interface {
+	Bound(address string, connections int)
+}
+
 // Peers sends requests to other hosts.
 type Peers interface {
 	// Read sends a batch. It calls sink for each shard result and returns when
@@ -141,3 +146,41 @@
 	IssueToken() OrderResult
 	Order(ctx context.Context, token string, req RequestID, o Order, deadline time.Time) OrderResult
 }
+
+// Budget learns the service times of one service and limits its extra calls.
+type Budget interface {
+	// Call earns the shares of one first attempt.
+	Call()
+	TakeHedge() bool
+	TakeRetry() bool
+	// Observe learns from a call that took d, or at least d if it was cancelled.
+	Observe(d time.Duration)
+	HedgeDelay() time.Duration
+	// Times are zero until enough is learnt.
+	Times() (mean, median, fast time.Duration)
+}
+
+// CallEnd tells how a call to a replica ended.
+type CallEnd struct {
+	Took      time.Duration
+	Median    time.Duration // of the service, or zero
+	Refused   bool          // proof that it did not run
+	Failed    bool          // it may have run
+	Cancelled bool          // it would have taken longer
+	Reason    Reason
+	Snapshot  SnapshotID
+	Shard     ShardID
+}
+
+// Health tells which replicas of a group may take a call.
+type Health interface {
+	// Slots returns how many calls the replica may run now.
+	Slots(now time.Time, replica int) int
+	// Trial reports whether the next call to the replica is a trial.
+	Trial(now time.Time, replica int) bool
+	// Available is false while the replica can get no call at all.
+	Available(replica int) bool
+	Holds(replica int, snapshot SnapshotID, shard ShardID) bool
+	Started(now time.Time, replica int)
+	Ended(now time.Time, replica int, e CallEnd)
+}
--- a/core/pool/heap.go
+++ b/core/pool/heap.go
@@ -7,7 +7,10 @@
 //	least, ok := h.Pop()
 package pool
 
-import "container/heap"
+import (
+	"container/heap"
+	"slices"
+)
 
 // Heap is a priority queue.
 type Heap[T any] struct {
@@ -60,3 +63,12 @@
 	i.items = i.items[:last]
 	return item
 }
+
+// Filter removes the items that keep refuses, in linear time.
+func (h *Heap[T]) Filter(keep func(T) bool) {
+	h.inner.items = slices.DeleteFunc(h.inner.items, func(item T) bool { return !keep(item) })
+	heap.Init(&h.inner)
+}
+
+// Items returns the items in no order. The caller must not change the slice.
+func (h *Heap[T]) Items() []T { return h.inner.items }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -5,9 +5,19 @@
 // The scheduler is driven by events and returns the actions to carry out. It
 // starts no goroutine and reads no clock.
 //
+// # Order of service
+//
+// Higher priorities go first. Within a priority, pending hedges and retries go
+// before waiting first attempts: they belong to queries that already wait for
+// their last shards, and the budgets bound how many there are. Among first
+// attempts, callers take turns and each caller's earliest deadline goes first.
+//
 // # Usage
 //
-//	s := queue.New(queue.Options{Replicas: 2, Slots: 2, Length: 256})
+//	s := queue.New(queue.Options{
+//		Replicas: 2, Slots: 2, Length: 256,
+//		Budget: budget.New(limits), Health: eject.New(eject.Options{Replicas: 2, Slots: 2}),
+//	})
 //	for _, a := range s.Add(now, queue.Task{ID: 1, Deadline: deadline}) {
 //		// start the call that a describes, then report it:
 //		more := s.Done(time.Now(), a.Attempt, queue.Result{Status: queue.OK})
@@ -15,122 +25,149 @@
 package queue
 
 import (
+	"slices"
 	"time"
 
 	"oriolebarrow/core"
 	"oriolebarrow/core/pool"
 )
 
-// Options configures a scheduler.
+// Options configures a scheduler. The switches take one mechanism out each.
 type Options struct {
 	Replicas int // number of replicas in the group
 	Slots    int // concurrent calls for each replica
 	Length   int // waiting tasks at most
-}
-
-// Task is one shard read or one order that waits for a replica.
-type Task struct {
-	ID       uint64
-	Priority int // higher goes first
-	Deadline time.Time
-	Once     bool // never sent a second time, whatever the result
-}
-
-// Kind says what an action asks for.
-type Kind int
-
-// Kinds of action.
-const (
-	Start  Kind = iota // call Replica for Task
-	Finish             // Task has its result from Attempt
-	Fail               // Task ends without a result
-	Cancel             // ask Replica to end Attempt
-)
-
-// Action is one thing to carry out.
-type Action struct {
-	Kind    Kind
-	Task    uint64
-	Attempt uint64
-	Replica int
-	Reason  core.Reason
-	NotRun  bool // with Fail: no attempt can have run
-}
-
-// Status is the result of an attempt.
-type Status int
+	Budget   core.Budget
+	Health   core.Health
 
-// Results of an attempt.
-const (
-	OK      Status = iota
-	Refused        // proof that it did not run
-	Failed         // it may have run
-)
-
-// Result tells how an attempt ended.
-type Result struct {
-	Status Status
-	Reason core.Reason
-}
-
-type task struct {
-	Task
-	attempts int  // running
-	unclear  bool // an attempt may have run
-	tried    int
-	last     core.Reason
-	gone     bool // finished or withdrawn
-}
-
-type attempt struct {
-	task    *task
-	replica int
-	started time.Time
+	NoHedge      bool // no second attempt while one runs
+	NoRetry      bool // a refusal ends the task
+	NoExclusion  bool // a retry may go to the replica that just refused
+	NoInfeasible bool // work that cannot finish in time is queued all the same
+	NoFairness   bool // callers of a priority share one queue
+	HedgeNow     bool // a hedge that finds no free slot when due is dropped
+	PerReplica   bool // a queue for each replica instead of one for the group
 }
 
 // Scheduler is the queue of one replica group. It is not safe for concurrent use.
 type Scheduler struct {
 	opts     Options
 	inUse    []int
-	waiting  *pool.Heap[*task]
+	lines    []*line
+	extras   []*task // due hedges, retries and repeats, oldest first
+	alarms   *pool.Heap[*alarm]
+	off      int // alarms in the heap that no longer count
 	tasks    map[uint64]*task
 	attempts map[uint64]*attempt
 	next     uint64
+	serial   uint64
 	turn     int
 }
 
 // New returns an empty scheduler.
 func New(opts Options) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		opts:     opts,
 		inUse:    make([]int, opts.Replicas),
-		waiting:  pool.NewHeap(before),
+		alarms:   pool.NewHeap(func(a, b *alarm) bool { return a.at.Before(b.at) }),
 		tasks:    make(map[uint64]*task),
 		attempts: make(map[uint64]*attempt),
 	}
-}
-
-func before(a, b *task) bool {
-	if a.Priority != b.Priority {
-		return a.Priority > b.Priority
+	s.lines = make([]*line, 1)
+	if opts.PerReplica {
+		s.lines = make([]*line, opts.Replicas)
+	}
+	for i := range s.lines {
+		s.lines[i] = &line{fair: !opts.NoFairness}
 	}
-	return a.Deadline.Before(b.Deadline)
+	return s
 }
 
 // Add queues a task.
 func (s *Scheduler) Add(now time.Time, t Task) []Action {
-	if !t.Deadline.After(now) {
-		return []Action{{Kind: Fail, Task: t.ID, Reason: core.ReasonDeadline, NotRun: true}}
-	}
-	if s.waiting.Len() >= s.opts.Length {
-		return []Action{{Kind: Fail, Task: t.ID, Reason: core.ReasonOverload, NotRun: true}}
+	home := s.home(t)
+	if reason := s.refuse(now, t, home); reason != "" {
+		return []Action{{Kind: Fail, Task: t.ID, Reason: reason, NotRun: true}}
 	}
-	entry := &task{Task: t}
+	s.serial++
+	entry := &task{Task: t, serial: s.serial, avoid: noReplica, next: First, home: home}
 	s.tasks[t.ID] = entry
-	s.waiting.Push(entry)
+	entry.deadline = s.alarm(entry, t.Deadline)
+	s.lines[home].push(entry)
+	s.opts.Budget.Call()
 	return s.bind(now, nil)
 }
 
+// home returns the line of a new task: with a queue for each replica the
+// shortest one whose replica can run the task.
+func (s *Scheduler) home(t Task) int {
+	if !s.opts.PerReplica {
+		return 0
+	}
+	best, least := 0, -1
+	for i, l := range s.lines {
+		if !s.opts.Health.Available(i) || !s.opts.Health.Holds(i, t.Snapshot, t.Shard) {
+			continue
+		}
+		if n := l.live + s.inUse[i]; least < 0 || n < least {
+			best, least = i, n
+		}
+	}
+	return best
+}
+
+// refuse returns why a task cannot be taken, or nothing.
+func (s *Scheduler) refuse(now time.Time, t Task, home int) core.Reason {
+	if !t.Deadline.After(now) {
+		return core.ReasonDeadline
+	}
+	if reason := s.hopeless(t); reason != "" {
+		return reason
+	}
+	if s.Waiting() >= s.opts.Length {
+		return core.ReasonOverload
+	}
+	if !s.opts.NoInfeasible && now.Add(s.wait(now, t, home)).After(t.Deadline) {
+		return core.ReasonOverload
+	}
+	return ""
+}
+
+// hopeless returns why no replica of the group can run a task, or nothing.
+func (s *Scheduler) hopeless(t Task) core.Reason {
+	reason := core.ReasonNoReplica
+	for r := range s.inUse {
+		if !s.opts.Health.Available(r) {
+			continue
+		}
+		if s.opts.Health.Holds(r, t.Snapshot, t.Shard) {
+			return ""
+		}
+		reason = core.ReasonSnapshotGone
+	}
+	return reason
+}
+
+// wait estimates the time until a new task could have its result: its turn in
+// the queue at the mean service time, then a fast call.
+func (s *Scheduler) wait(now time.Time, t Task, home int) time.Duration {
+	mean, _, fast := s.opts.Budget.Times()
+	slots, free := 0, 0
+	for r := range s.inUse {
+		if s.opts.PerReplica && r != home {
+			continue
+		}
+		n := min(s.opts.Slots, s.opts.Health.Slots(now, r))
+		slots += n
+		free += max(0, n-s.inUse[r])
+	}
+	turn := s.lines[home].ahead(t) + 1 - free
+	if turn <= 0 {
+		return fast
+	}
+	return time.Duration(turn)*mean/time.Duration(max(1, slots)) + fast
+}
+
 // Done reports the end of an attempt, which frees its slot.
 func (s *Scheduler) Done(now time.Time, id uint64, r Result) []Action {
 	a, ok := s.attempts[id]
@@ -140,139 +177,169 @@
 	delete(s.attempts, id)
 	s.inUse[a.replica]--
 	t := a.task
-	t.attempts--
+	t.running = slices.DeleteFunc(t.running, func(x *attempt) bool { return x == a })
+	s.learn(now, a, r)
 	if t.gone {
 		return s.bind(now, nil)
 	}
+	if r.Status == OK {
+		return s.bind(now, s.finish(t, id, nil))
+	}
+	t.unclear = t.unclear || r.Status == Failed
+	t.avoid = a.replica
 	var out []Action
-	switch {
-	case r.Status == OK:
-		out = s.finish(t, id, out)
-	case r.Status == Refused && s.mayRetry(now, t, r):
-		t.last = r.Reason
-		s.waiting.Push(t)
-	default:
-		t.unclear = t.unclear || r.Status == Failed
-		out = s.fail(t, r.Reason, out)
+	if !s.again(now, t, r) {
+		out = s.fail(t, r.Reason, Abandoned, nil)
+	}
+	if r.Reason == core.ReasonDraining || r.Reason == core.ReasonSnapshotGone {
+		return append(out, s.Recheck(now)...)
 	}
 	return s.bind(now, out)
 }
 
-// Withdraw drops a task whose caller no longer waits and cancels its attempts.
+// learn passes the end of a call on to health and budget.
+func (s *Scheduler) learn(now time.Time, a *attempt, r Result) {
+	took := now.Sub(a.started)
+	_, median, _ := s.opts.Budget.Times()
+	// A call that ended with its deadline would have taken longer, too.
+	cancelled := r.Status == Failed && (a.cancelled || r.Reason == core.ReasonDeadline)
+	s.opts.Health.Ended(now, a.replica, core.CallEnd{
+		Took:      took,
+		Median:    median,
+		Refused:   r.Status == Refused,
+		Failed:    r.Status == Failed && !cancelled && r.Reason != core.ReasonTooLarge,
+		Cancelled: cancelled,
+		Reason:    r.Reason,
+		Snapshot:  a.task.Snapshot,
+		Shard:     a.task.Shard,
+	})
+	if r.Status == OK || cancelled {
+		s.opts.Budget.Observe(took)
+	}
+}
+
+// Withdraw ends a task whose caller no longer waits and cancels its attempts.
 func (s *Scheduler) Withdraw(now time.Time, id uint64) []Action {
 	t, ok := s.tasks[id]
 	if !ok {
 		return nil
 	}
-	s.forget(t)
-	return s.bind(now, s.cancelAll(t, nil))
+	return s.bind(now, s.fail(t, core.ReasonDeadline, Withdrawn, nil))
 }
 
-// Tick ends waiting tasks whose deadline has passed.
+// Tick ends tasks whose deadline has passed and makes due hedges pending.
 func (s *Scheduler) Tick(now time.Time) []Action {
 	var out []Action
-	for _, t := range s.tasks {
-		if t.Deadline.After(now) {
-			continue
+	for {
+		a, ok := s.alarms.Peek()
+		if !ok || (!a.off && a.at.After(now)) {
+			return s.bind(now, out)
+		}
+		s.alarms.Pop()
+		switch {
+		case a.off:
+			s.off--
+		case a == a.task.deadline:
+			out = s.fail(a.task, core.ReasonDeadline, Expired, out)
+		default:
+			s.due(now, a.task)
 		}
-		out = s.cancelAll(t, out)
-		out = s.fail(t, core.ReasonDeadline, out)
 	}
-	return s.bind(now, out)
 }
 
 // NextTick returns when Tick must be called next, or the zero time.
 func (s *Scheduler) NextTick() time.Time {
-	var next time.Time
-	for _, t := range s.tasks {
-		if next.IsZero() || t.Deadline.Before(next) {
-			next = t.Deadline
+	for {
+		a, ok := s.alarms.Peek()
+		if !ok {
+			return time.Time{}
+		}
+		if !a.off {
+			return a.at
 		}
+		s.alarms.Pop()
+		s.off--
 	}
-	return next
 }
 
-// Waiting returns the number of tasks without a replica.
-func (s *Scheduler) Waiting() int { return s.waiting.Len() }
-
-// InUse returns the slots in use on a replica.
-func (s *Scheduler) InUse(replica int) int { return s.inUse[replica] }
-
-func (s *Scheduler) mayRetry(now time.Time, t *task, r Result) bool {
-	if t.Once || r.Reason == core.ReasonSnapshotGone {
-		return false
+// Recheck takes a change of health into account: waiting tasks that no replica
+// can run end, and free slots are used. It visits every waiting task.
+func (s *Scheduler) Recheck(now time.Time) []Action {
+	waiting := slices.Clone(s.extras)
+	for _, l := range s.lines {
+		waiting = append(waiting, l.all()...)
+	}
+	var out []Action
+	for _, t := range waiting {
+		if reason := s.hopeless(t.Task); reason != "" && len(t.running) == 0 && !t.gone {
+			out = s.fail(t, reason, Abandoned, out)
+		}
 	}
-	return t.tried < 2*s.opts.Replicas && t.Deadline.After(now)
+	return s.bind(now, out)
 }
 
-func (s *Scheduler) bind(now time.Time, out []Action) []Action {
-	for {
-		replica := s.freeReplica()
-		if replica < 0 {
-			return out
-		}
-		t, ok := s.waiting.Pop()
-		if !ok {
-			return out
-		}
-		if t.gone {
-			continue
-		}
-		if !t.Deadline.After(now) {
-			out = s.fail(t, core.ReasonDeadline, out)
-			continue
-		}
-		out = append(out, s.start(now, t, replica))
+// Waiting returns the number of tasks that wait for their first attempt.
+func (s *Scheduler) Waiting() int {
+	n := 0
+	for _, l := range s.lines {
+		n += l.live
 	}
+	return n
 }
 
-func (s *Scheduler) start(now time.Time, t *task, replica int) Action {
-	s.next++
-	s.attempts[s.next] = &attempt{task: t, replica: replica, started: now}
-	s.inUse[replica]++
-	t.attempts++
-	t.tried++
-	return Action{Kind: Start, Task: t.ID, Attempt: s.next, Replica: replica}
+// InUse returns the slots in use on a replica.
+func (s *Scheduler) InUse(replica int) int { return s.inUse[replica] }
+
+func (s *Scheduler) alarm(t *task, at time.Time) *alarm {
+	a := &alarm{at: at, task: t}
+	s.alarms.Push(a)
+	return a
 }
 
-// freeReplica returns the replica with the most free slots; ties go round.
-func (s *Scheduler) freeReplica() int {
-	best := -1
-	for i := range s.inUse {
-		r := (s.turn + i) % len(s.inUse)
-		if s.inUse[r] < s.opts.Slots && (best < 0 || s.inUse[r] < s.inUse[best]) {
-			best = r
-		}
+// silence takes an alarm out of force. Its entry is dropped when it comes up,
+// or when such entries are most of the heap.
+func (s *Scheduler) silence(a *alarm) {
+	if a == nil || a.off {
+		return
+	}
+	a.off = true
+	s.off++
+	if s.off > 64 && 2*s.off > s.alarms.Len() {
+		s.alarms.Filter(func(x *alarm) bool { return !x.off })
+		s.off = 0
 	}
-	s.turn++
-	return best
 }
 
 func (s *Scheduler) finish(t *task, attempt uint64, out []Action) []Action {
 	s.forget(t)
 	out = append(out, Action{Kind: Finish, Task: t.ID, Attempt: attempt})
-	return s.cancelAll(t, out)
+	return s.cancelAll(t, Lost, out)
 }
 
-func (s *Scheduler) fail(t *task, reason core.Reason, out []Action) []Action {
-	notRun := !t.unclear && t.attempts == 0
+func (s *Scheduler) fail(t *task, reason core.Reason, why Choice, out []Action) []Action {
+	notRun := !t.unclear && len(t.running) == 0
 	s.forget(t)
-	return append(out, Action{Kind: Fail, Task: t.ID, Reason: reason, NotRun: notRun})
+	out = append(out, Action{Kind: Fail, Task: t.ID, Reason: reason, NotRun: notRun})
+	return s.cancelAll(t, why, out)
 }
 
 func (s *Scheduler) forget(t *task) {
 	t.gone = true
 	delete(s.tasks, t.ID)
+	s.lines[t.home].leave(t)
+	s.dropExtra(t)
+	s.silence(t.deadline)
+	s.silence(t.hedge)
 }
 
-func (s *Scheduler) cancelAll(t *task, out []Action) []Action {
-	if t.attempts == 0 {
-		return out
-	}
-	for id, a := range s.attempts {
-		if a.task == t {
-			out = append(out, Action{Kind: Cancel, Task: t.ID, Attempt: id, Replica: a.replica})
+func (s *Scheduler) cancelAll(t *task, why Choice, out []Action) []Action {
+	for _, a := range t.running {
+		// An order that was sent is not cancelled: whether it ran stays open.
+		if a.cancelled || t.Once {
+			continue
 		}
+		a.cancelled = true
+		out = append(out, Action{Kind: Cancel, Task: t.ID, Attempt: a.id, Replica: a.replica, Choice: why})
 	}
 	return out
 }
--- a/core/service.go
+++ b/core/service.go
@@ -32,6 +32,18 @@
 	MaxRowsBytes      int           // largest rows of one shard
 }
 
+// ConnectionCap is what one host may open to a replica. Owner and standby each
+// use at most half of the limit; 2 x slots + 1 leaves room for the cancellation
+// of every call and one status request, and keeps even five hosts that believe
+// they own a group within today's limits.
+func (l Limits) ConnectionCap() int {
+	return max(1, min(l.Connections/2, 2*l.Slots+1))
+}
+
+// CallSlots is how many calls one host may run on a replica: a call without a
+// connection would wait outside the queue.
+func (l Limits) CallSlots() int { return min(l.Slots, l.ConnectionCap()) }
+
 // Service is a backend service as its section describes it.
 type Service struct {
 	name   ServiceName
--- a/io/owner/group.go
+++ b/io/owner/group.go
@@ -6,15 +6,17 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/budget"
+	"oriolebarrow/core/eject"
 	"oriolebarrow/core/queue"
 )
 
 // job is what a task of the scheduler stands for.
 type job struct {
-	ctx     context.Context
 	shard   core.ShardID
 	batch   core.ReadBatch
 	order   *core.OrderRun
@@ -33,37 +35,46 @@
 	id       core.GroupID
 	replicas []core.Replica
 	first    sync.Once
+	polling  []atomic.Bool // by replica
 
 	mu       sync.Mutex
 	sched    *queue.Scheduler
+	health   *eject.Group
 	jobs     map[uint64]*job
+	calls    map[uint64]*job // by attempt, until the call returns
 	next     uint64
-	statuses []core.ReplicaStatus
-	known    []bool
 	used     time.Time
 	timer    *time.Timer
 	payloads map[uint64][]byte // rows by attempt, until the scheduler decides
 }
 
-func newGroup(o *Owner, serial uint64, s core.Service, id core.GroupID, replicas []core.Replica) *group {
+func newGroup(o *Owner, serial uint64, s core.Service, id core.GroupID, b *budget.Budget) *group {
+	replicas := s.Group(id)
 	g := &group{
-		owner:  o,
-		serial: serial,
-
+		owner:    o,
+		serial:   serial,
 		service:  s,
 		id:       id,
 		replicas: replicas,
+		polling:  make([]atomic.Bool, len(replicas)),
+		health:   eject.New(eject.Options{Replicas: len(replicas), Slots: s.Limits().CallSlots()}),
 		jobs:     make(map[uint64]*job),
-		statuses: make([]core.ReplicaStatus, len(replicas)),
-		known:    make([]bool, len(replicas)),
+		calls:    make(map[uint64]*job),
 		used:     time.Now(),
 		payloads: make(map[uint64][]byte),
 	}
 	g.sched = queue.New(queue.Options{
 		Replicas: len(replicas),
-		Slots:    s.Limits().Slots,
+		Slots:    s.Limits().CallSlots(),
 		Length:   s.Limits().QueueLength,
+		Budget:   b,
+		Health:   g.health,
 	})
+	if bounder, ok := o.backend.(core.Bounder); ok {
+		for _, r := range replicas {
+			bounder.Bound(r.Address(), s.Limits().ConnectionCap())
+		}
+	}
 	return g
 }
 
@@ -74,25 +85,32 @@
 func (g *group) idleSince(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.jobs) > 0 {
+	if len(g.jobs) > 0 || len(g.calls) > 0 {
 		return 0
 	}
 	return now.Sub(g.used)
 }
 
-func (g *group) read(ctx context.Context, b core.ReadBatch, shard core.ShardID, done func(core.ShardResult)) {
-	g.add(&job{ctx: ctx, batch: b, shard: shard, read: done}, queue.Task{
+func (g *group) read(b core.ReadBatch, shard core.ShardID, done func(core.ShardResult)) uint64 {
+	return g.add(&job{batch: b, shard: shard, read: done}, queue.Task{
+		Caller:   b.Query.Caller,
 		Priority: b.Query.Priority,
+		Snapshot: b.Snapshot,
+		Shard:    shard,
 		Deadline: b.Query.Deadline,
 		Once:     !b.Query.Repeatable,
 	})
 }
 
-func (g *group) order(ctx context.Context, run core.OrderRun, done func(core.OrderResult)) {
-	g.add(&job{ctx: ctx, order: &run, ordered: done}, queue.Task{Deadline: run.Deadline, Once: true})
+func (g *group) order(run core.OrderRun, done func(core.OrderResult)) {
+	g.add(&job{order: &run, ordered: done}, queue.Task{Priority: orderPriority, Deadline: run.Deadline, Once: true})
+}
+
+func (g *group) withdraw(id uint64) {
+	g.step(func(now time.Time) []queue.Action { return g.sched.Withdraw(now, id) })
 }
 
-func (g *group) add(j *job, t queue.Task) {
+func (g *group) add(j *job, t queue.Task) uint64 {
 	g.step(func(now time.Time) []queue.Action {
 		g.next++
 		t.ID = g.next
@@ -100,6 +118,7 @@
 		g.used = now
 		return g.sched.Add(now, t)
 	})
+	return t.ID
 }
 
 // step runs one event of the scheduler and carries out what it asks for.
@@ -137,33 +156,35 @@
 	switch a.Kind {
 	case queue.Start:
 		j.tries++
+		g.calls[a.Attempt] = j
 		tries := j.tries
 		return func() { go g.call(a, j, tries) }
 	case queue.Finish:
 		delete(g.jobs, a.Task)
-		payload := g.payloads[a.Attempt]
+		payload, tries := g.payloads[a.Attempt], j.tries
 		delete(g.payloads, a.Attempt)
-		return func() { j.finish(payload) }
+		return func() { j.finish(payload, tries) }
 	case queue.Fail:
 		delete(g.jobs, a.Task)
-		return func() { j.fail(a) }
+		tries := j.tries
+		return func() { j.fail(a, tries) }
 	default:
-		address := g.replicas[a.Replica].Address()
-		return func() { go g.cancel(address, a.Attempt) }
+		j = g.calls[a.Attempt]
+		return func() { go g.cancel(a, j) }
 	}
 }
 
-func (j *job) finish(payload []byte) {
+func (j *job) finish(payload []byte, tries int) {
 	if j.order != nil {
 		j.ordered(core.OrderResult{Outcome: core.Complete, Body: payload})
 		return
 	}
-	j.read(core.ShardResult{Shard: j.shard, Snapshot: j.batch.Snapshot, Rows: payload, Attempts: j.tries})
+	j.read(core.ShardResult{Shard: j.shard, Snapshot: j.batch.Snapshot, Rows: payload, Attempts: tries})
 }
 
-func (j *job) fail(a queue.Action) {
+func (j *job) fail(a queue.Action, tries int) {
 	if j.order == nil {
-		j.read(core.ShardResult{Shard: j.shard, Missing: a.Reason, Attempts: j.tries})
+		j.read(core.ShardResult{Shard: j.shard, Missing: a.Reason, Attempts: tries})
 		return
 	}
 	outcome := core.Unknown
@@ -177,31 +198,25 @@
 	return fmt.Sprintf("%s-%d-%d", g.owner.name, g.serial, attempt)
 }
 
+// decided writes the decision log line of a start or a cancellation.
+func (g *group) decided(a queue.Action, j *job, text string) {
+	g.owner.log.Info(text, "request_id", j.requestID(), "service", g.service.Name(), "group", g.id,
+		"shard", j.shard, "choice", g.replicas[a.Replica].Address(), "reason", a.Choice, "call_id", g.callID(a.Attempt))
+}
+
 func (g *group) call(a queue.Action, j *job, tries int) {
-	address := g.replicas[a.Replica].Address()
-	g.owner.log.Info("owner: call starts",
-		"request_id", j.requestID(), "service", g.service.Name(), "group", g.id, "shard", j.shard,
-		"replica", address, "attempt", tries, "reason", "free_slot")
-	payload, err := g.send(a, j, address)
-	result := queue.Result{Status: queue.OK}
-	var call *core.CallError
-	switch {
-	case errors.As(err, &call):
-		result = queue.Result{Status: queue.Failed, Reason: call.Reason}
-		if call.NotRun {
-			result.Status = queue.Refused
-		}
-	case err != nil:
-		result = queue.Result{Status: queue.Failed, Reason: core.ReasonBackendError}
-	}
+	g.decided(a, j, texts[a.Choice])
+	payload, err := g.send(a, j, g.replicas[a.Replica].Address())
 	if err != nil {
-		g.owner.log.Warn("owner: call failed", "request_id", j.requestID(), "replica", address, "err", err)
+		g.owner.log.Warn("owner: call failed", "request_id", j.requestID(), "service", g.service.Name(),
+			"shard", j.shard, "attempt", tries, "call_id", g.callID(a.Attempt), "err", err)
 	}
 	g.step(func(now time.Time) []queue.Action {
+		delete(g.calls, a.Attempt)
 		if err == nil {
 			g.payloads[a.Attempt] = payload
 		}
-		actions := g.sched.Done(now, a.Attempt, result)
+		actions := g.sched.Done(now, a.Attempt, resultOf(err))
 		if !slices.ContainsFunc(actions, func(x queue.Action) bool { return x.Kind == queue.Finish && x.Attempt == a.Attempt }) {
 			delete(g.payloads, a.Attempt)
 		}
@@ -209,6 +224,29 @@
 	})
 }
 
+// texts are the log messages of starts; the field reason tells them apart for
+// programs.
+var texts = map[queue.Choice]string{
+	queue.First:  "owner: call starts",
+	queue.Hedge:  "owner: hedge starts",
+	queue.Retry:  "owner: retry starts",
+	queue.Repeat: "owner: repeat starts",
+}
+
+func resultOf(err error) queue.Result {
+	if err == nil {
+		return queue.Result{Status: queue.OK}
+	}
+	var call *core.CallError
+	if !errors.As(err, &call) {
+		return queue.Result{Status: queue.Failed, Reason: core.ReasonBackendError}
+	}
+	if call.NotRun {
+		return queue.Result{Status: queue.Refused, Reason: call.Reason}
+	}
+	return queue.Result{Status: queue.Failed, Reason: call.Reason}
+}
+
 func (g *group) send(a queue.Action, j *job, address string) ([]byte, error) {
 	// The call outlives its request's context: a cancelled call keeps its slot
 	// until the server has answered or the deadline has passed.
@@ -230,10 +268,12 @@
 	})
 }
 
-func (g *group) cancel(address string, attempt uint64) {
+// cancel asks the server to end a call. The slot stays taken until it returns.
+func (g *group) cancel(a queue.Action, j *job) {
+	g.decided(a, j, "owner: call cancelled")
 	ctx, stop := context.WithTimeout(context.Background(), pollTimeout)
 	defer stop()
-	_ = g.owner.backend.Cancel(ctx, address, g.callID(attempt))
+	_ = g.owner.backend.Cancel(ctx, g.replicas[a.Replica].Address(), g.callID(a.Attempt))
 }
 
 func (j *job) deadline() time.Time {
@@ -249,42 +289,3 @@
 	}
 	return j.batch.Query.ID
 }
-
-// poll asks every replica for its status.
-func (g *group) poll(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	var wait sync.WaitGroup
-	for i, r := range g.replicas {
-		wait.Go(func() {
-			status, err := g.owner.backend.Status(ctx, r.Address())
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			g.known[i] = err == nil
-			g.statuses[i] = status
-		})
-	}
-	wait.Wait()
-}
-
-// held returns the snapshots that a live replica of the group holds.
-func (g *group) held() []core.GroupSnapshot {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.used = time.Now()
-	seen := make(map[core.SnapshotID]bool)
-	var out []core.GroupSnapshot
-	for i, status := range g.statuses {
-		if !g.known[i] || status.State == core.ReplicaDraining {
-			continue
-		}
-		for _, s := range status.Snapshots {
-			if !seen[s.Snapshot] {
-				seen[s.Snapshot] = true
-				s.Group = g.id
-				out = append(out, s)
-			}
-		}
-	}
-	return out
-}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/budget"
 )
 
 const (
@@ -24,6 +25,9 @@
 	pollTimeout  = time.Second
 	// groupIdle is how long a group is polled after its last use.
 	groupIdle = time.Minute
+	// orderPriority is the highest of caller sections (0 to 9): an order
+	// cannot be hedged or repeated, so waiting costs it most.
+	orderPriority = 9
 )
 
 type groupKey struct {
@@ -31,23 +35,31 @@
 	group   core.GroupID
 }
 
-// Owner holds the groups of one host. Lock order: Owner.mu, then group.mu; no
-// call leaves the host under either.
+// Owner holds the groups of one host. Lock order: Owner.mu, then group.mu, then
+// the lock of the service's budget; no call leaves the host under any of them.
 type Owner struct {
 	name     string
 	settings core.Settings
 	backend  core.Backend
 	log      *slog.Logger
 
-	mu     sync.Mutex
-	groups map[groupKey]*group
-	made   uint64 // groups created so far
+	mu      sync.Mutex
+	groups  map[groupKey]*group
+	budgets map[core.ServiceName]*budget.Budget
+	made    uint64 // groups created so far
 }
 
 // New returns an owner without groups. The name tells its calls from those of
 // other hosts and of earlier incarnations.
 func New(name string, settings core.Settings, backend core.Backend, log *slog.Logger) *Owner {
-	return &Owner{name: name, settings: settings, backend: backend, log: log, groups: make(map[groupKey]*group)}
+	return &Owner{
+		name:     name,
+		settings: settings,
+		backend:  backend,
+		log:      log,
+		groups:   make(map[groupKey]*group),
+		budgets:  make(map[core.ServiceName]*budget.Budget),
+	}
 }
 
 // Run polls the replicas of the groups in use until ctx ends.
@@ -87,8 +99,8 @@
 	return out
 }
 
-// group returns the group, created and polled once when it is new.
-func (o *Owner) group(ctx context.Context, s core.ServiceName, id core.GroupID) *group {
+// group returns the group, created when it is new.
+func (o *Owner) group(s core.ServiceName, id core.GroupID) *group {
 	key := groupKey{service: s, group: id}
 	service, ok := o.settings.Service(s)
 	replicas := service.Group(id)
@@ -96,53 +108,81 @@
 		return nil
 	}
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	g := o.groups[key]
 	if g == nil || !g.matches(service, replicas) {
 		o.made++
-		g = newGroup(o, o.made, service, id, replicas)
+		g = newGroup(o, o.made, service, id, o.budget(service))
 		o.groups[key] = g
 	}
-	o.mu.Unlock()
-	g.first.Do(func() { g.poll(ctx) })
 	return g
 }
 
-// Read queues the shards of a batch and calls sink once for each.
+// budget returns the budget of a service, which its groups share. The caller
+// holds Owner.mu.
+func (o *Owner) budget(s core.Service) *budget.Budget {
+	b := o.budgets[s.Name()]
+	if b == nil {
+		b = budget.New(s.Limits())
+		o.budgets[s.Name()] = b
+	}
+	b.SetLimits(s.Limits())
+	return b
+}
+
+// Read queues the shards of a batch and calls sink once for each. When ctx ends
+// the shards without a result are given up and their calls cancelled.
 func (o *Owner) Read(ctx context.Context, b core.ReadBatch, sink func(core.ShardResult)) {
 	var wait sync.WaitGroup
+	giveUp := make([]func(), 0, len(b.Shards))
 	for _, ref := range b.Shards {
-		g := o.group(ctx, b.Query.Service, ref.Group)
+		g := o.group(b.Query.Service, ref.Group)
 		if g == nil {
 			sink(core.ShardResult{Shard: ref.Shard, Missing: core.ReasonUnknownService})
 			continue
 		}
 		wait.Add(1)
-		g.read(ctx, b, ref.Shard, func(r core.ShardResult) {
+		id := g.read(b, ref.Shard, func(r core.ShardResult) {
 			sink(r)
 			wait.Done()
 		})
+		giveUp = append(giveUp, func() { g.withdraw(id) })
 	}
+	stop := context.AfterFunc(ctx, func() {
+		for _, f := range giveUp {
+			f()
+		}
+	})
 	wait.Wait()
+	stop()
 }
 
 // Order runs an order on one replica of a group, at most once.
-func (o *Owner) Order(ctx context.Context, run core.OrderRun, id core.GroupID) core.OrderResult {
-	g := o.group(ctx, run.Service, id)
+func (o *Owner) Order(_ context.Context, run core.OrderRun, id core.GroupID) core.OrderResult {
+	g := o.group(run.Service, id)
 	if g == nil {
 		return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonUnknownService}
 	}
 	done := make(chan core.OrderResult, 1)
-	g.order(ctx, run, func(r core.OrderResult) { done <- r })
+	g.order(run, func(r core.OrderResult) { done <- r })
 	return <-done
 }
 
-// Snapshots returns what the given groups of a service hold.
+// Snapshots returns what the given groups of a service hold. Groups that are
+// new are asked first, at the same time.
 func (o *Owner) Snapshots(ctx context.Context, s core.ServiceName, ids []core.GroupID) []core.GroupSnapshot {
-	var out []core.GroupSnapshot
+	var groups []*group
+	var wait sync.WaitGroup
 	for _, id := range ids {
-		if g := o.group(ctx, s, id); g != nil {
-			out = append(out, g.held()...)
+		if g := o.group(s, id); g != nil {
+			groups = append(groups, g)
+			wait.Go(func() { g.first.Do(func() { g.poll(ctx) }) })
 		}
 	}
+	wait.Wait()
+	var out []core.GroupSnapshot
+	for _, g := range groups {
+		out = append(out, g.held()...)
+	}
 	return out
 }
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -41,7 +41,13 @@
 
 // Options configures a client.
 type Options struct {
-	Connections int // open connections to one replica at most
+	Connections int // open connections to a replica that Bound does not name
+}
+
+// bounded is the HTTP client of one replica and its connection limit.
+type bounded struct {
+	*http.Client
+	connections int
 }
 
 // Client calls backend servers. It is safe for concurrent use; its lock guards
@@ -50,35 +56,58 @@
 	opts Options
 
 	mu      sync.Mutex
-	clients map[string]*http.Client
+	clients map[string]bounded
 }
 
-var _ core.Backend = (*Client)(nil)
+var (
+	_ core.Backend = (*Client)(nil)
+	_ core.Bounder = (*Client)(nil)
+)
 
 // New returns a client without open connections.
 func New(opts Options) *Client {
-	return &Client{opts: opts, clients: make(map[string]*http.Client)}
+	return &Client{opts: opts, clients: make(map[string]bounded)}
+}
+
+// Bound sets the connection limit of one replica. If the limit changes, calls
+// that run already end on their connections, and new calls use new ones.
+func (c *Client) Bound(address string, connections int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old, ok := c.clients[address]
+	if ok && old.connections == connections {
+		return
+	}
+	c.clients[address] = newBounded(connections)
+	if ok {
+		old.CloseIdleConnections()
+	}
 }
 
 func (c *Client) client(address string) *http.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := c.clients[address]
-	if h == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout}
-		h = &http.Client{
-			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
-				MaxConnsPerHost:     c.opts.Connections,
-				MaxIdleConnsPerHost: c.opts.Connections,
-				IdleConnTimeout:     idleTimeout,
-				DisableCompression:  true,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		}
-		c.clients[address] = h
+	b, ok := c.clients[address]
+	if !ok {
+		b = newBounded(c.opts.Connections)
+		c.clients[address] = b
+	}
+	return b.Client
+}
+
+func newBounded(connections int) bounded {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	h := &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return h
+	return bounded{Client: h, connections: connections}
 }
 
 // Close closes idle connections.
