test: state the invariants of the queue

Cause: the queue had no tests. Ruled out: a simulator of the whole tier; the scheduler is driven one event at a time.

Before and after: each mechanism is shown by a case that holds with it and fails with it taken out.

--- /dev/null
+++ b/core/queue/queue_test.go
@@ -0,0 +1,265 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/queue"
+)
+
+func task(id uint64, caller core.CallerName, left time.Duration) queue.Task {
+	return queue.Task{ID: id, Caller: caller, Snapshot: 41, Deadline: start.Add(left)}
+}
+
+// TestMechanisms states what each mechanism brings. Each case must hold with
+// the mechanism and fail with the mechanism taken out, which guards against a
+// switch that does nothing and against a mechanism that is lost.
+func TestMechanisms(t *testing.T) {
+	cases := []struct {
+		name  string
+		off   func(*queue.Options)
+		holds func(queue.Options) bool
+	}{
+		{"a due hedge waits and takes the next free slot", func(o *queue.Options) { o.HedgeNow = true }, hedgeWaits},
+		{"a due hedge starts on another replica", func(o *queue.Options) { o.NoHedge = true }, hedgeStarts},
+		{"a refused read is retried", func(o *queue.Options) { o.NoRetry = true }, retried},
+		{"a retry avoids the replica that refused", func(o *queue.Options) { o.NoExclusion = true }, excluded},
+		{"work that cannot finish in time is refused", func(o *queue.Options) { o.NoInfeasible = true }, infeasible},
+		{"a storm of one caller does not delay another", func(o *queue.Options) { o.NoFairness = true }, fair},
+		{"a slow replica delays only its own calls", func(o *queue.Options) { o.PerReplica = true }, shared},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if !c.holds(options(2, 1)) {
+				t.Error("does not hold")
+			}
+			o := options(2, 1)
+			c.off(&o)
+			if c.holds(o) {
+				t.Error("holds without the mechanism as well")
+			}
+		})
+	}
+}
+
+func hedgeStarts(o queue.Options) bool {
+	s := queue.New(o)
+	first := starts(s.Add(start, task(1, "a", time.Second)))[0]
+	early := starts(s.Tick(start.Add(delay - 1)))
+	due := starts(s.Tick(start.Add(delay)))
+	return len(early) == 0 && len(due) == 1 && due[0].Replica != first.Replica && due[0].Choice == queue.Hedge
+}
+
+// hedgeWaits: both replicas are busy when the hedge of task 1 is due. Replica
+// of task 2 gets free while task 3 waits for its first attempt.
+func hedgeWaits(o queue.Options) bool {
+	s := queue.New(o)
+	s.Add(start, task(1, "a", time.Second))
+	other := starts(s.Add(start.Add(delay/2), task(2, "a", time.Second)))[0]
+	s.Add(start.Add(delay/2), task(3, "a", time.Second))
+	s.Tick(start.Add(delay))
+	got := starts(s.Done(start.Add(delay+1), other.Attempt, queue.Result{Status: queue.OK}))
+	return len(got) == 1 && got[0].Task == 1 && got[0].Choice == queue.Hedge
+}
+
+func retried(o queue.Options) bool {
+	s := queue.New(o)
+	a := starts(s.Add(start, task(1, "a", time.Second)))[0]
+	got := starts(s.Done(start, a.Attempt, queue.Result{Status: queue.Refused, Reason: "busy"}))
+	return len(got) == 1 && got[0].Choice == queue.Retry
+}
+
+// excluded: the other replica is busy, so that only the one that refused has a
+// free slot.
+func excluded(o queue.Options) bool {
+	s := queue.New(o)
+	a := starts(s.Add(start, task(1, "a", time.Second)))[0]
+	s.Add(start, task(2, "a", time.Second))
+	return len(starts(s.Done(start, a.Attempt, queue.Result{Status: queue.Refused, Reason: "busy"}))) == 0
+}
+
+// infeasible: with 2 slots of 10 ms each, 20 waiting tasks take about 100 ms.
+func infeasible(o queue.Options) bool {
+	o.Budget = &purse{learnt: true}
+	s := queue.New(o)
+	for id := range uint64(22) {
+		s.Add(start, task(id+1, "a", time.Second))
+	}
+	late := s.Add(start, task(30, "a", 50*time.Millisecond))
+	inTime := s.Add(start, task(31, "a", 200*time.Millisecond))
+	return len(late) == 1 && late[0].Kind == queue.Fail && late[0].NotRun && len(inTime) == 0
+}
+
+func fair(o queue.Options) bool {
+	s := queue.New(o)
+	running := starts(s.Add(start, task(1, "storm", time.Second)))
+	running = append(running, starts(s.Add(start, task(2, "storm", time.Second)))...)
+	for id := uint64(3); id < 100; id++ {
+		s.Add(start, task(id, "storm", time.Second))
+	}
+	s.Add(start, task(200, "quiet", 2*time.Second))
+	for range 3 {
+		a := running[0]
+		running = append(running[1:], starts(s.Done(start, a.Attempt, queue.Result{Status: queue.OK}))...)
+		if running[len(running)-1].Task == 200 {
+			return true
+		}
+	}
+	return false
+}
+
+// shared: one replica never answers, the other takes all that waits.
+func shared(o queue.Options) bool {
+	s := queue.New(o)
+	s.Add(start, task(1, "a", time.Second))
+	a := starts(s.Add(start, task(2, "a", time.Second)))
+	for id := uint64(3); id < 7; id++ {
+		s.Add(start, task(id, "a", time.Second))
+	}
+	done := 0
+	for len(a) > 0 {
+		done++
+		a = starts(s.Done(start, a[0].Attempt, queue.Result{Status: queue.OK}))
+	}
+	return done == 5
+}
+
+// TestTurns guards against a caller that saves up turns while it is idle, and
+// against one that goes first each time it comes back.
+func TestTurns(t *testing.T) {
+	s := queue.New(options(1, 1))
+	var id uint64
+	add := func(caller core.CallerName, n int) []queue.Action {
+		var out []queue.Action
+		for range n {
+			id++
+			out = append(out, starts(s.Add(start, task(id, caller, time.Second)))...)
+		}
+		return out
+	}
+	owner := map[uint64]core.CallerName{}
+	running := add("a", 40)
+	for i := range 40 {
+		owner[uint64(i+1)] = "a"
+	}
+	next := func() core.CallerName {
+		running = starts(s.Done(start, running[0].Attempt, queue.Result{Status: queue.OK}))
+		if c, ok := owner[running[0].Task]; ok {
+			return c
+		}
+		return "b"
+	}
+	for range 20 {
+		next()
+	}
+	add("b", 8)
+	count := map[core.CallerName]int{}
+	for range 8 {
+		count[next()]++
+	}
+	if count["a"] != 4 || count["b"] != 4 {
+		t.Errorf("callers with work got %v of 8 turns", count)
+	}
+	// From here b has one task at a time, added as soon as the last one starts.
+	for range 4 {
+		next()
+	}
+	clear(count)
+	add("b", 1)
+	for range 6 {
+		c := next()
+		if count[c]++; c == "b" {
+			add("b", 1)
+		}
+	}
+	if count["a"] < 3 {
+		t.Errorf("a caller that comes back again and again got %v of 6 turns", count)
+	}
+}
+
+// TestLoserKeepsSlot guards against a slot that is given away while the server
+// still works on the cancelled call, and against a hedge after the answer.
+func TestLoserKeepsSlot(t *testing.T) {
+	s := queue.New(options(2, 1))
+	first := starts(s.Add(start, task(1, "a", time.Second)))[0]
+	hedge := starts(s.Tick(start.Add(delay)))[0]
+	actions := s.Done(start.Add(delay+1), hedge.Attempt, queue.Result{Status: queue.OK})
+	if len(actions) != 2 || actions[0].Kind != queue.Finish || actions[1].Kind != queue.Cancel || actions[1].Attempt != first.Attempt {
+		t.Fatalf("want finish and cancel of the loser, got %+v", actions)
+	}
+	if s.InUse(first.Replica) != 1 || s.InUse(hedge.Replica) != 0 {
+		t.Fatal("the slot of the loser is free before its call returned")
+	}
+	s.Done(start.Add(delay+2), first.Attempt, queue.Result{Status: queue.Failed, Reason: "cancelled"})
+	if s.InUse(first.Replica) != 0 {
+		t.Fatal("the slot of the loser stays taken after its call returned")
+	}
+}
+
+// TestBudgets guards against hedges and retries beyond the budget, and against
+// a repeat of a call without a clear result that is not counted as a hedge.
+func TestBudgets(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		status queue.Status
+		budget *purse
+		want   int
+	}{
+		{"retry with budget", queue.Refused, &purse{retries: 1}, 1},
+		{"retry without budget", queue.Refused, &purse{hedges: 9}, 0},
+		{"repeat with budget", queue.Failed, &purse{hedges: 1}, 1},
+		{"repeat without budget", queue.Failed, &purse{retries: 9}, 0},
+	} {
+		o := options(2, 1)
+		o.Budget = c.budget
+		s := queue.New(o)
+		a := starts(s.Add(start, task(1, "a", time.Second)))[0]
+		got := starts(s.Done(start, a.Attempt, queue.Result{Status: c.status, Reason: "busy"}))
+		if len(got) != c.want {
+			t.Errorf("%s: want %d attempts, got %d", c.name, c.want, len(got))
+		}
+	}
+}
+
+// TestNoReplica guards against work that waits for its deadline although no
+// replica holds the snapshot or all drain, and against the wrong reason.
+func TestNoReplica(t *testing.T) {
+	health := newWard(1)
+	o := options(2, 1)
+	o.Health = health
+	s := queue.New(o)
+	s.Add(start, task(1, "a", time.Second))
+	s.Add(start, task(2, "a", time.Second))
+	s.Add(start, task(3, "a", time.Second))
+	health.missing[0], health.missing[1] = true, true
+	got := s.Recheck(start)
+	if len(got) != 1 || got[0].Task != 3 || got[0].Reason != core.ReasonSnapshotGone || !got[0].NotRun {
+		t.Errorf("want task 3 to end as snapshot_gone, got %+v", got)
+	}
+	health.draining[0], health.draining[1] = true, true
+	got = s.Add(start, task(4, "a", time.Second))
+	if len(got) != 1 || got[0].Reason != core.ReasonNoReplica || !got[0].NotRun {
+		t.Errorf("want no_replica, got %+v", got)
+	}
+}
+
+// BenchmarkTick shows the cost of a tick with many tasks whose time has not
+// come.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range []int{100, 100_000} {
+		o := options(2, 1)
+		o.Length = size
+		s := queue.New(o)
+		for id := range size {
+			s.Add(start, task(uint64(id+1), "a", time.Hour+time.Duration(id)))
+		}
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				s.Tick(start)
+				s.NextTick()
+			}
+		})
+	}
+}
