--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -163,7 +163,7 @@
 		t.Errorf("callers with work got %v of 8 turns", count)
 	}
 	// From here b has one task at a time, added as soon as the last one starts.
-	for range 4 {
+	for range 8 {
 		next()
 	}
 	clear(count)
