--- /dev/null
+++ b/core/eject/eject_test.go
@@ -0,0 +1,143 @@
+package eject_test
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/eject"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := errors.Join(flag.Set("rapid.seed", "1"), flag.Set("rapid.nofailfile", "true")); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func status(inc core.Incarnation, s core.ReplicaState) core.ReplicaStatus {
+	return core.ReplicaStatus{Incarnation: inc, State: s}
+}
+
+func call(g *eject.Group, now time.Time, r int, took time.Duration) {
+	g.Started(now, r)
+	g.Ended(now, r, core.CallEnd{Took: took, Median: 10 * time.Millisecond})
+}
+
+// TestLastReplica guards against a group without any replica in service while
+// one of them does not drain, and against work for one that does.
+func TestLastReplica(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 3).Draw(t, "replicas")
+		g := eject.New(eject.Options{Replicas: n, Slots: 2})
+		drains := make([]bool, n)
+		now := start
+		for range rapid.IntRange(1, 80).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			r := rapid.IntRange(0, n-1).Draw(t, "replica")
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1, 2:
+				call(g, now, r, time.Second)
+			case 3:
+				g.Unreachable(now, r)
+			case 4:
+				call(g, now, r, time.Millisecond)
+			default:
+				g.Status(now, r, status(1, core.ReplicaDraining))
+				drains[r] = true
+			}
+			open, left := 0, 0
+			for i := range n {
+				slots := g.Slots(now, i)
+				if drains[i] && slots > 0 {
+					t.Fatalf("replica %d drains and has %d slots", i, slots)
+				}
+				if !drains[i] {
+					left++
+				}
+				open += slots
+			}
+			if left > 0 && open == 0 {
+				t.Fatalf("no slot in the group although %d replicas do not drain", left)
+			}
+		}
+	})
+}
+
+// TestDraining guards against work for a leaving replica because of an older
+// or lagging status, and against one that never returns.
+func TestDraining(t *testing.T) {
+	g := eject.New(eject.Options{Replicas: 2, Slots: 2})
+	g.Status(start, 0, status(3, core.ReplicaReady))
+	g.Started(start, 0)
+	g.Ended(start.Add(time.Second), 0, core.CallEnd{Refused: true, Reason: core.ReasonDraining})
+	for _, asked := range []time.Duration{0, time.Second, 5 * time.Second} {
+		g.Status(start.Add(asked), 0, status(3, core.ReplicaReady))
+		if g.Slots(start.Add(asked), 0) != 0 {
+			t.Fatalf("a status asked for at %s gives a draining replica slots", asked)
+		}
+	}
+	g.Status(start.Add(6*time.Second), 0, status(4, core.ReplicaReady))
+	if got := g.Slots(start.Add(6*time.Second), 0); got != 1 {
+		t.Errorf("a new incarnation starts with %d slots, want 1", got)
+	}
+}
+
+// TestStraggler guards against a straggler that keeps its share of calls,
+// against more than single trial calls, and against a return after one.
+func TestStraggler(t *testing.T) {
+	g := eject.New(eject.Options{Replicas: 2, Slots: 2})
+	for range 10 {
+		if g.Slots(start, 0) > 0 {
+			call(g, start, 0, 200*time.Millisecond)
+		}
+		call(g, start, 1, 10*time.Millisecond)
+	}
+	if g.State(0) != eject.Ejected || g.Slots(start, 0) != 0 || g.State(1) != eject.Ready {
+		t.Fatalf("states %s and %s", g.State(0), g.State(1))
+	}
+	now := start.Add(2 * time.Second)
+	if !g.Trial(now, 0) {
+		t.Fatal("no trial call after 2 s")
+	}
+	g.Started(now, 0)
+	if g.Slots(now, 0) != 0 {
+		t.Error("a second trial call may start")
+	}
+	g.Ended(now, 0, core.CallEnd{Took: time.Millisecond, Median: 10 * time.Millisecond})
+	if g.State(0) != eject.Ejected {
+		t.Error("back after one good call")
+	}
+	for range 20 {
+		now = now.Add(time.Second)
+		call(g, now, 0, time.Millisecond)
+	}
+	if g.State(0) != eject.Ready {
+		t.Error("not back after 20 good calls")
+	}
+}
+
+// TestSnapshots guards against calls for a snapshot that a replica dropped.
+func TestSnapshots(t *testing.T) {
+	g := eject.New(eject.Options{Replicas: 1, Slots: 2})
+	s := status(1, core.ReplicaReady)
+	s.Snapshots = []core.GroupSnapshot{{Snapshot: 41, ShardCount: 2, Shards: []core.ShardID{0, 1}}}
+	g.Status(start, 0, s)
+	if !g.Holds(0, 41, 1) || g.Holds(0, 42, 1) {
+		t.Error("the status is not followed")
+	}
+	g.Started(start, 0)
+	g.Ended(start, 0, core.CallEnd{Refused: true, Reason: core.ReasonSnapshotGone, Snapshot: 41, Shard: 1})
+	g.Status(start.Add(time.Second), 0, s)
+	if g.Holds(0, 41, 1) || !g.Holds(0, 41, 0) {
+		t.Error("a lagging status undoes the refusal, or the refusal drops another shard")
+	}
+}
--- /dev/null
+++ b/core/snaps/snaps_test.go
@@ -0,0 +1,83 @@
+package snaps_test
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/snaps"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := errors.Join(flag.Set("rapid.seed", "1"), flag.Set("rapid.nofailfile", "true")); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// TestSelect guards against a pin on an older or less covered snapshot, or on a
+// group that does not hold the shard.
+func TestSelect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := snaps.New()
+		type place struct {
+			snapshot core.SnapshotID
+			shard    core.ShardID
+		}
+		held := map[place]map[core.GroupID]bool{}
+		size := map[core.SnapshotID]int{40: 2, 41: 3, 42: 4}
+		for g := range core.GroupID(rapid.IntRange(0, 5).Draw(t, "groups")) {
+			var all []core.GroupSnapshot
+			for _, s := range []core.SnapshotID{40, 41, 42} {
+				shards := rapid.SliceOfN(rapid.IntRange(0, size[s]-1), 0, 4).Draw(t, "shards")
+				h := core.GroupSnapshot{Group: g, Snapshot: s, ShardCount: size[s]}
+				for _, n := range shards {
+					h.Shards = append(h.Shards, core.ShardID(n))
+					key := place{s, core.ShardID(n)}
+					if held[key] == nil {
+						held[key] = map[core.GroupID]bool{}
+					}
+					held[key][g] = true
+				}
+				if len(shards) > 0 {
+					all = append(all, h)
+				}
+			}
+			table.Update("s", g, all)
+		}
+		var want core.SnapshotID
+		best := 0.0
+		for _, s := range []core.SnapshotID{40, 41, 42} {
+			known := 0
+			for n := range size[s] {
+				if len(held[place{s, core.ShardID(n)}]) > 0 {
+					known++
+				}
+			}
+			if share := float64(known) / float64(size[s]); share > 0 && share >= best {
+				want, best = s, share
+			}
+		}
+		pin, ok := table.Select("s")
+		if ok != (want != 0) {
+			t.Fatalf("selected %v, want %d", ok, want)
+		}
+		if !ok {
+			return
+		}
+		if pin.Snapshot() != want || pin.ShardCount() != size[want] {
+			t.Fatalf("selected %d with %d shards, want %d", pin.Snapshot(), pin.ShardCount(), want)
+		}
+		for n := range pin.ShardCount() {
+			g, groups := pin.Group(core.ShardID(n)), held[place{want, core.ShardID(n)}]
+			if len(groups) == 0 != (g == core.NoGroup) || (g != core.NoGroup && !groups[g]) {
+				t.Fatalf("shard %d is on group %d, held by %v", n, g, groups)
+			}
+		}
+	})
+}
