fix(order): prove not_run before it is answered and drop duplicated calls

Cause: a token reused with other content, a refusal before the token was looked up, and a frame still queued when its link failed were answered without regard to what may have run. An owner sent every order call it received. The remaining time was read before the dial and before the send queue.

Ruled out: net/http resending an order.

Before: a repeat that was re-encoded, or refused by admission, got not_run for an order that may have run. After: it gets unknown; not_run is answered when the frame or the body was provably never handed to a connection, or was refused. Table expiry follows the clock that is further ahead.

--- a/core/core.go
+++ b/core/core.go
@@ -74,6 +74,7 @@
 	ReasonNoToken        Reason = "no_token"
 	ReasonTokenUnknown   Reason = "token_unknown"
 	ReasonTokenExpired   Reason = "token_expired"
+	ReasonTokenDiffers   Reason = "token_differs" // the token belongs to other content
 	ReasonIssuerGone     Reason = "issuer_gone"
 	ReasonTableFull      Reason = "table_full"
 	ReasonDraining       Reason = "draining"
--- a/core/iface.go
+++ b/core/iface.go
@@ -135,6 +135,18 @@
 	MarkDown(now time.Time, id HostID)
 }
 
+// Locator finds a host that other hosts may still reach although it is not in
+// the view, such as a leaving one.
+type Locator interface {
+	Locate(id HostID) (Host, bool)
+}
+
+// Announcer tells other hosts about this one.
+type Announcer interface {
+	// Leave says that this host takes no new work; it returns when it was sent.
+	Leave(ctx context.Context)
+}
+
 // Requests serves what callers ask of a host.
 type Requests interface {
 	Query(ctx context.Context, q Query) Answer
--- a/core/member/roster.go
+++ b/core/member/roster.go
@@ -24,6 +24,7 @@
 
 	mu      sync.Mutex
 	hosts   []core.Host
+	listed  map[core.HostID]core.Host // every host of the list, leaving ones too
 	down    map[core.HostID]time.Time
 	version uint64
 }
@@ -39,7 +40,9 @@
 		return
 	}
 	hosts := []core.Host{r.self}
+	listed := make(map[core.HostID]core.Host, len(entries))
 	for _, e := range entries {
+		listed[e.Host.ID()] = e.Host
 		if !e.Leaving && e.Host.ID() != r.self.ID() {
 			hosts = append(hosts, e.Host)
 		}
@@ -47,9 +50,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.hosts = hosts
+	r.listed = listed
 	r.version++
 }
 
+// Locate returns a listed host whether or not it is in the view.
+func (r *Roster) Locate(id core.HostID) (core.Host, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.listed[id]
+	return h, ok
+}
+
 // MarkDown takes a host out of the view for a while.
 func (r *Roster) MarkDown(now time.Time, id core.HostID) {
 	r.mu.Lock()
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -1,6 +1,24 @@
 // Package order keeps the tokens that make an order run at most once. A token
 // is redeemed only at the host that issued it, so that one table decides.
 //
+// # Promise to callers
+//
+// An order that arrives without a token never runs: it is refused as not_run,
+// with a fresh token. A caller that repeats an order without a token therefore
+// gets one refusal and one new token for each repeat, and causes no execution.
+// Each token starts at most one order. A caller that repeats an order under
+// another token sends another order, which may run as well; the tier does not
+// compare orders across tokens. Only not_run permits a new token: after unknown
+// the caller repeats with the same token, at any host.
+//
+// # Bounds
+//
+// The table holds at most Options.Max tokens and issues none beyond that. An
+// issued token that has expired never starts. A running order is never dropped;
+// its answer is kept for one more lifetime after it ends. Expiry follows
+// whichever of the monotonic and the wall clock is further ahead, since the
+// monotonic clock stands still while a machine is suspended.
+//
 // # Usage
 //
 //	t := order.New("host-1", 7, order.Options{Max: 10_000, Lifetime: time.Minute}, rand)
@@ -12,6 +30,8 @@
 package order
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"io"
 	"strconv"
@@ -19,10 +39,10 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/pause"
 )
 
 // ErrMalformed is returned for a token that no host can have issued.
@@ -72,7 +92,7 @@
 type entry struct {
 	state   State
 	expiry  time.Time
-	print   uint64
+	print   Print
 	result  core.OrderResult
 	changed chan struct{}
 }
@@ -87,6 +107,7 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	sweepAt time.Time // no token expires before; a full table is searched only then
 }
 
 // New returns an empty table. The random source makes tokens unguessable.
@@ -113,23 +134,25 @@
 	if len(t.entries) >= t.opts.Max {
 		return "", false
 	}
-	t.entries[token] = &entry{
+	e := &entry{
 		state:   Issued,
 		expiry:  now.Add(t.opts.Lifetime),
 		changed: make(chan struct{}),
 	}
+	t.entries[token] = e
+	t.schedule(e)
 	return token, true
 }
 
 // Redeem decides what a request with this token and order may do.
-func (t *Table) Redeem(now time.Time, token string, print uint64) Decision {
+func (t *Table) Redeem(now time.Time, token string, print Print) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.entries[token]
 	if !ok {
 		return Decision{Verdict: NoEntry}
 	}
-	if e.state != Running && !e.expiry.After(now) {
+	if e.expired(now) {
 		delete(t.entries, token)
 		return Decision{Verdict: NoEntry}
 	}
@@ -162,9 +185,27 @@
 	}
 	e.result = r
 	e.expiry = now.Add(t.opts.Lifetime)
+	t.schedule(e)
 	close(e.changed)
 }
 
+// Unfinished returns how many tokens are issued or running. The channel is
+// closed when one of the running orders ends; it is nil when none runs.
+func (t *Table) Unfinished(now time.Time) (issued, running int, changed <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		switch {
+		case e.state == Running:
+			running++
+			changed = e.changed
+		case e.state == Issued && !e.expired(now):
+			issued++
+		}
+	}
+	return issued, running, changed
+}
+
 // Expire drops expired tokens. A running order is never dropped.
 func (t *Table) Expire(now time.Time) {
 	t.mu.Lock()
@@ -173,13 +214,29 @@
 }
 
 func (t *Table) expire(now time.Time) {
+	if pause.Left(now, t.sweepAt) > 0 {
+		return
+	}
+	t.sweepAt = time.Time{}
 	for token, e := range t.entries {
-		if e.state != Running && !e.expiry.After(now) {
+		if e.expired(now) {
 			delete(t.entries, token)
+		} else if e.state != Running {
+			t.schedule(e)
 		}
 	}
 }
 
+func (t *Table) schedule(e *entry) {
+	if t.sweepAt.IsZero() || e.expiry.Before(t.sweepAt) {
+		t.sweepAt = e.expiry
+	}
+}
+
+func (e *entry) expired(now time.Time) bool {
+	return e.state != Running && pause.Left(now, e.expiry) <= 0
+}
+
 // Counts returns the number of tokens in each state.
 func (t *Table) Counts() map[State]int {
 	t.mu.Lock()
@@ -204,15 +261,19 @@
 	return core.HostID(parts[0]), core.Incarnation(inc), nil
 }
 
+// Print is the fingerprint of an order's content.
+type Print [sha256.Size]byte
+
 // Fingerprint identifies the content of an order, so that a token can't be
-// used for a second one.
-func Fingerprint(o core.Order) uint64 {
-	var d xxhash.Digest
-	d.Reset()
+// used for a second one. A collision would give a caller the answer to another
+// order, so a cryptographic hash is used.
+func Fingerprint(o core.Order) Print {
+	d := sha256.New()
 	for _, field := range []string{string(o.Caller), string(o.Service), o.Key, string(o.Body)} {
-		_, _ = d.WriteString(strconv.Itoa(len(field)))
-		_, _ = d.WriteString(":")
-		_, _ = d.WriteString(field)
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
+		_, _ = d.Write(size[:])
+		_, _ = io.WriteString(d, field)
 	}
-	return d.Sum64()
+	return Print(d.Sum(nil))
 }
--- /dev/null
+++ b/core/order/order_test.go
@@ -0,0 +1,118 @@
+package order_test
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/order"
+)
+
+const lifetime = 10 * time.Second
+
+func newTable(limit int) *order.Table {
+	return order.New("h1", 7, order.Options{Max: limit, Lifetime: lifetime}, rand.NewChaCha8([32]byte{1}))
+}
+
+// Guards against a second start, a start after expiry, a lost running order, a
+// table above its bound, and an answer that differs from the recorded one.
+func TestTableStartsEachTokenOnceBeforeExpiry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 4
+		table := newTable(limit)
+		now := time.Unix(1000, 0)
+		content := order.Fingerprint(core.Order{Key: "k"})
+		var tokens []string
+		issuedAt := map[string]time.Time{}
+		started := map[string]bool{}
+		ended := map[string]core.OrderResult{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 6).Draw(t, "seconds")) * time.Second)
+			if rapid.Bool().Draw(t, "issue") || len(tokens) == 0 {
+				if token, ok := table.Issue(now); ok {
+					tokens = append(tokens, token)
+					issuedAt[token] = now
+				}
+			}
+			if len(tokens) == 0 {
+				continue
+			}
+			token := rapid.SampledFrom(tokens).Draw(t, "token")
+			running := started[token] && ended[token].Outcome == ""
+			if running && rapid.Bool().Draw(t, "finish") {
+				outcome := rapid.SampledFrom([]core.Outcome{core.Complete, core.NotRun, core.Unknown}).Draw(t, "outcome")
+				ended[token] = core.OrderResult{Outcome: outcome, Body: []byte(token)}
+				table.Finish(now, token, ended[token])
+				continue
+			}
+			d := table.Redeem(now, token, content)
+			if d.Verdict == order.Run && (started[token] || now.Sub(issuedAt[token]) >= lifetime) {
+				t.Fatalf("token starts again or after its expiry")
+			}
+			if running && d.Verdict != order.Wait {
+				t.Fatalf("running order: verdict %v, want Wait", d.Verdict)
+			}
+			if d.Verdict == order.Answer && (d.Result.Outcome != ended[token].Outcome || !bytes.Equal(d.Result.Body, ended[token].Body)) {
+				t.Fatalf("answer %v, want %v", d.Result, ended[token])
+			}
+			started[token] = started[token] || d.Verdict == order.Run
+			total := 0
+			for _, n := range table.Counts() {
+				total += n
+			}
+			if total > limit {
+				t.Fatalf("%d tokens, want at most %d", total, limit)
+			}
+		}
+	})
+}
+
+// Guards against a full table that forgets a running order to make room, and
+// against one that never accepts tokens again.
+func TestFullTable(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := newTable(2)
+	running, _ := table.Issue(now)
+	table.Redeem(now, running, order.Print{})
+	if _, ok := table.Issue(now); !ok {
+		t.Fatal("second token refused, want issued")
+	}
+	if _, ok := table.Issue(now.Add(lifetime - 1)); ok {
+		t.Fatal("third token issued, want refused")
+	}
+	if _, ok := table.Issue(now.Add(lifetime)); !ok {
+		t.Fatal("no token after the second one expired")
+	}
+	if d := table.Redeem(now.Add(3*lifetime), running, order.Print{}); d.Verdict != order.Wait {
+		t.Fatalf("running order: verdict %v, want Wait", d.Verdict)
+	}
+}
+
+// Guards against a duplicated order call that is sent, also while the memory is
+// full or being swept.
+func TestSeenLetsEachIDThroughOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	seen := order.NewSeen(2, time.Minute)
+	for _, step := range []struct {
+		after time.Duration
+		id    string
+		want  order.Arrival
+	}{
+		{0, "a", order.First},
+		{0, "a", order.Duplicate},
+		{0, "b", order.First},
+		{time.Second, "c", order.Full},
+		{60 * time.Second, "a", order.Duplicate},
+		{61 * time.Second, "c", order.First},
+		{61 * time.Second, "c", order.Duplicate},
+	} {
+		at := now.Add(step.after)
+		if got := seen.Arrive(at, step.id, at.Add(time.Second)); got != step.want {
+			t.Errorf("%s after %v: %v, want %v", step.id, step.after, got, step.want)
+		}
+	}
+}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -200,7 +200,16 @@
 func (h *Handler) order(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	var in orderIn
-	if !h.decode(w, r, &in) {
+	if !h.decodeBody(w, r, &in) {
+		return
+	}
+	if in.Token != "" {
+		// An earlier request with this token may have run, and only the issuer
+		// knows, so a refusal before the token is looked up is not proof.
+		w = &unclearWriter{ResponseWriter: w}
+	}
+	if !h.Ready() {
+		h.refuse(w, core.Refusal{Reason: core.ReasonNotReady})
 		return
 	}
 	section, ok := h.section(w, in.Caller, in.Service)
@@ -252,6 +261,10 @@
 		h.refuse(w, core.Refusal{Reason: core.ReasonNotReady})
 		return false
 	}
+	return h.decodeBody(w, r, into)
+}
+
+func (h *Handler) decodeBody(w http.ResponseWriter, r *http.Request, into any) bool {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -295,14 +308,25 @@
 	return now.Add(limit), true
 }
 
-// refuse answers that the request did not run.
+// unclearWriter marks an answer to an order that has a token.
+type unclearWriter struct{ http.ResponseWriter }
+
+// refusalOutcome is the outcome of a refusal that is written to w.
+func refusalOutcome(w http.ResponseWriter) string {
+	if _, ok := w.(*unclearWriter); ok {
+		return string(core.Unknown)
+	}
+	return string(core.NotRun)
+}
+
+// refuse answers that nothing was started on this request.
 func (h *Handler) refuse(w http.ResponseWriter, r core.Refusal) {
 	status := http.StatusServiceUnavailable
 	if r.Reason == core.ReasonRate || r.Reason == core.ReasonConcurrency {
 		status = http.StatusTooManyRequests
 	}
 	write(w, status, tokenOut{
-		Outcome: string(core.NotRun), Reason: string(r.Reason), RetryAfterMS: r.RetryAfter.Milliseconds(),
+		Outcome: refusalOutcome(w), Reason: string(r.Reason), RetryAfterMS: r.RetryAfter.Milliseconds(),
 	})
 }
 
@@ -312,9 +336,9 @@
 	Error   string `json:"error"`
 }
 
-// fail answers a faulty request; nothing of it ran.
+// fail answers a faulty request; nothing was started on it.
 func (h *Handler) fail(w http.ResponseWriter, status int, msg, reason string) {
-	write(w, status, errorOut{Outcome: string(core.NotRun), Reason: reason, Error: msg})
+	write(w, status, errorOut{Outcome: refusalOutcome(w), Reason: reason, Error: msg})
 }
 
 func write(w http.ResponseWriter, status int, body any) {
--- a/io/entry/order.go
+++ b/io/entry/order.go
@@ -47,7 +47,7 @@
 
 func (e *Entry) forward(ctx context.Context, issuer core.HostID, token string, req core.RequestID, o core.Order, deadline time.Time) core.OrderResult {
 	unknown := core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonIssuerGone}
-	host, ok := e.Views.View(time.Now()).Lookup(issuer)
+	host, ok := e.locate(issuer)
 	if !ok {
 		return unknown
 	}
@@ -61,7 +61,26 @@
 		unknown.Reason = core.ReasonUnclear
 		return unknown
 	}
-	return r
+	return known(r)
+}
+
+// locate finds a token's issuer. A leaving host owns nothing but still answers
+// for its tokens, so hosts outside the view are asked for as well.
+func (e *Entry) locate(issuer core.HostID) (core.Host, bool) {
+	if l, ok := e.Views.(core.Locator); ok {
+		return l.Locate(issuer)
+	}
+	return e.Views.View(time.Now()).Lookup(issuer)
+}
+
+// known replaces an outcome that an order can't have by unknown.
+func known(r core.OrderResult) core.OrderResult {
+	switch r.Outcome {
+	case core.Complete, core.NotRun, core.Unknown:
+		return r
+	default:
+		return core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonWrongAnswer}
+	}
 }
 
 // Redeem decides a token that this host issued.
@@ -79,7 +98,9 @@
 		case order.Answer:
 			return d.Result
 		case order.Differs:
-			return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonTokenUnknown}
+			// A caller may have encoded the same order in another way, and the
+			// first one may have run, so this is not proof.
+			return core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonTokenDiffers}
 		case order.NoEntry:
 			return core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonTokenExpired}
 		}
@@ -131,12 +152,13 @@
 		return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonNoOwner}
 	}
 	r, err := e.Peers.Order(ctx, host, token, req, o, group, deadline)
+	if err == nil {
+		return known(r)
+	}
+	e.Log.Warn("entry: order call failed", "request_id", req, "owner", owner, "err", err)
 	var call *core.CallError
-	if errors.As(err, &call) {
-		r = core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonUnclear}
-		if call.NotRun {
-			r = core.OrderResult{Outcome: core.NotRun, Reason: call.Reason}
-		}
+	if errors.As(err, &call) && call.NotRun {
+		return core.OrderResult{Outcome: core.NotRun, Reason: call.Reason}
 	}
-	return r
+	return core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonUnclear}
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/order"
 )
 
 const (
@@ -24,6 +25,11 @@
 	pollTimeout  = time.Second
 	// groupIdle is how long a group is polled after its last use.
 	groupIdle = time.Minute
+	// seenMax bounds the order ids kept to drop duplicated calls, about 10 MB.
+	seenMax = 100_000
+	// seenKeep is how long after its deadline an order id is kept: far longer
+	// than a link between hosts can hold back a message.
+	seenKeep = 2 * time.Minute
 )
 
 type groupKey struct {
@@ -38,6 +44,7 @@
 	settings core.Settings
 	backend  core.Backend
 	log      *slog.Logger
+	seen     *order.Seen
 
 	mu     sync.Mutex
 	groups map[groupKey]*group
@@ -47,7 +54,14 @@
 // New returns an owner without groups. The name tells its calls from those of
 // other hosts and of earlier incarnations.
 func New(name string, settings core.Settings, backend core.Backend, log *slog.Logger) *Owner {
-	return &Owner{name: name, settings: settings, backend: backend, log: log, groups: make(map[groupKey]*group)}
+	return &Owner{
+		name:     name,
+		settings: settings,
+		backend:  backend,
+		log:      log,
+		seen:     order.NewSeen(seenMax, seenKeep),
+		groups:   make(map[groupKey]*group),
+	}
 }
 
 // Run polls the replicas of the groups in use until ctx ends.
@@ -125,8 +139,16 @@
 	wait.Wait()
 }
 
-// Order runs an order on one replica of a group, at most once.
+// Order runs an order on one replica of a group, at most once. A duplicate of
+// the call is answered as unknown and not sent.
 func (o *Owner) Order(ctx context.Context, run core.OrderRun, id core.GroupID) core.OrderResult {
+	switch o.seen.Arrive(time.Now(), run.OrderID, run.Deadline) {
+	case order.Duplicate:
+		o.log.Warn("owner: duplicate order call dropped", "request_id", run.RequestID, "service", run.Service)
+		return core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonUnclear}
+	case order.Full:
+		return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonTableFull}
+	}
 	g := o.group(ctx, run.Service, id)
 	if g == nil {
 		return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonUnknownService}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -96,7 +96,7 @@
 	acked := make(chan struct{}, 1)
 	done := make(chan error, 1)
 	refused := core.Reason("")
-	end, err := link.call(ctx, &wire.Frame{Body: &wire.Frame_ReadBatch{ReadBatch: batchToWire(b)}}, exchange{
+	p, err := link.call(ctx, &wire.Frame{Body: &wire.Frame_ReadBatch{ReadBatch: batchToWire(b)}}, b.Query.Deadline, exchange{
 		frame: func(f *wire.Frame) {
 			switch body := f.Body.(type) {
 			case *wire.Frame_ReadAck:
@@ -119,7 +119,7 @@
 	if err != nil {
 		return lost("read", h, err)
 	}
-	defer end()
+	defer p.end()
 	timer := time.NewTimer(ackTimeout)
 	defer timer.Stop()
 	for {
@@ -144,48 +144,47 @@
 
 // Order sends an order to the owner of a group, once.
 func (c *Client) Order(ctx context.Context, h core.Host, id string, req core.RequestID, o core.Order, g core.GroupID, deadline time.Time) (core.OrderResult, error) {
-	return c.order(ctx, "order", h, func(remaining time.Duration) *wire.Frame {
-		return &wire.Frame{Body: &wire.Frame_OrderCall{OrderCall: &wire.OrderCall{
-			OrderId:     id,
-			RequestId:   string(req),
-			Order:       orderToWire(o),
-			Group:       int32(g),
-			RemainingUs: remaining.Microseconds(),
-		}}}
-	}, deadline)
+	return c.order(ctx, "order", h, &wire.Frame{Body: &wire.Frame_OrderCall{OrderCall: &wire.OrderCall{
+		OrderId:   id,
+		RequestId: string(req),
+		Order:     orderToWire(o),
+		Group:     int32(g),
+	}}}, deadline)
 }
 
 // Redeem sends an order to the host that issued its token.
 func (c *Client) Redeem(ctx context.Context, h core.Host, token string, req core.RequestID, o core.Order, deadline time.Time) (core.OrderResult, error) {
-	return c.order(ctx, "redeem", h, func(remaining time.Duration) *wire.Frame {
-		return &wire.Frame{Body: &wire.Frame_Redeem{Redeem: &wire.Redeem{
-			Token:       token,
-			RequestId:   string(req),
-			Order:       orderToWire(o),
-			RemainingUs: remaining.Microseconds(),
-		}}}
-	}, deadline)
+	return c.order(ctx, "redeem", h, &wire.Frame{Body: &wire.Frame_Redeem{Redeem: &wire.Redeem{
+		Token:     token,
+		RequestId: string(req),
+		Order:     orderToWire(o),
+	}}}, deadline)
 }
 
-func (c *Client) order(ctx context.Context, op string, h core.Host, build func(time.Duration) *wire.Frame, deadline time.Time) (core.OrderResult, error) {
+func (c *Client) order(ctx context.Context, op string, h core.Host, body *wire.Frame, deadline time.Time) (core.OrderResult, error) {
 	link, err := c.link(ctx, h)
 	if err != nil {
-		return core.OrderResult{}, &core.CallError{Op: op, Target: string(h.ID()), Reason: core.ReasonOwnerLost, NotRun: true, Cause: err}
+		return core.OrderResult{}, notSent(op, h, core.ReasonOwnerLost, err)
 	}
-	// The remaining time is read here, after dialing, since dialing takes time.
-	remaining := time.Until(deadline)
-	if remaining <= 0 {
-		return core.OrderResult{}, &core.CallError{Op: op, Target: string(h.ID()), Reason: core.ReasonDeadline, NotRun: true}
+	f, sent, err := c.ask(ctx, link, body, deadline)
+	if err != nil && !sent {
+		reason := core.ReasonOwnerLost
+		if errors.Is(err, ErrLate) || ctx.Err() != nil {
+			reason = core.ReasonDeadline
+		}
+		return core.OrderResult{}, notSent(op, h, reason, err)
 	}
-	f, err := c.ask(ctx, link, build(remaining))
 	if err != nil {
 		return core.OrderResult{}, lost(op, h, err)
 	}
-	body, ok := f.Body.(*wire.Frame_OrderResult)
-	if !ok {
+	switch reply := f.Body.(type) {
+	case *wire.Frame_OrderResult:
+		return orderResultFromWire(reply.OrderResult), nil
+	case *wire.Frame_Refusal:
+		return core.OrderResult{}, notSent(op, h, core.Reason(reply.Refusal.Reason), nil)
+	default:
 		return core.OrderResult{}, lost(op, h, errors.Errorf("unexpected reply %T", f.Body))
 	}
-	return orderResultFromWire(body.OrderResult), nil
 }
 
 // Snapshots asks a host which snapshots its groups of a service hold.
@@ -194,7 +193,7 @@
 	if err != nil {
 		return nil, lost("snapshots", h, err)
 	}
-	f, err := c.ask(ctx, link, &wire.Frame{Body: &wire.Frame_SnapshotsGet{SnapshotsGet: &wire.SnapshotsGet{Service: string(s)}}})
+	f, _, err := c.ask(ctx, link, &wire.Frame{Body: &wire.Frame_SnapshotsGet{SnapshotsGet: &wire.SnapshotsGet{Service: string(s)}}}, time.Time{})
 	if err != nil {
 		return nil, lost("snapshots", h, err)
 	}
@@ -205,29 +204,39 @@
 	return snapshotsFromWire(body.SnapshotsReply), nil
 }
 
-// ask sends a request that has one reply.
-func (c *Client) ask(ctx context.Context, l *link, f *wire.Frame) (*wire.Frame, error) {
+// ask sends a request that has one reply. Without sent there is proof that the
+// request never left this host.
+func (c *Client) ask(ctx context.Context, l *link, f *wire.Frame, deadline time.Time) (answer *wire.Frame, sent bool, err error) {
 	type reply struct {
 		frame *wire.Frame
 		err   error
 	}
 	got := make(chan reply, 1)
-	end, err := l.call(ctx, f, exchange{
-		frame:  func(f *wire.Frame) { got <- reply{frame: f} },
-		closed: func(err error) { got <- reply{err: err} },
+	first := func(r reply) {
+		select {
+		case got <- r:
+		default: // a second reply must not block the link's reader
+		}
+	}
+	p, err := l.call(ctx, f, deadline, exchange{
+		frame:  func(f *wire.Frame) { first(reply{frame: f}) },
+		closed: func(err error) { first(reply{err: err}) },
 	})
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	defer end()
 	select {
 	case r := <-got:
-		return r.frame, r.err
+		return r.frame, !p.end(), r.err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, !p.end(), ctx.Err()
 	}
 }
 
+func notSent(op string, h core.Host, reason core.Reason, err error) error {
+	return &core.CallError{Op: op, Target: string(h.ID()), Reason: reason, NotRun: true, Cause: err}
+}
+
 func lost(op string, h core.Host, err error) error {
 	return &core.CallError{Op: op, Target: string(h.ID()), Reason: core.ReasonOwnerLost, Cause: err}
 }
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -15,16 +15,22 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcconn"
 
+	"oriolebarrow/core/pause"
 	"oriolebarrow/io/wire"
 )
 
 // ErrLinkClosed is returned for exchanges whose link ended.
 var ErrLinkClosed = errors.New("peer: link closed")
 
+// ErrLate is returned for a frame whose deadline passed before it was sent.
+var ErrLate = errors.New("peer: deadline passed before sending")
+
 const (
 	sendQueueLength = 1024      // frames
 	maxBatchBytes   = 256 << 10 // keeps a batch far below drpc's 4 MB message limit
@@ -35,18 +41,64 @@
 	Send(*wire.Frames) error
 }
 
+// States of an outgoing frame.
+const (
+	frameQueued int32 = iota
+	frameSent
+	frameWithdrawn
+)
+
+// outgoing is a frame that waits to be sent.
+type outgoing struct {
+	frame    *wire.Frame   // nil for a flush marker
+	deadline time.Time     // zero when the frame carries no remaining time
+	flushed  chan struct{} // closed once everything queued earlier was written
+	state    atomic.Int32
+}
+
+// take claims the frame for sending and writes the remaining time into it. It
+// is false when the frame was withdrawn or its deadline has passed.
+func (o *outgoing) take(now time.Time) (ok, late bool) {
+	if !o.deadline.IsZero() {
+		left := pause.Left(now, o.deadline)
+		if left <= 0 {
+			return false, true
+		}
+		setRemaining(o.frame, left)
+	}
+	return o.state.CompareAndSwap(frameQueued, frameSent), false
+}
+
+// withdraw keeps a queued frame from being sent. It returns false when the
+// frame may have left already.
+func (o *outgoing) withdraw() bool {
+	return o.state.CompareAndSwap(frameQueued, frameWithdrawn)
+}
+
+func setRemaining(f *wire.Frame, left time.Duration) {
+	switch b := f.Body.(type) {
+	case *wire.Frame_ReadBatch:
+		b.ReadBatch.RemainingUs = left.Microseconds()
+	case *wire.Frame_OrderCall:
+		b.OrderCall.RemainingUs = left.Microseconds()
+	case *wire.Frame_Redeem:
+		b.Redeem.RemainingUs = left.Microseconds()
+	}
+}
+
 // outbox batches frames that wait together into one message.
 type outbox struct {
-	frames chan *wire.Frame
+	frames chan *outgoing
+	late   func(id uint64) // called for a frame whose deadline passed in the queue
 	done   chan struct{}
 	once   sync.Once
 }
 
-func newOutbox() *outbox {
-	return &outbox{frames: make(chan *wire.Frame, sendQueueLength), done: make(chan struct{})}
+func newOutbox(late func(id uint64)) *outbox {
+	return &outbox{frames: make(chan *outgoing, sendQueueLength), late: late, done: make(chan struct{})}
 }
 
-func (o *outbox) put(ctx context.Context, f *wire.Frame) error {
+func (o *outbox) put(ctx context.Context, f *outgoing) error {
 	select {
 	case <-o.done:
 		return ErrLinkClosed
@@ -62,6 +114,18 @@
 	}
 }
 
+// flush waits until the frames queued so far were written or the link ended.
+func (o *outbox) flush(ctx context.Context) {
+	marker := &outgoing{flushed: make(chan struct{})}
+	if o.put(ctx, marker) != nil {
+		return
+	}
+	select {
+	case <-marker.flushed:
+	case <-o.done:
+	}
+}
+
 func (o *outbox) close() { o.once.Do(func() { close(o.done) }) }
 
 // run writes batches until the stream fails or the outbox is closed.
@@ -71,26 +135,41 @@
 		case <-o.done:
 			return ErrLinkClosed
 		case f := <-o.frames:
-			if err := s.Send(o.batch(f)); err != nil {
-				return errors.Wrap(err, "peer: send")
+			batch, markers := o.batch(f)
+			if len(batch.Frames) > 0 {
+				if err := s.Send(batch); err != nil {
+					return errors.Wrap(err, "peer: send")
+				}
+			}
+			for _, m := range markers {
+				close(m)
 			}
 		}
 	}
 }
 
-func (o *outbox) batch(first *wire.Frame) *wire.Frames {
-	batch := &wire.Frames{Frames: []*wire.Frame{first}}
-	size := frameBytes(first)
-	for size < maxBatchBytes {
+func (o *outbox) batch(next *outgoing) (*wire.Frames, []chan struct{}) {
+	batch := new(wire.Frames)
+	var markers []chan struct{}
+	size := 0
+	for {
+		if next.flushed != nil {
+			markers = append(markers, next.flushed)
+		} else if ok, late := next.take(time.Now()); ok {
+			batch.Frames = append(batch.Frames, next.frame)
+			size += frameBytes(next.frame)
+		} else if late && o.late != nil {
+			o.late(next.frame.Id)
+		}
+		if size >= maxBatchBytes {
+			return batch, markers
+		}
 		select {
-		case f := <-o.frames:
-			batch.Frames = append(batch.Frames, f)
-			size += frameBytes(f)
+		case next = <-o.frames:
 		default:
-			return batch
+			return batch, markers
 		}
 	}
-	return batch
 }
 
 // frameBytes estimates the size of a frame by its large fields.
@@ -135,8 +214,9 @@
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "peer: open stream")
 	}
-	l := &link{conn: conn, out: newOutbox(), exchanges: make(map[uint64]exchange)}
-	l.out.frames <- &wire.Frame{Body: &wire.Frame_Hello{Hello: hello}}
+	l := &link{conn: conn, exchanges: make(map[uint64]exchange)}
+	l.out = newOutbox(l.expire)
+	l.out.frames <- &outgoing{frame: &wire.Frame{Body: &wire.Frame_Hello{Hello: hello}}}
 	go func() { l.fail(l.out.run(stream)) }()
 	go func() {
 		defer cancel()
@@ -169,9 +249,35 @@
 	}
 }
 
-// call starts an exchange. The returned function ends it; no function of x is
-// called after the link has noticed.
-func (l *link) call(ctx context.Context, f *wire.Frame, x exchange) (end func(), err error) {
+// expire ends an exchange whose request was not sent in time.
+func (l *link) expire(id uint64) {
+	l.mu.Lock()
+	x, ok := l.exchanges[id]
+	delete(l.exchanges, id)
+	l.mu.Unlock()
+	if ok {
+		x.closed(ErrLate)
+	}
+}
+
+// pending is an exchange that has started.
+type pending struct {
+	link *link
+	out  *outgoing
+}
+
+// end gives the exchange up. It returns true on proof that the request was not
+// and will not be sent. No function of the exchange is called after the link
+// has noticed.
+func (p *pending) end() (neverSent bool) {
+	neverSent = p.out.withdraw()
+	p.link.drop(p.out.frame.Id, neverSent)
+	return neverSent
+}
+
+// call starts an exchange. With an error the request was not queued, so the
+// other host never gets it.
+func (l *link) call(ctx context.Context, f *wire.Frame, deadline time.Time, x exchange) (*pending, error) {
 	l.mu.Lock()
 	if l.err != nil {
 		l.mu.Unlock()
@@ -181,26 +287,27 @@
 	f.Id = l.next
 	l.exchanges[f.Id] = x
 	l.mu.Unlock()
-	end = func() { l.drop(f.Id) }
-	if err := l.out.put(ctx, f); err != nil {
-		end()
+	out := &outgoing{frame: f, deadline: deadline}
+	if err := l.out.put(ctx, out); err != nil {
+		l.drop(f.Id, true)
 		return nil, err
 	}
-	return end, nil
+	return &pending{link: l, out: out}, nil
 }
 
-// drop forgets an exchange and tells the other side, which may still work on it.
-func (l *link) drop(id uint64) {
+// drop forgets an exchange and, unless the request was never sent, tells the
+// other side, which may still work on it.
+func (l *link) drop(id uint64, neverSent bool) {
 	l.mu.Lock()
 	_, open := l.exchanges[id]
 	delete(l.exchanges, id)
 	l.mu.Unlock()
-	if !open {
+	if !open || neverSent {
 		return
 	}
 	f := &wire.Frame{Id: id, Last: true, Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{}}}
 	select {
-	case l.out.frames <- f:
+	case l.out.frames <- &outgoing{frame: f}:
 	default: // a full queue must not block the caller; the deadline ends the work
 	}
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -25,6 +25,10 @@
 type Server struct {
 	handler Handler
 	drpc    *drpcserver.Server
+
+	mu     sync.Mutex // guards the fields below
+	active int        // exchanges whose replies were not all written
+	idle   chan struct{}
 }
 
 // NewServer returns a server for handler.
@@ -43,11 +47,50 @@
 	return s.drpc.Serve(ctx, l)
 }
 
+// Drain waits until no exchange runs and every reply was written. It returns
+// the number of exchanges that were still open when ctx ended.
+func (s *Server) Drain(ctx context.Context) int {
+	s.mu.Lock()
+	if s.active == 0 {
+		s.mu.Unlock()
+		return 0
+	}
+	if s.idle == nil {
+		s.idle = make(chan struct{})
+	}
+	idle := s.idle
+	s.mu.Unlock()
+	select {
+	case <-idle:
+		return 0
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
+func (s *Server) enter() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active++
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+	if s.active == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
+}
+
 // Link implements the drpc service: one call for each connected host.
 func (s *Server) Link(stream wire.DRPCPeer_LinkStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	in := &inbound{server: s, ctx: ctx, out: newOutbox(), cancels: make(map[uint64]context.CancelFunc)}
+	in := &inbound{server: s, ctx: ctx, out: newOutbox(nil), cancels: make(map[uint64]context.CancelFunc)}
 	defer in.out.close()
 	go func() {
 		_ = in.out.run(stream)
@@ -86,12 +129,15 @@
 	i.mu.Lock()
 	i.cancels[f.Id] = cancel
 	i.mu.Unlock()
+	i.server.enter()
 	go func() {
+		defer i.server.leave()
+		defer i.out.flush(i.ctx)
 		defer i.cancel(f.Id)
 		i.server.handler.Handle(ctx, f, func(last bool, body *wire.Frame) error {
 			body.Id = f.Id
 			body.Last = last
-			return i.out.put(i.ctx, body)
+			return i.out.put(i.ctx, &outgoing{frame: body})
 		})
 	}()
 }
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -24,6 +24,7 @@
 	"github.com/pkg/errors"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/pause"
 )
 
 // ChecksumHeader carries the CRC-32C of a response body in hexadecimal.
@@ -227,33 +228,73 @@
 	checksum bool
 }
 
-// oneShot hides the type of its reader, so that net/http can't rewind the body.
-type oneShot struct{ io.Reader }
+// States of a oneShot.
+const (
+	bodyUnread int32 = iota
+	bodyRead
+	bodyWithdrawn
+)
+
+var (
+	errPastDeadline = errors.New("remote: deadline passed before sending")
+	errWithdrawn    = errors.New("remote: request was given up")
+)
+
+// oneShot is a request body that net/http can read once and can't rewind. The
+// first read checks the deadline: it comes after the dial and the wait for a
+// connection, right before the first byte is written.
+type oneShot struct {
+	data     io.Reader
+	deadline time.Time
+	state    atomic.Int32
+}
+
+// Read implements io.Reader.
+func (b *oneShot) Read(p []byte) (int, error) {
+	if b.state.Load() == bodyUnread {
+		if !b.deadline.IsZero() && pause.Left(time.Now(), b.deadline) <= 0 {
+			return 0, errPastDeadline
+		}
+		b.state.CompareAndSwap(bodyUnread, bodyRead)
+	}
+	if b.state.Load() == bodyWithdrawn {
+		return 0, errWithdrawn
+	}
+	return b.data.Read(p)
+}
+
+// withdraw forbids later reads. It returns true when nothing was ever read,
+// which proves that the request did not run.
+func (b *oneShot) withdraw() bool {
+	return b.state.CompareAndSwap(bodyUnread, bodyWithdrawn)
+}
 
 func (c *Client) do(ctx context.Context, r request) error {
 	remaining := time.Duration(0)
 	if !r.deadline.IsZero() {
 		// Read just before sending, since the process may have been stopped.
-		remaining = time.Until(r.deadline)
+		remaining = pause.Left(time.Now(), r.deadline)
 		if remaining <= 0 {
 			return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonDeadline, NotRun: true}
 		}
 	}
-	var body io.Reader
+	var body *oneShot
+	var reader io.Reader
 	size := int64(0)
 	if r.in != nil {
 		raw, err := json.Marshal(r.in(remaining))
 		if err != nil {
 			return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonBackendError, NotRun: true, Cause: err}
 		}
-		body = oneShot{bytes.NewReader(raw)}
+		body = &oneShot{data: bytes.NewReader(raw), deadline: r.deadline}
+		reader = body
 		size = int64(len(raw))
 	}
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+r.address+r.path, body)
+	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+r.address+r.path, reader)
 	if err != nil {
 		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonBackendError, NotRun: true, Cause: err}
 	}
@@ -261,8 +302,17 @@
 	req.Header.Set("Content-Type", "application/json")
 	res, err := c.client(r.address).Do(req)
 	if err != nil {
-		// Without a connection nothing can have been written.
-		return &core.CallError{Op: r.op, Target: r.address, Reason: reasonOf(ctx), NotRun: !connected.Load(), Cause: err}
+		// Nothing ran without a connection, nor when no byte of the body was
+		// handed to one: the server can't start a call that it can't read.
+		notRun := !connected.Load()
+		if body != nil {
+			notRun = body.withdraw()
+		}
+		reason := reasonOf(ctx)
+		if errors.Is(err, errPastDeadline) {
+			reason = core.ReasonDeadline
+		}
+		return &core.CallError{Op: r.op, Target: r.address, Reason: reason, NotRun: notRun, Cause: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
