--- a/io/remote/resend_test.go
+++ b/io/remote/resend_test.go
@@ -57,33 +57,27 @@
 func (c *cutter) serve(conn net.Conn, first bool) {
 	defer func() { _ = conn.Close() }()
 	in := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		_, err = io.ReadAll(req.Body)
-		if strings.HasSuffix(req.URL.Path, "/order") {
-			c.mu.Lock()
-			c.orders++
-			c.mu.Unlock()
-		}
-		if err != nil {
-			return
-		}
-		if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"); err != nil || !first {
-			return
-		}
-		if c.cut == 0 {
-			<-c.drop
-			return
-		}
-		n, _ := io.ReadFull(in, make([]byte, c.cut))
+	req, err := http.ReadRequest(in)
+	if err != nil {
+		return
+	}
+	if strings.HasSuffix(req.URL.Path, "/order") {
 		c.mu.Lock()
-		c.read += n
+		c.orders++
 		c.mu.Unlock()
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"); err != nil || !first {
+		return
+	}
+	if c.cut == 0 {
+		<-c.drop
 		return
 	}
+	n, _ := io.ReadFull(in, make([]byte, c.cut))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read += n
 }
 
 func (c *cutter) close() {
