feat(node): hold work after a pause and shut down gracefully

Cause: a process that woke late sent orders and reads on an outdated view, and SIGTERM closed all connections at once.

On the first signal the host announces that it leaves, stays open for -lb-lag, finishes requests, exchanges and tokens, and exits. A second signal or -shutdown-bound ends it, and what was cut is logged.

Ruled out: the monotonic clock alone, which stands still during a suspension. The shutdown has no test in this commit.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -7,7 +7,10 @@
 	"log/slog"
 	"net/netip"
 	"net/url"
+	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"oriolebarrow/core"
@@ -23,6 +26,8 @@
 	tokenLifetime time.Duration
 	tokenMax      int
 	connections   int
+	lbLag         time.Duration
+	shutdownBound time.Duration
 	logFormat     string
 	logLevel      string
 }
@@ -38,6 +43,8 @@
 	fs.DurationVar(&f.tokenLifetime, "token-lifetime", time.Minute, "how long an order token is kept")
 	fs.IntVar(&f.tokenMax, "token-max", 100_000, "order tokens kept at most")
 	fs.IntVar(&f.connections, "connections", 5, "connections to one backend server at most")
+	fs.DurationVar(&f.lbLag, "lb-lag", 3*time.Second, "how long the load balancer may send requests to a host that is not ready")
+	fs.DurationVar(&f.shutdownBound, "shutdown-bound", 10*time.Second, "largest duration of a shutdown: the largest deadline plus -lb-lag")
 	fs.StringVar(&f.logFormat, "log-format", "text", "text or json")
 	fs.StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
 	if !parse(e, fs, args) {
@@ -47,6 +54,8 @@
 		reject(e, fs, "%s", fault)
 		return ExitUsage
 	}
+	abort, release := secondSignal()
+	defer release()
 	n := node.New(node.Options{
 		ID:            core.HostID(f.id),
 		DataCentre:    core.DataCentre(f.dataCentre),
@@ -56,6 +65,9 @@
 		TokenLifetime: f.tokenLifetime,
 		TokenMax:      f.tokenMax,
 		Connections:   f.connections,
+		LBLag:         f.lbLag,
+		ShutdownBound: f.shutdownBound,
+		Abort:         abort,
 	}, f.logger(e))
 	if err := n.Run(ctx); err != nil {
 		_, _ = fmt.Fprintf(e.err, "oriolebarrow serve: %v\n", err)
@@ -64,6 +76,28 @@
 	return ExitOK
 }
 
+// secondSignal returns a channel that is closed by the second signal to end.
+func secondSignal() (abort <-chan struct{}, release func()) {
+	const wanted = 2
+	signals := make(chan os.Signal, wanted)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	done, released := make(chan struct{}), make(chan struct{})
+	go func() {
+		for range wanted {
+			select {
+			case <-signals:
+			case <-released:
+				return
+			}
+		}
+		close(done)
+	}()
+	return done, func() {
+		signal.Stop(signals)
+		close(released)
+	}
+}
+
 // check returns the first fault of the settings, or an empty string.
 func (f *serveFlags) check() string {
 	if f.id == "" || strings.ContainsAny(f.id, "~ /\t\n") {
@@ -87,6 +121,9 @@
 	if f.tokenLifetime <= 0 || f.tokenMax <= 0 || f.connections <= 0 {
 		return "-token-lifetime, -token-max and -connections: want values above 0"
 	}
+	if f.lbLag < 0 || f.shutdownBound <= f.lbLag {
+		return "-lb-lag and -shutdown-bound: want a bound above the lag"
+	}
 	if f.logFormat != "text" && f.logFormat != "json" {
 		return fmt.Sprintf("-log-format: want text or json, got %q", f.logFormat)
 	}
--- a/core/pause/pause.go
+++ b/core/pause/pause.go
@@ -52,7 +52,7 @@
 	last, seen := d.last, d.seen
 	d.last, d.seen = r, true
 	if seen && r.Monotonic < last.Monotonic {
-		d.last.Monotonic = last.Monotonic // readings of two goroutines may cross
+		d.last = last // readings of two goroutines crossed
 	}
 	gap := max(r.Monotonic-last.Monotonic, r.Wall.Sub(last.Wall))
 	if !seen || gap <= d.limit {
--- /dev/null
+++ b/core/pause/pause_test.go
@@ -0,0 +1,43 @@
+package pause_test
+
+import (
+	"testing"
+	"time"
+
+	"oriolebarrow/core/pause"
+)
+
+// Guards against a suspension that only the wall clock shows, a stop that only
+// the monotonic clock shows, and a gap that is reported twice or for a clock
+// that is set back.
+func TestDetector(t *testing.T) {
+	start := time.Unix(1000, 0)
+	read := func(wall, mono time.Duration) pause.Reading {
+		return pause.Reading{Wall: start.Add(wall), Monotonic: mono}
+	}
+	for name, test := range map[string]struct {
+		readings []pause.Reading
+		want     time.Duration // of the last reading
+	}{
+		"first":                {[]pause.Reading{read(time.Hour, time.Hour)}, 0},
+		"steady":               {[]pause.Reading{read(0, 0), read(time.Second, time.Second)}, 0},
+		"stopped":              {[]pause.Reading{read(0, 0), read(3*time.Second, 3*time.Second)}, 3 * time.Second},
+		"suspended":            {[]pause.Reading{read(0, 0), read(time.Minute, time.Millisecond)}, time.Minute},
+		"wall set back":        {[]pause.Reading{read(0, 0), read(-time.Hour, 100*time.Millisecond)}, 0},
+		"stopped, set back":    {[]pause.Reading{read(0, 0), read(-time.Hour, 2*time.Second)}, 2 * time.Second},
+		"reported once":        {[]pause.Reading{read(0, 0), read(time.Minute, 0), read(time.Minute, 0)}, 0},
+		"crossing readings":    {[]pause.Reading{read(0, 0), read(time.Second, time.Second), read(0, 0), read(1500*time.Millisecond, 1500*time.Millisecond)}, 0},
+		"just above the limit": {[]pause.Reading{read(0, 0), read(0, time.Second+1)}, time.Second + 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := pause.New(pause.DefaultLimit)
+			var got time.Duration
+			for _, r := range test.readings {
+				got = d.Observe(r)
+			}
+			if got != test.want {
+				t.Errorf("gap %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/io/node/drain.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oriolebarrow/core"
+	"oriolebarrow/io/peer"
+)
+
+// ErrCut is returned by Run when a shutdown ended while requests were running.
+var ErrCut = errors.New("node: shutdown ended before all requests had finished")
+
+// drainPoll is how often a shutdown looks for issued tokens that are not used yet.
+const drainPoll = 20 * time.Millisecond
+
+// noAnnouncer is used until the host has a membership service to tell.
+type noAnnouncer struct{}
+
+// Leave implements core.Announcer.
+func (noAnnouncer) Leave(context.Context) {}
+
+var _ core.Announcer = noAnnouncer{}
+
+// front counts the requests of callers and asks them to close connections that
+// a leaving host is about to close.
+type front struct {
+	next    http.Handler
+	leaving *atomic.Bool
+	running atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.running.Add(1)
+	defer f.running.Add(-1)
+	if f.leaving.Load() {
+		// Closing idle connections instead would lose requests that are on the way.
+		w.Header().Set("Connection", "close")
+	}
+	f.next.ServeHTTP(w, r)
+}
+
+// Ready reports whether the load balancer may send new requests to this host.
+func (n *Node) Ready() bool { return n.serving() && !n.leaving.Load() }
+
+// serving reports whether requests are accepted; a leaving host still does.
+func (n *Node) serving() bool { return n.gate.open() && n.ready.Load() }
+
+// drain ends the service without interrupting a request. It returns ErrCut when
+// the bound or abort came first.
+func (n *Node) drain(callers *http.Server, peers *peer.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), n.opts.ShutdownBound)
+	defer cancel()
+	go func() {
+		select {
+		case <-n.opts.Abort:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	n.log.Info("node: host leaves", "lb_lag", n.opts.LBLag, "bound", n.opts.ShutdownBound)
+	n.leaving.Store(true)
+	n.opts.Announcer.Leave(ctx)
+	wait(ctx, n.opts.LBLag)
+	_ = callers.Shutdown(ctx)
+	n.awaitTokens(ctx)
+	exchanges := peers.Drain(ctx)
+	issued, orders, _ := n.tokens.Unfinished(time.Now())
+	requests := n.front.running.Load()
+	if requests > 0 || exchanges > 0 || orders > 0 {
+		n.log.Error("node: shutdown cut requests short", "caller_requests", requests,
+			"host_requests", exchanges, "orders", orders, "unused_tokens", issued)
+		return ErrCut
+	}
+	n.log.Info("node: host has left", "unused_tokens", issued)
+	return nil
+}
+
+// awaitTokens waits for running orders and for issued tokens, which callers
+// may be about to use at other hosts.
+func (n *Node) awaitTokens(ctx context.Context) {
+	for ctx.Err() == nil {
+		issued, running, changed := n.tokens.Unfinished(time.Now())
+		if issued+running == 0 {
+			return
+		}
+		if running == 0 {
+			wait(ctx, drainPoll)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// run serves until ctx ends or a part fails, then drains.
+func (n *Node) run(ctx context.Context, peers, callers net.Listener) error {
+	server, err := peer.NewServer(handler{n})
+	if err != nil {
+		return err
+	}
+	h := &http.Server{Handler: n.front, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	// The parts outlive ctx: they serve until the drain has ended.
+	group, work, stop := newGroup()
+	defer stop()
+	group.Go(func() error { return server.Serve(work, peers) })
+	group.Go(func() error {
+		err := h.Serve(callers)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	})
+	group.Go(func() error { return n.owner.Run(work) })
+	group.Go(func() error { return n.entry.Run(work) })
+	group.Go(func() error { return n.watchConfig(work) })
+	group.Go(func() error { return n.watchHosts(work) })
+	group.Go(func() error { return n.gate.run(work, n.refresh) })
+	group.Go(func() error {
+		defer stop()
+		defer func() { _ = h.Close() }()
+		select {
+		case <-ctx.Done():
+			return n.drain(h, server)
+		case <-work.Done():
+			return nil
+		}
+	})
+	return group.Wait()
+}
+
+// refresh learns the host list and the sections anew after a pause.
+func (n *Node) refresh(ctx context.Context) error {
+	entries, err := n.platform.Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	n.roster.Publish(entries)
+	doc, err := n.platform.Document(ctx, 0)
+	if err != nil {
+		return err
+	}
+	_, err = n.ledger.Apply(doc)
+	return err
+}
--- a/io/node/handler.go
+++ b/io/node/handler.go
@@ -18,6 +18,11 @@
 
 // Handle implements peer.Handler.
 func (h handler) Handle(ctx context.Context, f *wire.Frame, reply peer.Reply) {
+	if !h.node.gate.open() {
+		// The message may have waited here while the process was paused.
+		_ = reply(true, &wire.Frame{Body: &wire.Frame_Refusal{Refusal: &wire.Refusal{Reason: string(core.ReasonNotReady)}}})
+		return
+	}
 	switch body := f.Body.(type) {
 	case *wire.Frame_ReadBatch:
 		h.read(ctx, body.ReadBatch, reply)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -50,6 +50,13 @@
 	TokenLifetime time.Duration
 	TokenMax      int
 	Connections   int // to one replica
+	// LBLag is how long the load balancer may send requests to a host that is
+	// no longer ready. It must cover the time until other hosts see it leave.
+	LBLag time.Duration
+	// ShutdownBound ends a shutdown: the largest deadline plus LBLag.
+	ShutdownBound time.Duration
+	Abort         <-chan struct{} // closed to end a shutdown at once; may be nil
+	Announcer     core.Announcer  // may be nil
 }
 
 // Node is one host.
@@ -65,11 +72,18 @@
 	owner    *owner.Owner
 	entry    *entry.Entry
 	handler  *caller.Handler
+	tokens   *order.Table
+	gate     *gate
+	front    *front
 	ready    atomic.Bool
+	leaving  atomic.Bool
 }
 
 // New returns a host that is not running yet.
 func New(o Options, log *slog.Logger) *Node {
+	if o.Announcer == nil {
+		o.Announcer = noAnnouncer{}
+	}
 	inc := core.Incarnation(time.Now().UnixNano())
 	n := &Node{
 		opts:     o,
@@ -79,10 +93,11 @@
 		platform: plat.New(o.Platform, &http.Client{}),
 		backend:  remote.New(remote.Options{Connections: o.Connections}),
 	}
+	n.gate = newGate(clocks(), log)
 	n.roster = member.NewRoster(n.self)
 	n.peers = peer.NewClient(o.ID, inc, new(net.Dialer).DialContext)
-	n.owner = owner.New(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger, n.backend, log)
-	tokens := order.New(o.ID, inc, order.Options{Max: o.TokenMax, Lifetime: o.TokenLifetime}, rand.Reader)
+	n.owner = owner.New(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger, gatedBackend{n.backend, n.gate}, log)
+	n.tokens = order.New(o.ID, inc, order.Options{Max: o.TokenMax, Lifetime: o.TokenLifetime}, rand.Reader)
 	n.entry = entry.New(entry.Parts{
 		Self:        o.ID,
 		Incarnation: inc,
@@ -90,22 +105,23 @@
 		Placer:      place.New(place.DefaultSetSize),
 		Table:       snaps.New(),
 		Views:       n.roster,
-		Peers:       n.peers,
+		Peers:       gatedPeers{n.peers, n.gate},
 		Local:       n.owner,
-		Tokens:      tokens,
+		Tokens:      n.tokens,
 		Log:         log,
 	})
 	n.handler = caller.New(caller.Parts{
 		Requests: n.entry,
 		Settings: n.ledger,
 		Admitter: admit.New(),
-		Ready:    n.ready.Load,
+		Ready:    n.serving,
 		Lifetime: o.TokenLifetime,
 	})
+	n.front = &front{next: n.handler, leaving: &n.leaving}
 	return n
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends, then shuts down gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	peers, err := net.Listen("tcp", n.opts.PeerAddress)
 	if err != nil {
@@ -116,27 +132,18 @@
 		_ = peers.Close()
 		return errors.Wrap(err, "node: listen for callers")
 	}
-	server, err := peer.NewServer(handler{n})
-	if err != nil {
-		return err
-	}
 	n.log.Info("node: host starts", "host", n.opts.ID, "data_centre", n.opts.DataCentre,
 		"callers", callers.Addr().String(), "peers", peers.Addr().String())
 	defer n.peers.Close()
 	defer n.backend.Close()
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.Serve(ctx, peers) })
-	group.Go(func() error { return n.serveCallers(ctx, callers) })
-	group.Go(func() error { return n.owner.Run(ctx) })
-	group.Go(func() error { return n.entry.Run(ctx) })
-	group.Go(func() error { return n.watchConfig(ctx) })
-	group.Go(func() error { return n.watchHosts(ctx) })
-	return group.Wait()
+	return n.run(ctx, peers, callers)
 }
 
-func (n *Node) serveCallers(ctx context.Context, l net.Listener) error {
-	s := &http.Server{Handler: n.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	return caller.Serve(ctx, s, func() error { return s.Serve(l) })
+// newGroup returns a group whose context ends with stop or its first error.
+func newGroup() (*errgroup.Group, context.Context, context.CancelFunc) {
+	base, stop := context.WithCancel(context.Background())
+	group, work := errgroup.WithContext(base)
+	return group, work, stop
 }
 
 func (n *Node) watchConfig(ctx context.Context) error {
@@ -147,7 +154,7 @@
 		}
 		if err != nil {
 			n.log.Warn("config: document not taken", "err", err)
-			pause(ctx, backoffMin)
+			wait(ctx, backoffMin)
 			continue
 		}
 		if !n.ready.Swap(true) {
@@ -164,12 +171,12 @@
 			n.log.Warn("member: host list not read", "err", err)
 		}
 		n.roster.Publish(entries)
-		pause(ctx, hostsInterval)
+		wait(ctx, hostsInterval)
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
+func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
