--- a/core/member/member.go
+++ b/core/member/member.go
@@ -231,6 +231,20 @@
 	return d.view
 }
 
+// Locate returns a host whether or not it is in the view.
+func (d *Detector) Locate(id core.HostID) (core.Host, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if id == d.self.ID() {
+		return d.self, true
+	}
+	p := d.peers[id]
+	if p == nil {
+		return core.Host{}, false
+	}
+	return p.host, true
+}
+
 // Fresh reports whether the view may be trusted: false after a pause of this
 // process until another host answered or a bounded time passed.
 func (d *Detector) Fresh(now time.Time) bool {
--- a/io/gossip/config.go
+++ b/io/gossip/config.go
@@ -165,6 +165,25 @@
 	return sets
 }
 
+// Refresh compares sections and host list with one usable host at once. Without
+// such a host it asks the platform.
+func (a *Agent) Refresh(ctx context.Context) error {
+	var usable []core.Host
+	for _, h := range a.Detector.View(time.Now()).Hosts() {
+		if h.ID() != a.Self.ID() {
+			usable = append(usable, h)
+		}
+	}
+	if len(usable) == 0 {
+		_, err := a.readDocument(ctx, 0)
+		return err
+	}
+	from := usable[pick(len(usable))]
+	a.pullHosts(ctx, from)
+	_, err := a.pullSections(ctx, from)
+	return err
+}
+
 // start compares the document with other hosts until this host is ready.
 func (a *Agent) start(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -13,6 +13,7 @@
 	mrand "math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,6 +50,13 @@
 	TokenLifetime time.Duration
 	TokenMax      int
 	Connections   int // to one replica
+	// LBLag is how long the load balancer may send requests to a host that is
+	// no longer ready. It must cover the time until other hosts see it leave.
+	LBLag time.Duration
+	// ShutdownBound ends a shutdown: the largest deadline plus LBLag.
+	ShutdownBound time.Duration
+	Abort         <-chan struct{} // closed to end a shutdown at once; may be nil
+	Announcer     core.Announcer  // may be nil
 }
 
 // Node is one host.
@@ -65,6 +73,10 @@
 	entry    *entry.Entry
 	handler  *caller.Handler
 	agent    *gossip.Agent
+	tokens   *order.Table
+	gate     *gate
+	front    *front
+	leaving  atomic.Bool
 }
 
 // New returns a host that is not running yet.
@@ -78,15 +90,19 @@
 		platform: plat.New(o.Platform, &http.Client{}),
 		backend:  remote.New(remote.Options{Connections: o.Connections}),
 	}
+	n.gate = newGate(clocks(), log)
 	n.roster = member.New(n.self, inc, mrand.New(mrand.NewPCG(uint64(inc), mrand.Uint64())))
 	n.peers = peer.NewClient(o.ID, inc, new(net.Dialer).DialContext)
-	n.owner = owner.New(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger, n.backend, log)
+	n.owner = owner.New(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger, gatedBackend{n.backend, n.gate}, log)
 	agent, err := n.newAgent()
 	if err != nil {
 		return nil, err
 	}
 	n.agent = agent
-	tokens := order.New(o.ID, inc, order.Options{Max: o.TokenMax, Lifetime: o.TokenLifetime}, rand.Reader)
+	if n.opts.Announcer == nil {
+		n.opts.Announcer = agentAnnouncer{agent}
+	}
+	n.tokens = order.New(o.ID, inc, order.Options{Max: o.TokenMax, Lifetime: o.TokenLifetime}, rand.Reader)
 	n.entry = entry.New(entry.Parts{
 		Self:        o.ID,
 		Incarnation: inc,
@@ -94,22 +110,23 @@
 		Placer:      place.New(place.DefaultSetSize),
 		Table:       snaps.New(),
 		Views:       n.roster,
-		Peers:       n.peers,
+		Peers:       gatedPeers{n.peers, n.gate},
 		Local:       n.owner,
-		Tokens:      tokens,
+		Tokens:      n.tokens,
 		Log:         log,
 	})
 	n.handler = caller.New(caller.Parts{
 		Requests: n.entry,
 		Settings: n.ledger,
 		Admitter: admit.New(),
-		Ready:    n.agent.Ready,
+		Ready:    n.serving,
 		Lifetime: o.TokenLifetime,
 	})
+	n.front = &front{next: n.handler, leaving: &n.leaving}
 	return n, nil
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends, then shuts down gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	peers, err := net.Listen("tcp", n.opts.PeerAddress)
 	if err != nil {
@@ -120,24 +137,25 @@
 		_ = peers.Close()
 		return errors.Wrap(err, "node: listen for callers")
 	}
-	server, err := peer.NewServer(handler{n})
-	if err != nil {
-		return err
-	}
 	n.log.Info("node: host starts", "host", n.opts.ID, "data_centre", n.opts.DataCentre,
 		"callers", callers.Addr().String(), "peers", peers.Addr().String())
 	defer n.peers.Close()
 	defer n.backend.Close()
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.Serve(ctx, peers) })
-	group.Go(func() error { return n.serveCallers(ctx, callers) })
-	group.Go(func() error { return n.owner.Run(ctx) })
-	group.Go(func() error { return n.entry.Run(ctx) })
-	group.Go(func() error { return n.runGossip(ctx) })
-	return group.Wait()
+	return n.run(ctx, peers, callers)
 }
 
-func (n *Node) serveCallers(ctx context.Context, l net.Listener) error {
-	s := &http.Server{Handler: n.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	return caller.Serve(ctx, s, func() error { return s.Serve(l) })
+// newGroup returns a group whose context ends with stop or its first error.
+func newGroup() (*errgroup.Group, context.Context, context.CancelFunc) {
+	base, stop := context.WithCancel(context.Background())
+	group, work := errgroup.WithContext(base)
+	return group, work, stop
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -16,6 +16,7 @@
 
 	"oriolebarrow/core"
 	"oriolebarrow/core/budget"
+	"oriolebarrow/core/order"
 )
 
 const (
@@ -28,6 +29,11 @@
 	// orderPriority is the highest of caller sections (0 to 9): an order
 	// cannot be hedged or repeated, so waiting costs it most.
 	orderPriority = 9
+	// seenMax bounds the order ids kept to drop duplicated calls, about 10 MB.
+	seenMax = 100_000
+	// seenKeep is how long after its deadline an order id is kept: far longer
+	// than a link between hosts can hold back a message.
+	seenKeep = 2 * time.Minute
 )
 
 type groupKey struct {
@@ -42,6 +48,7 @@
 	settings core.Settings
 	backend  core.Backend
 	log      *slog.Logger
+	seen     *order.Seen
 
 	mu      sync.Mutex
 	groups  map[groupKey]*group
@@ -59,6 +66,7 @@
 		log:      log,
 		groups:   make(map[groupKey]*group),
 		budgets:  make(map[core.ServiceName]*budget.Budget),
+		seen:     order.NewSeen(seenMax, seenKeep),
 	}
 }
 
@@ -157,8 +165,16 @@
 	stop()
 }
 
-// Order runs an order on one replica of a group, at most once.
+// Order runs an order on one replica of a group, at most once. A duplicate of
+// the call is answered as unknown and not sent.
 func (o *Owner) Order(_ context.Context, run core.OrderRun, id core.GroupID) core.OrderResult {
+	switch o.seen.Arrive(time.Now(), run.OrderID, run.Deadline) {
+	case order.Duplicate:
+		o.log.Warn("owner: duplicate order call dropped", "request_id", run.RequestID, "service", run.Service)
+		return core.OrderResult{Outcome: core.Unknown, Reason: core.ReasonUnclear}
+	case order.Full:
+		return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonTableFull}
+	}
 	g := o.group(run.Service, id)
 	if g == nil {
 		return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonUnknownService}
--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -67,7 +68,7 @@
 	}
 	frames := make(chan *wire.Frame, chunkQueue)
 	closed := make(chan error, 2)
-	end, err := link.call(ctx, f, exchange{
+	p, err := link.call(ctx, f, time.Time{}, exchange{
 		frame: func(f *wire.Frame) {
 			select {
 			case frames <- f:
@@ -83,7 +84,7 @@
 	if err != nil {
 		return lost("exchange", h, err)
 	}
-	defer end()
+	defer p.end()
 	for {
 		select {
 		case f := <-frames:
