feat(bench): add the load generator and the experiment harness

Cause: nothing measured the design against baselines. Adds an open-loop generator (Poisson arrivals computed from a seed, latency from the scheduled time), baselines over the same entry path, and the experiments tail, tail_stragglers, cost, log, slots, overload and coverage. node.Options takes a listen and a dial function, so that hosts run in the experiment's process on ports that the kernel chose and can be cut off. Ruled out: hosts as child processes, which would hide their costs from the process counters of the cost experiment. A paused host is therefore one whose connections stand still; its timers run on. Before: no experiments.

--- /dev/null
+++ b/bench/expt/cost.go
@@ -0,0 +1,281 @@
+package expt
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oriolebarrow/bench/load"
+	"oriolebarrow/core"
+	"oriolebarrow/io/remote"
+	"oriolebarrow/standin/server"
+)
+
+const (
+	costSlots    = 64 // more than a query needs, so that nothing waits
+	costHosts    = 3  // while the number of shards varies
+	costShards   = 20 // while the number of hosts varies
+	costWarm     = 10 // queries before the measurement
+	costDeadline = 5 * time.Second
+	idleTime     = 300 * time.Millisecond
+)
+
+// cost counts the whole process: load generator, hosts and stand-in servers.
+// The direct variant makes the same shard calls without hosts between, so the
+// difference is the cost of the tier.
+func cost() experiment {
+	return experiment{
+		name:  "cost",
+		about: "processor time, allocations and bytes by number of shards and hosts",
+		variants: func(settings) []variant {
+			return []variant{
+				{name: string(design), run: func(ctx context.Context, s settings) (Points, error) {
+					return costPoints(s, func(l layout) (Figures, error) { return costOfDesign(ctx, l, s) })
+				}},
+				{name: "direct", run: func(ctx context.Context, s settings) (Points, error) {
+					return costPoints(s, func(l layout) (Figures, error) { return costOfDirect(ctx, l, s) })
+				}},
+			}
+		},
+		conclude: func(r *Result) {
+			r.Slopes = make(map[string]map[string]Spread)
+			for name, rounds := range r.raw {
+				r.Slopes[name] = spreads(slopes(rounds))["slope"]
+			}
+		},
+	}
+}
+
+// decisionLog compares the decision log as JSON with no log.
+func decisionLog() experiment {
+	return experiment{
+		name:  "log",
+		about: "cost of the decision log",
+		variants: func(settings) []variant {
+			logger := slog.New(slog.NewJSONHandler(io.Discard, nil))
+			run := func(log *slog.Logger) func(context.Context, settings) (Points, error) {
+				return func(ctx context.Context, s settings) (Points, error) {
+					out := make(Points)
+					for _, shards := range pick(s, []int{20}, []int{20, 130}) {
+						l := costLayout(shards, costHosts, s.seed)
+						l.log = log
+						figures, err := costOfDesign(ctx, l, s)
+						if err != nil {
+							return nil, err
+						}
+						out[pointName(shards, costHosts)] = figures
+					}
+					return out, nil
+				}
+			}
+			return []variant{{name: string(design), run: run(logger)}, {name: "no_log", run: run(nil)}}
+		},
+	}
+}
+
+func pointName(shards, hosts int) string { return fmt.Sprintf("shards_%d_hosts_%d", shards, hosts) }
+
+func costLayout(shards, hosts int, seed uint64) layout {
+	return layout{
+		hosts: hosts, groups: shards, replicas: 1, slots: costSlots, connections: 4 * costSlots,
+		deadline: costDeadline, seed: seed,
+	}
+}
+
+func costPoints(s settings, measure func(layout) (Figures, error)) (Points, error) {
+	out := make(Points)
+	add := func(shards, hosts int) error {
+		figures, err := measure(costLayout(shards, hosts, s.seed))
+		if err == nil {
+			figures["shards"], figures["hosts"] = float64(shards), float64(hosts)
+			out[pointName(shards, hosts)] = figures
+		}
+		return err
+	}
+	for _, shards := range pick(s, []int{20, 60}, []int{20, 30, 60, 130}) {
+		if err := add(shards, costHosts); err != nil {
+			return nil, err
+		}
+	}
+	for _, hosts := range pick(s, []int{9}, []int{9, 30}) {
+		if err := add(costShards, hosts); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+func costOfDesign(ctx context.Context, l layout, s settings) (Figures, error) {
+	c, err := startCluster(ctx, l, design)
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	return c.cost(ctx, s, func(i int) error {
+		q, err := load.Query(ctx, client, c.callers[i%len(c.callers)], c.mix)
+		if err == nil && q.Outcome != string(core.Complete) {
+			err = errors.Errorf("expt: query %d was %q", i, q.Outcome)
+		}
+		return err
+	})
+}
+
+func costOfDirect(ctx context.Context, l layout, s settings) (Figures, error) {
+	c := &cluster{layout: l, stop: func() {}}
+	defer c.close()
+	if _, err := c.startServers(); err != nil {
+		return nil, err
+	}
+	backend := remote.New(remote.Options{Connections: l.slots})
+	defer backend.Close()
+	return c.cost(ctx, s, func(i int) error { return readAll(ctx, backend, c.service, i, l.deadline) })
+}
+
+// readAll calls one replica of every group at once.
+func readAll(ctx context.Context, backend core.Backend, s core.Service, i int, deadline time.Duration) error {
+	var wait sync.WaitGroup
+	errs := make([]error, len(s.Groups()))
+	for g := range s.Groups() {
+		wait.Go(func() {
+			_, errs[g] = backend.Read(ctx, s.Group(core.GroupID(g))[0].Address(), core.ReadCall{
+				CallID:    fmt.Sprintf("direct-%d-%d", i, g),
+				RequestID: core.RequestID(fmt.Sprintf("direct-%d", i)),
+				Service:   s.Name(),
+				Snapshot:  server.FirstSnapshot,
+				Shard:     core.ShardID(g),
+				Deadline:  time.Now().Add(deadline),
+			})
+		})
+	}
+	wait.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// usage is what the process has used so far.
+type usage struct {
+	at      time.Time
+	cpu     time.Duration
+	mallocs uint64
+	bytes   uint64
+	peer    int64
+	backend int64
+}
+
+func (c *cluster) usage() usage {
+	var self syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &self)
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return usage{
+		at:      time.Now(),
+		cpu:     time.Duration(self.Utime.Nano() + self.Stime.Nano()),
+		mallocs: m.Mallocs,
+		bytes:   m.TotalAlloc,
+		peer:    c.peer.Load(),
+		backend: c.backend.Load(),
+	}
+}
+
+// cost runs queries one after the other. What the idle hosts use in the same
+// time is measured before and subtracted.
+func (c *cluster) cost(ctx context.Context, s settings, query func(i int) error) (Figures, error) {
+	for i := range max(costWarm, 2*c.hosts) {
+		if err := query(i); err != nil {
+			return nil, err
+		}
+	}
+	idle := c.idle(ctx)
+	n := pick(s, 40, 80)
+	before := c.usage()
+	for i := range n {
+		if err := query(i); err != nil {
+			return nil, err
+		}
+	}
+	after := c.usage()
+	seconds := after.at.Sub(before.at).Seconds()
+	out := Figures{}
+	used := difference(before, after)
+	for name, x := range used {
+		x = max(0, x-idle[name]*seconds)
+		out[name+"_per_query"] = x / float64(n)
+		out[name+"_per_shard_call"] = x / float64(n*c.groups)
+		out[name+"_idle_per_host_s"] = idle[name] / float64(c.hosts)
+	}
+	out["latency_us"] = seconds * 1e6 / float64(n)
+	return out, nil
+}
+
+func (c *cluster) idle(ctx context.Context) Figures {
+	before := c.usage()
+	t := time.NewTimer(idleTime)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	after := c.usage()
+	out := difference(before, after)
+	for name := range out {
+		out[name] /= after.at.Sub(before.at).Seconds()
+	}
+	return out
+}
+
+func difference(a, b usage) Figures {
+	return Figures{
+		"cpu_us":          float64((b.cpu - a.cpu).Microseconds()),
+		"allocations":     float64(b.mallocs - a.mallocs),
+		"allocated_bytes": float64(b.bytes - a.bytes),
+		"peer_bytes":      float64(b.peer - a.peer),
+		"backend_bytes":   float64(b.backend - a.backend),
+	}
+}
+
+// slopes fits each cost of a query over shards and over hosts, for each round.
+func slopes(rounds []Points) []Points {
+	var out []Points
+	for _, points := range rounds {
+		fitted := make(Figures)
+		for _, name := range []string{"cpu_us", "allocations", "allocated_bytes", "peer_bytes", "backend_bytes"} {
+			fitted[name+"_per_shard"] = slope(points, "shards", name+"_per_query", "hosts", costHosts)
+			fitted[name+"_per_host"] = slope(points, "hosts", name+"_per_query", "shards", costShards)
+		}
+		out = append(out, Points{"slope": fitted})
+	}
+	return out
+}
+
+// slope is the least-squares slope of y over x, where fixed has a value.
+func slope(points Points, x, y, fixed string, value float64) float64 {
+	var n, sx, sy, sxx, sxy float64
+	for _, f := range points {
+		if f[fixed] != value {
+			continue
+		}
+		n++
+		sx += f[x]
+		sy += f[y]
+		sxx += f[x] * f[x]
+		sxy += f[x] * f[y]
+	}
+	if d := n*sxx - sx*sx; d != 0 {
+		return (n*sxy - sx*sy) / d
+	}
+	return 0
+}
--- /dev/null
+++ b/bench/expt/main.go
@@ -0,0 +1,113 @@
+package expt
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+func experiments() []experiment {
+	return []experiment{tail(), tailStragglers(), cost(), decisionLog(), slots(), overload(), coverage()}
+}
+
+// List prints the experiments.
+func List(out io.Writer) int {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, e := range experiments() {
+		_, _ = fmt.Fprintf(w, "%s\t%s\n", e.name, e.about)
+	}
+	_ = w.Flush()
+	return 0
+}
+
+// Run runs one experiment and prints its result as one JSON object.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	if len(args) == 0 {
+		_, _ = fmt.Fprintln(errOut, "bench run: want the name of an experiment; see bench list")
+		return 2
+	}
+	var s settings
+	var rounds int
+	fs := flag.NewFlagSet("run", flag.ContinueOnError)
+	fs.SetOutput(errOut)
+	fs.Uint64Var(&s.seed, "seed", 1, "seed of arrivals, service times and choices")
+	fs.IntVar(&rounds, "rounds", 0, "rounds; 0 means 3, or 1 with -quick")
+	fs.BoolVar(&s.quick, "quick", false, "shorter run with fewer operating points")
+	if fs.Parse(args[1:]) != nil || fs.NArg() > 0 || rounds < 0 {
+		return 2
+	}
+	if rounds == 0 {
+		rounds = pick(s, 1, defaultRounds)
+	}
+	all := experiments()
+	i := slices.IndexFunc(all, func(e experiment) bool { return e.name == args[0] })
+	if i < 0 {
+		_, _ = fmt.Fprintf(errOut, "bench run: no experiment %q; see bench list\n", args[0])
+		return 2
+	}
+	r, err := all[i].run(ctx, s, rounds, errOut)
+	if err == nil {
+		err = r.write(out)
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, "bench run:", err)
+		return 1
+	}
+	return 0
+}
+
+// Compare prints the ratio of each median of file B to that of file A.
+func Compare(args []string, out, errOut io.Writer) int {
+	if len(args) != 2 {
+		_, _ = fmt.Fprintln(errOut, "usage: bench compare A B")
+		return 2
+	}
+	var results [2]Result
+	for i, path := range args {
+		if err := readResult(path, &results[i]); err != nil {
+			_, _ = fmt.Fprintln(errOut, "bench compare:", err)
+			return 1
+		}
+	}
+	a, b := results[0], results[1]
+	if a.Experiment != b.Experiment {
+		_, _ = fmt.Fprintf(errOut, "bench compare: experiments differ: %s and %s\n", a.Experiment, b.Experiment)
+		return 1
+	}
+	compared := make(map[string]map[string]map[string]float64)
+	for variant, points := range a.Figures {
+		compared[variant] = make(map[string]map[string]float64)
+		for point, figures := range points {
+			compared[variant][point] = medianRatios(figures, b.Figures[variant][point])
+		}
+	}
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", " ")
+	_ = enc.Encode(map[string]any{"experiment": a.Experiment, "ratios_b_to_a": compared})
+	return 0
+}
+
+func medianRatios(a, b map[string]Spread) map[string]float64 {
+	out := make(map[string]float64)
+	for name, x := range a {
+		if y, ok := b[name]; ok && x.Median != 0 {
+			out[name] = round(y.Median / x.Median)
+		}
+	}
+	return out
+}
+
+func readResult(path string, into *Result) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read result")
+	}
+	return errors.Wrapf(json.Unmarshal(raw, into), "decode %s", path)
+}
--- /dev/null
+++ b/bench/expt/overload.go
@@ -0,0 +1,51 @@
+package expt
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+const overloadHosts = 3
+
+// overload offers the capacity of the slots and twice as much. The caller's
+// section admits the capacity, shared equally by the hosts.
+func overload() experiment {
+	return experiment{
+		name:  "overload",
+		about: "goodput at 1x and 2x of the capacity, with and without admission",
+		variants: func(settings) []variant {
+			return []variant{
+				{name: string(design), run: func(ctx context.Context, s settings) (Points, error) { return overloadPoints(ctx, s, true) }},
+				{name: "no_admission", run: func(ctx context.Context, s settings) (Points, error) { return overloadPoints(ctx, s, false) }},
+			}
+		},
+	}
+}
+
+func overloadPoints(ctx context.Context, s settings, admission bool) (Points, error) {
+	l := tailLayout(s)
+	l.hosts, l.groups, l.deadline = overloadHosts, 8, 300*time.Millisecond
+	capacity := l.capacity(1, 1)
+	if admission {
+		l.rate = capacity / overloadHosts
+	}
+	c, err := startCluster(ctx, l, design)
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	out := make(Points)
+	for _, times := range []int{1, 2} {
+		figures, err := measure(ctx, c, capacity*float64(times), pick(s, 2*time.Second, 3*time.Second), s.seed)
+		if err != nil {
+			return nil, err
+		}
+		out[fmt.Sprintf("offered_%dx", times)] = figures
+	}
+	once, twice := out["offered_1x"]["goodput_per_s"], out["offered_2x"]["goodput_per_s"]
+	if once > 0 {
+		out["offered_2x"]["goodput_to_1x"] = twice / once
+	}
+	return out, nil
+}
--- /dev/null
+++ b/bench/expt/slots.go
@@ -0,0 +1,83 @@
+package expt
+
+import (
+	"context"
+	"time"
+
+	"oriolebarrow/bench/base"
+	"oriolebarrow/bench/load"
+)
+
+const (
+	slotsHosts       = 9
+	slotsUtilisation = 0.9
+	faultFrom        = 300 * time.Millisecond
+	faultTo          = 1100 * time.Millisecond
+)
+
+// slots compares how well the limits of the servers are kept. The load goes to
+// all hosts, also to the one with the fault.
+func slots() experiment {
+	return experiment{
+		name:  "slots",
+		about: "calls shed and connections at 90% with 9 hosts, also with a host stopped, paused and cut off",
+		variants: func(settings) []variant {
+			var out []variant
+			for _, p := range []base.Policy{design, base.Random, base.StaticShare} {
+				out = append(out, variant{name: string(p), run: func(ctx context.Context, s settings) (Points, error) {
+					return slotsPoints(ctx, p, s)
+				}})
+			}
+			return out
+		},
+	}
+}
+
+func slotsPoints(ctx context.Context, p base.Policy, s settings) (Points, error) {
+	l := tailLayout(s)
+	l.hosts = slotsHosts
+	c, err := startCluster(ctx, l, p)
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	last := c.hosts - 1
+	mode := func(m gateMode) func(context.Context) error {
+		return func(context.Context) error {
+			c.gates[last].set(m)
+			return nil
+		}
+	}
+	during := func(name string, m gateMode) []load.Fault {
+		return []load.Fault{
+			{At: faultFrom, Name: name, Do: mode(m)},
+			{At: faultTo, Name: name + "_ends", Do: mode(open)},
+		}
+	}
+	stop := []load.Fault{{At: faultFrom, Name: "host_stopped", Do: func(context.Context) error {
+		c.stops[last]()
+		return nil
+	}}}
+	points := []struct {
+		name   string
+		faults []load.Fault
+	}{
+		{"steady", nil},
+		{"host_paused", during("host_paused", paused)},
+		{"host_cut_off", during("host_cut_off", cut)},
+		{"host_stopped", stop}, // last, since the host doesn't return
+	}
+	rate := slotsUtilisation * l.capacity(1, 1)
+	out := make(Points)
+	for _, point := range points {
+		if s.quick && point.name == "host_cut_off" {
+			continue
+		}
+		figures, err := measure(ctx, c, rate, pick(s, 1200*time.Millisecond, 1400*time.Millisecond), s.seed, point.faults...)
+		if err != nil {
+			return nil, err
+		}
+		out[point.name] = figures
+	}
+	return out, nil
+}
--- /dev/null
+++ b/bench/expt/tail.go
@@ -0,0 +1,116 @@
+package expt
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"oriolebarrow/bench/base"
+	"oriolebarrow/bench/load"
+	"oriolebarrow/standin/server"
+)
+
+const (
+	slowReplica  = 20 // factor of the replica that is slow throughout
+	tailShortest = time.Second
+)
+
+// policies are the design and its baselines for reads. A switch of the design
+// that takes out one mechanism is one more entry here.
+var policies = []base.Policy{design, base.Random, base.RandomOfTwo, base.LeastLoaded}
+
+func tailLayout(s settings) layout {
+	return layout{
+		hosts: 3, groups: 20, replicas: 2, slots: 2, connections: 25, connCost: 6 * time.Millisecond,
+		mean: 10 * time.Millisecond, slow: slowShare, deadline: time.Second, seed: s.seed, queue: 1024,
+	}
+}
+
+// tail has one replica that is slow throughout. Utilisation counts the slots
+// of its group, since every query needs that group and no policy can serve
+// more than these slots do.
+func tail() experiment {
+	return experiment{
+		name:  "tail",
+		about: "tail latency with 1% of calls 10x slow and one replica 20x slow",
+		variants: func(s settings) []variant {
+			return tailVariants(true, tailLayout(s).capacity(1, slowReplica))
+		},
+	}
+}
+
+func tailStragglers() experiment {
+	return experiment{
+		name:  "tail_stragglers",
+		about: "tail latency with 1% of calls 10x slow and no slow replica",
+		variants: func(s settings) []variant {
+			return tailVariants(false, tailLayout(s).capacity(1, 1))
+		},
+	}
+}
+
+func tailVariants(withSlow bool, capacity float64) []variant {
+	var out []variant
+	for _, p := range policies {
+		out = append(out, variant{name: string(p), run: func(ctx context.Context, s settings) (Points, error) {
+			c, err := startCluster(ctx, tailLayout(s), p)
+			if err != nil {
+				return nil, err
+			}
+			defer c.close()
+			if withSlow {
+				slow := c.service.Group(0)[0].Address()
+				c.fleet.Update(slow, func(f *server.Faults) { f.SlowFactor = slowReplica })
+			}
+			out := make(Points)
+			for _, percent := range pick(s, []int{30, 80}, []int{30, 60, 80, 90}) {
+				rate := capacity * float64(percent) / 100
+				queries := pick(s, 120.0, 140.0)
+				length := time.Duration(queries / rate * float64(time.Second))
+				figures, err := measure(ctx, c, rate, max(length, tailShortest), s.seed)
+				if err != nil {
+					return nil, err
+				}
+				out[fmt.Sprintf("utilisation_%d", percent)] = figures
+			}
+			return out, nil
+		}})
+	}
+	return out
+}
+
+// measure runs one load and returns what every read experiment reports. Extra
+// load counts refused calls too, over the shards of all answers that name a
+// total; it reads low where queries ended before their calls were sent, so
+// coverage stands next to it.
+func measure(ctx context.Context, c *cluster, rate float64, length time.Duration, seed uint64, faults ...load.Fault) (Figures, error) {
+	c.fleet.ResetPeaks()
+	before := c.fleet.Stats()
+	r, err := c.load(ctx, rate, length, seed, faults...)
+	if err != nil {
+		return nil, err
+	}
+	after := c.fleet.Stats()
+	ran := float64(after.Executions - before.Executions)
+	shed := float64(after.Shed - before.Shed)
+	needed := max(1, float64(r.Needed))
+	queries := max(1, float64(r.Scheduled))
+	return Figures{
+		"rate_per_s":      rate,
+		"queries":         float64(r.Scheduled),
+		"p50_ms":          float64(r.Quantile(50).Microseconds()) / 1000,
+		"p99_ms":          float64(r.Quantile(99).Microseconds()) / 1000,
+		"complete_p99_ms": float64(r.CompleteLatency.ValueAtQuantile(99)) / 1000,
+		"max_ms":          float64(r.Quantile(100).Microseconds()) / 1000,
+		"coverage":        r.Coverage(),
+		"complete_share":  float64(r.Outcomes["complete"]) / queries,
+		"not_run_share":   float64(r.Outcomes["not_run"]) / queries,
+		"lost_share":      float64(r.Outcomes["connection_lost"]) / queries,
+		"dropped":         float64(r.Dropped),
+		"extra_load":      (ran+shed)/needed - 1,
+		"extra_runs":      ran/needed - 1,
+		"shed_share":      shed / max(1, ran+shed),
+		"max_connections": float64(after.MaxConnections),
+		"goodput_per_s":   float64(r.Outcomes["complete"]) / length.Seconds(),
+	}, nil
+}
--- /dev/null
+++ b/bench/load/load.go
@@ -0,0 +1,323 @@
+// Package load is an open-loop load generator. The arrivals are computed before
+// the load starts, and latency counts from the scheduled time, so that a slow
+// system can't slow the load down and hide its own delay.
+//
+// # Usage
+//
+//	result, err := load.Run(ctx, load.Options{
+//		Hosts: hosts, Mix: mix, Rate: 100, Length: 5 * time.Second, Seed: 1,
+//	})
+package load
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	"oriolebarrow/bench/verify"
+)
+
+const (
+	// scheduleStream separates the schedule's random numbers from other uses of a seed.
+	scheduleStream   = 0x10ad
+	defaultMax       = 200_000
+	defaultInFlight  = 4096
+	clientSlack      = 2 * time.Second
+	maxReplyBytes    = 64 << 20
+	highestLatency   = int64(5 * time.Minute / time.Microsecond)
+	histogramDigits  = 3
+	progressInterval = time.Second
+)
+
+// Fault is a change to the stand-ins at a scheduled time.
+type Fault struct {
+	At   time.Duration
+	Name string
+	Do   func(ctx context.Context) error
+}
+
+// Timetable orders faults by time; faults at the same time keep their order.
+func Timetable(faults []Fault) []Fault {
+	return slices.SortedStableFunc(slices.Values(faults), func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+}
+
+// Options configures a load.
+type Options struct {
+	Hosts    []string // caller addresses
+	Mix      []Mix
+	Rate     float64 // arrivals a second
+	Length   time.Duration
+	Max      int // arrivals at most
+	InFlight int // requests at once at most; arrivals above it are counted as dropped
+	Seed     uint64
+	Faults   []Fault   // any order
+	Keep     bool      // keep whole answers for bench/verify
+	Lines    io.Writer // one JSON object a request; may be nil
+	Progress io.Writer // a line a second; may be nil
+}
+
+// Sample is one request as a JSON line. Fault marks a line of the timetable.
+type Sample struct {
+	AtUS      int64  `json:"at_us"`
+	LatencyUS int64  `json:"latency_us"`
+	Caller    string `json:"caller,omitempty"`
+	Host      string `json:"host,omitempty"`
+	RequestID string `json:"request_id,omitempty"`
+	Outcome   string `json:"outcome,omitempty"`
+	Reason    string `json:"reason,omitempty"`
+	Answered  int    `json:"answered"`
+	Total     int    `json:"total"`
+	Fault     string `json:"fault,omitempty"`
+	Error     string `json:"error,omitempty"`
+}
+
+// Result is what a load measured.
+type Result struct {
+	Latency         *hdrhistogram.Histogram // of every request, in microseconds
+	CompleteLatency *hdrhistogram.Histogram // of complete answers only
+	Outcomes        map[string]int
+	Samples         []Sample
+	Queries         []verify.Query // with Options.Keep
+	Dropped         int            // arrivals above the bound on requests in flight
+	Scheduled       int
+	Answered        int // shards
+	Needed          int // shards
+}
+
+// Quantile returns a latency quantile, 0 to 100.
+func (r *Result) Quantile(q float64) time.Duration {
+	return time.Duration(r.Latency.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// Coverage returns the share of shards answered over the answers that name a total.
+func (r *Result) Coverage() float64 {
+	if r.Needed == 0 {
+		return 0
+	}
+	return float64(r.Answered) / float64(r.Needed)
+}
+
+type generator struct {
+	opts    Options
+	http    *http.Client
+	started time.Time
+	slots   chan struct{}
+
+	mu     sync.Mutex // guards result and Lines
+	result *Result
+}
+
+// Run sends the load and returns when every request has ended.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	if o.Max == 0 {
+		o.Max = defaultMax
+	}
+	if o.InFlight == 0 {
+		o.InFlight = defaultInFlight
+	}
+	arrivals := Schedule(o.Seed, o.Rate, o.Length, o.Mix, len(o.Hosts), o.Max)
+	if len(arrivals) == 0 {
+		return nil, errors.New("load: no arrivals: want hosts, a mix, a rate and a length")
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: o.InFlight, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	g := &generator{
+		opts:  o,
+		http:  &http.Client{Transport: transport},
+		slots: make(chan struct{}, o.InFlight),
+		result: &Result{
+			Latency:         hdrhistogram.New(1, highestLatency, histogramDigits),
+			CompleteLatency: hdrhistogram.New(1, highestLatency, histogramDigits),
+			Outcomes:        make(map[string]int),
+			Scheduled:       len(arrivals),
+		},
+		started: time.Now(),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var side sync.WaitGroup
+	side.Go(func() { g.faults(ctx) })
+	if o.Progress != nil {
+		side.Go(func() { g.progress(ctx) })
+	}
+	err := g.send(ctx, arrivals)
+	cancel()
+	side.Wait()
+	return g.result, err
+}
+
+func (g *generator) send(ctx context.Context, arrivals []Arrival) error {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for _, a := range arrivals {
+		if !until(ctx, g.started.Add(a.At)) {
+			return errors.Wrap(ctx.Err(), "load: ended early")
+		}
+		select {
+		case g.slots <- struct{}{}:
+		default:
+			g.mu.Lock()
+			g.result.Dropped++
+			g.mu.Unlock()
+			continue
+		}
+		wait.Go(func() {
+			g.request(ctx, a)
+			<-g.slots
+		})
+	}
+	return nil
+}
+
+// until waits for a time; false when ctx ended first.
+func until(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (g *generator) faults(ctx context.Context) {
+	for _, f := range Timetable(g.opts.Faults) {
+		if !until(ctx, g.started.Add(f.At)) {
+			return
+		}
+		s := Sample{AtUS: time.Since(g.started).Microseconds(), Fault: f.Name}
+		if err := f.Do(ctx); err != nil {
+			s.Error = err.Error()
+		}
+		g.keep(s, nil)
+	}
+}
+
+func (g *generator) progress(ctx context.Context) {
+	tick := time.NewTicker(progressInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			g.mu.Lock()
+			done, total := len(g.result.Samples), g.result.Scheduled
+			p99 := g.result.Quantile(99)
+			g.mu.Unlock()
+			_, _ = fmt.Fprintf(g.opts.Progress, "load: %d of %d requests ended, p99 %s\n", done, total, p99)
+		}
+	}
+}
+
+type reply struct {
+	RequestID string `json:"request_id"`
+	Outcome   string `json:"outcome"`
+	Reason    string `json:"reason"`
+	Snapshot  uint64 `json:"snapshot"`
+	Coverage  struct {
+		Answered int `json:"answered"`
+		Total    int `json:"total"`
+		Missing  []struct {
+			Shard int32 `json:"shard"`
+		} `json:"missing"`
+	} `json:"coverage"`
+	Rows []json.RawMessage `json:"rows"`
+}
+
+func (g *generator) request(ctx context.Context, a Arrival) {
+	m, host := g.opts.Mix[a.Kind], g.opts.Hosts[a.Host]
+	sent := time.Now()
+	r, err := Query(ctx, g.http, host, m)
+	ended := time.Now()
+	s := Sample{
+		AtUS:      a.At.Microseconds(),
+		LatencyUS: ended.Sub(g.started.Add(a.At)).Microseconds(),
+		Caller:    m.Caller,
+		Host:      host,
+		RequestID: r.RequestID,
+		Outcome:   r.Outcome,
+		Answered:  r.Answered,
+		Total:     r.Total,
+	}
+	if err != nil {
+		s.Outcome, s.Error = "connection_lost", err.Error()
+	}
+	// The deadline counts from the moment of sending, which the host knows.
+	r.Took = ended.Sub(sent)
+	g.keep(s, &r)
+}
+
+func (g *generator) keep(s Sample, q *verify.Query) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.result
+	r.Samples = append(r.Samples, s)
+	if g.opts.Lines != nil {
+		_ = json.NewEncoder(g.opts.Lines).Encode(s)
+	}
+	if q == nil {
+		return
+	}
+	r.Outcomes[s.Outcome]++
+	latency := min(max(s.LatencyUS, 1), highestLatency)
+	_ = r.Latency.RecordValue(latency)
+	if s.Outcome == "complete" {
+		_ = r.CompleteLatency.RecordValue(latency)
+	}
+	r.Answered += s.Answered
+	r.Needed += s.Total
+	if g.opts.Keep {
+		r.Queries = append(r.Queries, *q)
+	}
+}
+
+// Query sends one query to a host.
+func Query(ctx context.Context, client *http.Client, host string, m Mix) (verify.Query, error) {
+	q := verify.Query{Deadline: m.Deadline}
+	ctx, cancel := context.WithTimeout(ctx, m.Deadline+clientSlack)
+	defer cancel()
+	raw, err := json.Marshal(map[string]any{
+		"caller": m.Caller, "service": m.Service, "deadline_ms": m.Deadline.Milliseconds(),
+		"body": map[string]string{"plate": "P-123"},
+	})
+	if err != nil {
+		return q, errors.Wrap(err, "load: encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/v1/query", bytes.NewReader(raw))
+	if err != nil {
+		return q, errors.Wrap(err, "load: request")
+	}
+	started := time.Now()
+	res, err := client.Do(req)
+	if err != nil {
+		return q, errors.Wrap(err, "load: send")
+	}
+	defer func() { _ = res.Body.Close() }()
+	var r reply
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(&r); err != nil {
+		return q, errors.Wrap(err, "load: decode")
+	}
+	q.Took = time.Since(started)
+	q.RequestID, q.Outcome, q.Snapshot = r.RequestID, r.Outcome, r.Snapshot
+	q.Answered, q.Total, q.Rows = r.Coverage.Answered, r.Coverage.Total, r.Rows
+	for _, missing := range r.Coverage.Missing {
+		q.Missing = append(q.Missing, missing.Shard)
+	}
+	return q, nil
+}
--- /dev/null
+++ b/bench/load/load_test.go
@@ -0,0 +1,52 @@
+package load_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"oriolebarrow/bench/load"
+)
+
+// Guards against a schedule that depends on the run, leaves its bounds, or
+// isn't in order: any of these would make a comparison of two policies unfair.
+func TestScheduleIsFixedAndBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		rate := rapid.Float64Range(1, 5000).Draw(t, "rate")
+		limit := rapid.IntRange(1, 500).Draw(t, "limit")
+		mix := []load.Mix{{Caller: "a", Weight: 1}, {Caller: "b", Weight: 3}}
+		first := load.Schedule(seed, rate, time.Second, mix, 3, limit)
+		if diff := cmp.Diff(first, load.Schedule(seed, rate, time.Second, mix, 3, limit)); diff != "" {
+			t.Fatalf("same seed, different schedule:\n%s", diff)
+		}
+		if len(first) > limit {
+			t.Fatalf("%d arrivals, limit %d", len(first), limit)
+		}
+		last := time.Duration(0)
+		for _, a := range first {
+			if a.At < last || a.At >= time.Second || a.Host < 0 || a.Host > 2 || a.Kind < 0 || a.Kind > 1 {
+				t.Fatalf("bad arrival %+v after %s", a, last)
+			}
+			last = a.At
+		}
+	})
+}
+
+// Guards against a generator that sends at another rate or mix than it says.
+func TestScheduleHasTheRateAndTheMix(t *testing.T) {
+	mix := []load.Mix{{Weight: 1}, {Weight: 3}}
+	arrivals := load.Schedule(7, 10_000, 10*time.Second, mix, 1, 1_000_000)
+	if n := len(arrivals); n < 98_000 || n > 102_000 {
+		t.Errorf("%d arrivals, want about 100000", n)
+	}
+	second := 0
+	for _, a := range arrivals {
+		second += a.Kind
+	}
+	if share := float64(second) / float64(len(arrivals)); share < 0.74 || share > 0.76 {
+		t.Errorf("share of the second kind is %.3f, want about 0.75", share)
+	}
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -1,4 +1,4 @@
-// Command bench drives load at hosts and checks what they answered.
+// Command bench drives load at hosts, runs experiments and checks answers.
 package main
 
 import (
@@ -9,14 +9,35 @@
 	"syscall"
 
 	"oriolebarrow/bench/demo"
+	"oriolebarrow/bench/expt"
 )
 
+const usage = `usage:
+  bench demo [flags]                                    load for scripts/demo
+  bench list                                            list the experiments
+  bench run NAME [-seed N] [-rounds N] [-quick]         run an experiment
+  bench compare A B                                     ratios of two results`
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if len(os.Args) < 2 || os.Args[1] != "demo" {
-		fmt.Fprintln(os.Stderr, "usage: bench demo [flags]")
-		os.Exit(2)
+	os.Exit(run(ctx, os.Args[1:]))
+}
+
+func run(ctx context.Context, args []string) int {
+	if len(args) == 0 {
+		args = []string{""}
+	}
+	switch args[0] {
+	case "demo":
+		return demo.Main(ctx, args[1:], os.Stdout, os.Stderr)
+	case "list":
+		return expt.List(os.Stdout)
+	case "run":
+		return expt.Run(ctx, args[1:], os.Stdout, os.Stderr)
+	case "compare":
+		return expt.Compare(args[1:], os.Stdout, os.Stderr)
 	}
-	os.Exit(demo.Main(ctx, os.Args[2:], os.Stdout, os.Stderr))
+	fmt.Fprintln(os.Stderr, usage)
+	return 2
 }
--- a/bench/verify/verify.go
+++ b/bench/verify/verify.go
@@ -50,8 +50,13 @@
 	OrderResults map[string]int `json:"order_outcomes"`
 	Executions   int            `json:"executions"`
 	ExtraLoad    float64        `json:"extra_load"` // read executions per shard answered
-	FaultCount   int            `json:"faults"`
-	Faults       []string       `json:"fault_texts"`
+	// Mean coverage over the answers that name a total: as reported, and as
+	// counted from correct rows that the journal confirms.
+	ReportedCoverage float64  `json:"reported_coverage"`
+	ActualCoverage   float64  `json:"actual_coverage"`
+	Late             int      `json:"late"` // answers past deadline and tolerance
+	FaultCount       int      `json:"faults"`
+	Faults           []string `json:"fault_texts"`
 }
 
 // OK reports whether no rule was broken.
@@ -89,10 +94,15 @@
 		reads[e.RequestID]++
 		ran[execution{request: e.RequestID, snapshot: e.Snapshot, shard: e.Shard}] = true
 	}
-	answered := 0
+	answered, needed, actual := 0, 0, 0
 	for _, q := range queries {
-		r.query(q, ran, reads)
+		actual += r.query(q, ran, reads)
 		answered += q.Answered
+		needed += q.Total
+	}
+	if needed > 0 {
+		r.ReportedCoverage = float64(answered) / float64(needed)
+		r.ActualCoverage = float64(actual) / float64(needed)
 	}
 	if answered > 0 {
 		r.ExtraLoad = float64(total) / float64(answered)
@@ -103,21 +113,24 @@
 	return r
 }
 
-func (r *Report) query(q Query, ran map[execution]bool, reads map[string]int) {
+// query checks one answer and returns the shards that really count.
+func (r *Report) query(q Query, ran map[execution]bool, reads map[string]int) int {
 	if q.Outcome == "" {
 		r.QueryResults["connection_lost"]++
-		return
+		return 0
 	}
 	r.QueryResults[q.Outcome]++
 	if q.Took > q.Deadline+Tolerance {
+		r.Late++
 		r.fail("query %s: answered after %s, deadline %s", q.RequestID, q.Took, q.Deadline)
 	}
 	if q.Outcome == "not_run" {
 		if reads[q.RequestID] > 0 {
 			r.fail("query %s: not_run, but %d calls ran", q.RequestID, reads[q.RequestID])
 		}
-		return
+		return 0
 	}
+	actual := 0
 	seen := make(map[int32]bool)
 	for _, raw := range q.Rows {
 		shard, ok := r.rows(q, raw)
@@ -127,10 +140,12 @@
 		if seen[shard] {
 			r.fail("query %s: shard %d counts twice", q.RequestID, shard)
 		}
-		seen[shard] = true
 		if !ran[execution{request: q.RequestID, snapshot: q.Snapshot, shard: shard}] {
 			r.fail("query %s: shard %d is answered but never ran", q.RequestID, shard)
+		} else if !seen[shard] {
+			actual++
 		}
+		seen[shard] = true
 	}
 	if len(seen) != q.Answered || q.Answered+len(q.Missing) != q.Total {
 		r.fail("query %s: reports %d answered and %d missing of %d, has %d", q.RequestID, q.Answered, len(q.Missing), q.Total, len(seen))
@@ -143,6 +158,7 @@
 	if (q.Outcome == "complete") != (q.Answered == q.Total && q.Total > 0) {
 		r.fail("query %s: outcome %s with %d of %d shards", q.RequestID, q.Outcome, q.Answered, q.Total)
 	}
+	return actual
 }
 
 // rows checks the rows of one shard and returns the shard.
@@ -155,14 +171,16 @@
 	want := server.Rows(q.Snapshot, rows[0].Shard)
 	if len(rows) != len(want) {
 		r.fail("query %s: shard %d has %d rows, want %d", q.RequestID, rows[0].Shard, len(rows), len(want))
-		return rows[0].Shard, true
+		return rows[0].Shard, false
 	}
+	correct := true
 	for i := range rows {
 		if rows[i] != want[i] {
 			r.fail("query %s: row %v, want %v", q.RequestID, rows[i], want[i])
+			correct = false
 		}
 	}
-	return rows[0].Shard, true
+	return rows[0].Shard, correct
 }
 
 func (r *Report) order(o Order, runs int) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -49,7 +49,9 @@
 	Platform      string // base URL of the platform's services
 	TokenLifetime time.Duration
 	TokenMax      int
-	Connections   int // to one replica
+	Connections   int                                                 // to one replica
+	Listen        func(network, address string) (net.Listener, error) // net.Listen when nil
+	Dial          peer.Dial                                           // to hosts and replicas; net.Dialer when nil
 }
 
 // Node is one host.
@@ -70,6 +72,12 @@
 
 // New returns a host that is not running yet.
 func New(o Options, log *slog.Logger) *Node {
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
+	if o.Dial == nil {
+		o.Dial = new(net.Dialer).DialContext
+	}
 	inc := core.Incarnation(time.Now().UnixNano())
 	n := &Node{
 		opts:     o,
@@ -77,10 +85,10 @@
 		self:     core.NewHost(o.ID, o.DataCentre, o.PeerAddress),
 		ledger:   config.NewLedger(),
 		platform: plat.New(o.Platform, &http.Client{}),
-		backend:  remote.New(remote.Options{Connections: o.Connections}),
+		backend:  remote.New(remote.Options{Connections: o.Connections, Dial: o.Dial}),
 	}
 	n.roster = member.NewRoster(n.self)
-	n.peers = peer.NewClient(o.ID, inc, new(net.Dialer).DialContext)
+	n.peers = peer.NewClient(o.ID, inc, o.Dial)
 	n.owner = owner.New(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger, n.backend, log)
 	tokens := order.New(o.ID, inc, order.Options{Max: o.TokenMax, Lifetime: o.TokenLifetime}, rand.Reader)
 	n.entry = entry.New(entry.Parts{
@@ -107,11 +115,11 @@
 
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
-	peers, err := net.Listen("tcp", n.opts.PeerAddress)
+	peers, err := n.opts.Listen("tcp", n.opts.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "node: listen for hosts")
 	}
-	callers, err := net.Listen("tcp", n.opts.CallerAddress)
+	callers, err := n.opts.Listen("tcp", n.opts.CallerAddress)
 	if err != nil {
 		_ = peers.Close()
 		return errors.Wrap(err, "node: listen for callers")
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -42,6 +42,8 @@
 // Options configures a client.
 type Options struct {
 	Connections int // open connections to one replica at most
+	// Dial opens connections; net.Dialer when nil.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client calls backend servers. It is safe for concurrent use; its lock guards
@@ -65,10 +67,9 @@
 	defer c.mu.Unlock()
 	h := c.clients[address]
 	if h == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout}
 		h = &http.Client{
 			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
+				DialContext:         c.dial,
 				MaxConnsPerHost:     c.opts.Connections,
 				MaxIdleConnsPerHost: c.opts.Connections,
 				IdleConnTimeout:     idleTimeout,
@@ -81,6 +82,15 @@
 	return h
 }
 
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if c.opts.Dial != nil {
+		return c.opts.Dial(ctx, network, address)
+	}
+	return new(net.Dialer).DialContext(ctx, network, address)
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/standin/server/fleet.go
+++ b/standin/server/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -15,8 +16,14 @@
 	MeanService time.Duration
 	SlowShare   float64 // share of calls that take ten times as long
 	Seed        uint64
+	JournalMax  int // entries kept at most; defaultJournalMax when 0
+	// Listen opens the listener of a server; net.Listen when nil.
+	Listen func(network, address string) (net.Listener, error)
 }
 
+// defaultJournalMax bounds the journal to about 100 MB.
+const defaultJournalMax = 500_000
+
 // Entry is one execution in the journal.
 type Entry struct {
 	Kind      string `json:"kind"` // read or order
@@ -32,14 +39,22 @@
 type Fleet struct {
 	opts Options
 	shed atomic.Int64
+	ran  atomic.Int64
 
 	mu      sync.Mutex // guards the fields below
 	servers map[string]*Server
 	journal []Entry
+	dropped int64 // entries that the full journal did not take
 }
 
 // NewFleet returns a fleet without servers.
 func NewFleet(opts Options) *Fleet {
+	if opts.JournalMax == 0 {
+		opts.JournalMax = defaultJournalMax
+	}
+	if opts.Listen == nil {
+		opts.Listen = net.Listen
+	}
 	return &Fleet{opts: opts, servers: make(map[string]*Server)}
 }
 
@@ -79,6 +94,11 @@
 func (f *Fleet) record(e Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.ran.Add(1)
+	if len(f.journal) >= f.opts.JournalMax {
+		f.dropped++
+		return
+	}
 	f.journal = append(f.journal, e)
 }
 
@@ -104,14 +124,17 @@
 // Stats counts refusals and connections of all servers.
 type Stats struct {
 	Shed            int64 `json:"shed"`
-	Executions      int   `json:"executions"`
+	Executions      int64 `json:"executions"`
+	JournalDropped  int64 `json:"journal_dropped"`  // executions that the journal does not hold
 	MaxConnections  int64 `json:"max_connections"`  // largest number at one server
 	OverConnections int64 `json:"over_connections"` // closed for the limit
 }
 
 // Stats returns the counts so far.
 func (f *Fleet) Stats() Stats {
-	out := Stats{Shed: f.shed.Load(), Executions: len(f.Journal())}
+	f.mu.Lock()
+	out := Stats{Shed: f.shed.Load(), Executions: f.ran.Load(), JournalDropped: f.dropped}
+	f.mu.Unlock()
 	for _, s := range f.all() {
 		out.MaxConnections = max(out.MaxConnections, s.maxConns.Load())
 		out.OverConnections += s.overConn.Load()
@@ -119,6 +142,13 @@
 	return out
 }
 
+// ResetPeaks starts the largest number of connections again from the open ones.
+func (f *Fleet) ResetPeaks() {
+	for _, s := range f.all() {
+		s.maxConns.Store(s.conns.Load())
+	}
+}
+
 // Register adds the control interface to a mux.
 func (f *Fleet) Register(mux *http.ServeMux) {
 	mux.HandleFunc("GET /servers/journal", func(w http.ResponseWriter, _ *http.Request) {
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -28,7 +28,8 @@
 const (
 	maxBodyBytes = 2 << 20
 	slowFactor   = 10
-	firstVersion = 41
+	// FirstSnapshot is the snapshot that a new fleet holds.
+	FirstSnapshot = 41
 )
 
 // Faults are the switches of one server.
@@ -41,6 +42,7 @@
 	Truncate   float64         `json:"truncate"`
 	WrongShard float64         `json:"wrong_shard"` // share of answers for another shard
 	Reset      float64         `json:"reset"`       // share of calls whose connection closes after they ran
+	Lost       bool            `json:"lost"`        // every connection closes without an answer
 	Stuck      bool            `json:"stuck"`       // calls never end by themselves
 	Snapshots  []SnapshotState `json:"snapshots"`   // replaces what the server holds
 	LoadLag    int             `json:"load_lag"`    // reported load, when above 0
@@ -83,13 +85,13 @@
 		incarnation: 1,
 		cancels:     make(map[string]context.CancelFunc),
 		faults: Faults{State: string(core.ReplicaReady), SlowFactor: 1, Snapshots: []SnapshotState{{
-			Snapshot: firstVersion, ShardCount: len(s.Groups()), Shards: []int32{int32(group)},
+			Snapshot: FirstSnapshot, ShardCount: len(s.Groups()), Shards: []int32{int32(group)},
 		}}},
 	}
 }
 
 func (s *Server) start() error {
-	l, err := net.Listen("tcp", s.address)
+	l, err := s.fleet.opts.Listen("tcp", s.address)
 	if err != nil {
 		return err
 	}
@@ -98,11 +100,36 @@
 	mux.HandleFunc("POST /v1/read", s.read)
 	mux.HandleFunc("POST /v1/order", s.order)
 	mux.HandleFunc("POST /v1/cancel", s.cancel)
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ConnState: s.connState}
+	s.http = &http.Server{Handler: s.reachable(mux), ReadHeaderTimeout: 5 * time.Second, ConnState: s.connState}
 	go func() { _ = s.http.Serve(&costlyListener{Listener: l, cost: s.limits.NewConnectionCost}) }()
 	return nil
 }
 
+// reachable closes the connection of each request while the server is lost.
+func (s *Server) reachable(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.snapshot().Lost {
+			hangUp(w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// hangUp closes the connection of a request without an answer.
+func hangUp(w http.ResponseWriter) bool {
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		return false
+	}
+	c, _, err := h.Hijack()
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 // connState counts connections and closes those above the limit.
 func (s *Server) connState(c net.Conn, state http.ConnState) {
 	switch state {
@@ -356,13 +383,11 @@
 
 func (s *Server) respond(w http.ResponseWriter, f Faults, body any) {
 	raw, _ := json.Marshal(body)
-	if s.chance(f.Reset) {
-		if h, ok := w.(http.Hijacker); ok {
-			if c, _, err := h.Hijack(); err == nil {
-				_ = c.Close()
-				return
-			}
-		}
+	if s.snapshot().Lost && hangUp(w) { // lost while the call ran
+		return
+	}
+	if s.chance(f.Reset) && hangUp(w) {
+		return
 	}
 	w.Header().Set(remote.ChecksumHeader, remote.Checksum(raw))
 	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
