feat(bench): add the load command and a report with plots

Cause: a load could be run only from an experiment, and its course over time was not visible. bench load sends a timetable of faults to the control interface of the stand-ins, samples the number of backend calls and prints JSON lines. bench report makes a page with the latency distribution, coverage and extra load over time, with the faults marked. Before: no report.

--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -37,6 +37,7 @@
 	highestLatency   = int64(5 * time.Minute / time.Microsecond)
 	histogramDigits  = 3
 	progressInterval = time.Second
+	countInterval    = 250 * time.Millisecond
 )
 
 // Fault is a change to the stand-ins at a scheduled time.
@@ -64,9 +65,12 @@
 	Keep     bool      // keep whole answers for bench/verify
 	Lines    io.Writer // one JSON object a request; may be nil
 	Progress io.Writer // a line a second; may be nil
+	// Calls returns the backend calls so far; it is sampled a few times a second.
+	Calls func(ctx context.Context) (int64, error)
 }
 
-// Sample is one request as a JSON line. Fault marks a line of the timetable.
+// Sample is one JSON line: a request, a fault of the timetable (Fault is set),
+// or a count of backend calls (Calls is set).
 type Sample struct {
 	AtUS      int64  `json:"at_us"`
 	LatencyUS int64  `json:"latency_us"`
@@ -78,6 +82,7 @@
 	Answered  int    `json:"answered"`
 	Total     int    `json:"total"`
 	Fault     string `json:"fault,omitempty"`
+	Calls     *int64 `json:"calls,omitempty"`
 	Error     string `json:"error,omitempty"`
 }
 
@@ -147,6 +152,9 @@
 	defer cancel()
 	var side sync.WaitGroup
 	side.Go(func() { g.faults(ctx) })
+	if o.Calls != nil {
+		side.Go(func() { g.count(ctx) })
+	}
 	if o.Progress != nil {
 		side.Go(func() { g.progress(ctx) })
 	}
@@ -208,6 +216,16 @@
 	}
 }
 
+func (g *generator) count(ctx context.Context) {
+	for at := time.Duration(0); until(ctx, g.started.Add(at)); at += countInterval {
+		calls, err := g.opts.Calls(ctx)
+		if err != nil {
+			continue // a gap in the counts is visible in the lines
+		}
+		g.keep(Sample{AtUS: time.Since(g.started).Microseconds(), Calls: &calls}, nil)
+	}
+}
+
 func (g *generator) progress(ctx context.Context) {
 	tick := time.NewTicker(progressInterval)
 	defer tick.Stop()
--- a/bench/main.go
+++ b/bench/main.go
@@ -10,13 +10,17 @@
 
 	"oriolebarrow/bench/demo"
 	"oriolebarrow/bench/expt"
+	"oriolebarrow/bench/load"
+	"oriolebarrow/bench/report"
 )
 
 const usage = `usage:
   bench demo [flags]                                    load for scripts/demo
   bench list                                            list the experiments
   bench run NAME [-seed N] [-rounds N] [-quick]         run an experiment
-  bench compare A B                                     ratios of two results`
+  bench compare A B                                     ratios of two results
+  bench load [flags]                                    open-loop load, JSON lines
+  bench report [-out DIR] LINES                         page and plots of a load`
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -31,6 +35,10 @@
 	switch args[0] {
 	case "demo":
 		return demo.Main(ctx, args[1:], os.Stdout, os.Stderr)
+	case "load":
+		return load.Main(ctx, args[1:], os.Stdout, os.Stderr)
+	case "report":
+		return report.Main(ctx, args[1:], os.Stderr)
 	case "list":
 		return expt.List(os.Stdout)
 	case "run":
--- /dev/null
+++ b/bench/report/report_test.go
@@ -0,0 +1,41 @@
+package report_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"oriolebarrow/bench/report"
+)
+
+// Guards against a report that leaves out faults or needs counts that a load
+// without a control address doesn't have.
+func TestWriteReportsFaultsAndPlots(t *testing.T) {
+	lines := `{"at_us":100000,"latency_us":2000,"outcome":"complete","answered":2,"total":2}
+{"at_us":400000,"fault":"replica lost","answered":0,"total":0}
+{"at_us":900000,"latency_us":90000,"outcome":"partial","answered":1,"total":2}
+{"summary":{"scheduled":2}}
+`
+	samples, err := report.Read(strings.NewReader(lines))
+	if err != nil || len(samples) != 3 {
+		t.Fatalf("%d samples, %v", len(samples), err)
+	}
+	dir := t.TempDir()
+	if err := report.Write(dir, samples); err != nil {
+		t.Fatal(err)
+	}
+	page, _ := os.ReadFile(filepath.Join(dir, "report.md"))
+	for _, want := range []string{"| requests | 2 |", "| partial | 1 |", "0.40 s: `replica lost`"} {
+		if !bytes.Contains(page, []byte(want)) {
+			t.Errorf("report.md lacks %q:\n%s", want, page)
+		}
+	}
+	for _, name := range []string{"latency.svg", "coverage.svg", "extra_load.svg"} {
+		raw, err := os.ReadFile(filepath.Join(dir, name))
+		if err != nil || !bytes.Contains(raw, []byte("</svg>")) {
+			t.Errorf("%s: not a whole SVG, %v", name, err)
+		}
+	}
+}
