--- a/bench/expt/cover.go
+++ b/bench/expt/cover.go
@@ -52,6 +52,7 @@
 	}
 	after := c.fleet.Stats()
 	report := verify.Check(r.Queries, nil, c.fleet.Journal())
+	report.RequireJournal(after.JournalDropped)
 	ran, shed := float64(after.Executions-before.Executions), float64(after.Shed-before.Shed)
 	return Points{"replicas_lost": Figures{
 		"queries":           float64(r.Scheduled),
--- a/bench/verify/verify.go
+++ b/bench/verify/verify.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// LimitExtraLoad fails the report when more calls ran for each answered shard
+// than 1 + extra.
+func (r *Report) LimitExtraLoad(extra float64) {
+	if r.ExtraLoad > 1+extra {
+		r.fail("extra load: %.4f calls ran for each answered shard, want at most %.4f", r.ExtraLoad, 1+extra)
+	}
+}
+
+// RequireJournal fails the report when the journal dropped entries, since a
+// rule about runs can't be checked without them.
+func (r *Report) RequireJournal(dropped int64) {
+	if dropped > 0 {
+		r.fail("journal: %d entries were dropped", dropped)
+	}
+}
+
 type execution struct {
 	request  string
 	snapshot uint64
--- a/bench/verify/verify_test.go
+++ b/bench/verify/verify_test.go
@@ -76,3 +76,32 @@
 		})
 	}
 }
+
+// Guards against limits that never fail, and against actual coverage that
+// repeats the reported one.
+func TestLimitsAndActualCoverage(t *testing.T) {
+	q := verify.Query{
+		RequestID: "q1", Outcome: "complete", Snapshot: 41, Answered: 2, Total: 2,
+		Rows: []json.RawMessage{rows(t, 41, 0), rows(t, 40, 1)}, Deadline: 1e9,
+	}
+	entry := server.Entry{Kind: "read", RequestID: "q1", Snapshot: 41}
+	r := verify.Check([]verify.Query{q}, nil, []server.Entry{entry, entry, entry})
+	if r.ReportedCoverage != 1 || r.ActualCoverage != 0.5 {
+		t.Errorf("coverage: reported %v, actual %v, want 1 and 0.5", r.ReportedCoverage, r.ActualCoverage)
+	}
+	for name, limit := range map[string]func(*verify.Report){
+		"extra load": func(r *verify.Report) { r.LimitExtraLoad(0.49) },
+		"journal":    func(r *verify.Report) { r.RequireJournal(1) },
+	} {
+		before := r.FaultCount
+		if limit(r); r.FaultCount != before+1 {
+			t.Errorf("%s: the limit found no fault", name)
+		}
+	}
+	before := r.FaultCount
+	r.LimitExtraLoad(0.5)
+	r.RequireJournal(0)
+	if r.FaultCount != before {
+		t.Errorf("limits that hold found faults: %v", r.Faults)
+	}
+}
--- a/standin/plat/plat.go
+++ b/standin/plat/plat.go
@@ -34,6 +34,7 @@
 	Down  Mode = "down"  // refuses every read
 	Stale Mode = "stale" // serves an earlier revision
 	Empty Mode = "empty" // serves an empty document
+	Short Mode = "short" // serves a truncated document
 )
 
 type document struct {
@@ -178,6 +179,8 @@
 		}
 	case Empty:
 		doc.text = nil
+	case Short:
+		doc.text = doc.text[:len(doc.text)/2]
 	}
 	return doc, p.changed
 }
--- a/standin/server/fleet.go
+++ b/standin/server/fleet.go
@@ -77,7 +77,7 @@
 // Close stops all servers.
 func (f *Fleet) Close() {
 	for _, s := range f.all() {
-		_ = s.http.Close()
+		s.stop()
 	}
 }
 
@@ -151,6 +151,7 @@
 
 // Register adds the control interface to a mux.
 func (f *Fleet) Register(mux *http.ServeMux) {
+	f.registerScenes(mux)
 	mux.HandleFunc("GET /servers/journal", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(f.Journal())
 	})
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -45,7 +45,8 @@
 	Lost       bool            `json:"lost"`        // every connection closes without an answer
 	Stuck      bool            `json:"stuck"`       // calls never end by themselves
 	Snapshots  []SnapshotState `json:"snapshots"`   // replaces what the server holds
-	LoadLag    int             `json:"load_lag"`    // reported load, when above 0
+	LoadLagMS  int64           `json:"load_lag_ms"` // age of the reported load
+	LoadBias   int             `json:"load_bias"`   // added to the reported load
 }
 
 // SnapshotState is one snapshot that a server holds.
@@ -59,9 +60,9 @@
 type Server struct {
 	fleet   *Fleet
 	service core.ServiceName
+	group   int
 	address string
 	limits  core.Limits
-	http    *http.Server
 
 	conns    atomic.Int64
 	maxConns atomic.Int64
@@ -69,16 +70,21 @@
 	running  atomic.Int64
 
 	mu          sync.Mutex // guards the fields below
+	http        *http.Server
 	faults      Faults
 	random      *rand.Rand
 	incarnation uint64
 	cancels     map[string]context.CancelFunc
+	warmFrom    time.Time
+	warmFor     time.Duration
+	reports     []loadReport
 }
 
 func newServer(f *Fleet, s core.Service, group int, address string, seed uint64) *Server {
 	return &Server{
 		fleet:       f,
 		service:     s.Name(),
+		group:       group,
 		address:     address,
 		limits:      s.Limits(),
 		random:      rand.New(rand.NewPCG(f.opts.Seed, seed)),
@@ -100,11 +106,24 @@
 	mux.HandleFunc("POST /v1/read", s.read)
 	mux.HandleFunc("POST /v1/order", s.order)
 	mux.HandleFunc("POST /v1/cancel", s.cancel)
-	s.http = &http.Server{Handler: s.reachable(mux), ReadHeaderTimeout: 5 * time.Second, ConnState: s.connState}
-	go func() { _ = s.http.Serve(&costlyListener{Listener: l, cost: s.limits.NewConnectionCost}) }()
+	h := &http.Server{Handler: s.reachable(mux), ReadHeaderTimeout: 5 * time.Second, ConnState: s.connState}
+	s.mu.Lock()
+	s.http = h
+	s.mu.Unlock()
+	go func() { _ = h.Serve(&costlyListener{Listener: l, cost: s.limits.NewConnectionCost}) }()
 	return nil
 }
 
+// stop ends the server and its connections.
+func (s *Server) stop() {
+	s.mu.Lock()
+	h := s.http
+	s.mu.Unlock()
+	if h != nil {
+		_ = h.Close()
+	}
+}
+
 // reachable closes the connection of each request while the server is lost.
 func (s *Server) reachable(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -176,6 +195,9 @@
 func (s *Server) snapshot() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.faults.State == string(core.ReplicaCold) && s.warmFor > 0 && time.Since(s.warmFrom) >= s.warmFor {
+		s.faults.State, s.warmFor = string(core.ReplicaReady), 0
+	}
 	return s.faults
 }
 
@@ -200,19 +222,20 @@
 		d *= f.SlowFactor
 	}
 	if f.State == string(core.ReplicaCold) && f.ColdFactor > 0 {
-		d *= f.ColdFactor
+		factor := f.ColdFactor
+		if s.warmFor > 0 {
+			factor = ColdFactor(factor, time.Since(s.warmFrom), s.warmFor)
+		}
+		d *= factor
 	}
 	return time.Duration(d)
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
 	f := s.snapshot()
-	load := int(s.running.Load())
-	if f.LoadLag > 0 {
-		load = f.LoadLag
-	}
 	s.mu.Lock()
 	inc := s.incarnation
+	load := f.LoadBias + s.report(time.Now(), int(s.running.Load()), time.Duration(f.LoadLagMS)*time.Millisecond)
 	s.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"incarnation": inc, "state": f.State, "load": load, "slots": s.limits.Slots, "snapshots": f.Snapshots,
--- /dev/null
+++ b/standin/server/server_test.go
@@ -0,0 +1,188 @@
+package server_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/io/remote"
+	"oriolebarrow/standin/server"
+)
+
+const service core.ServiceName = "s"
+
+// fleet starts servers of two groups, one replica each, on loopback.
+func fleet(t *testing.T, o server.Options, limits core.Limits) (*server.Fleet, [2]string) {
+	t.Helper()
+	opened := make(map[string]net.Listener)
+	var addresses [2]string
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses[i] = l.Addr().String()
+		opened[addresses[i]] = l
+	}
+	o.Listen = func(network, address string) (net.Listener, error) {
+		if l := opened[address]; l != nil {
+			delete(opened, address)
+			return l, nil
+		}
+		return net.Listen(network, address) // a restart
+	}
+	f := server.NewFleet(o)
+	groups := [][]core.Replica{{core.NewReplica(addresses[0], "dc")}, {core.NewReplica(addresses[1], "dc")}}
+	if err := f.Start(core.NewService(service, groups, limits)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f, addresses
+}
+
+func read(t *testing.T, c *remote.Client, address string, snapshot core.SnapshotID, shard core.ShardID) core.Reason {
+	t.Helper()
+	_, err := c.Read(t.Context(), address, core.ReadCall{
+		CallID: "c", RequestID: "r", Service: service, Snapshot: snapshot, Shard: shard, Deadline: time.Now().Add(time.Minute),
+	})
+	var call *core.CallError
+	if errors.As(err, &call) {
+		return call.Reason
+	}
+	return ""
+}
+
+var wide = core.Limits{Slots: 4, Connections: 10}
+
+// Guards against a stand-in that keeps one shard map for all snapshots, or goes
+// on serving a snapshot that it has dropped.
+func TestSnapshotsRepartitionAndDrop(t *testing.T) {
+	f, at := fleet(t, server.Options{}, wide)
+	c := remote.New(remote.Options{Connections: 2})
+	defer c.Close()
+	f.Publish(service, 42, 3)
+	for shard, address := range []string{at[0], at[1], at[0]} {
+		if got := read(t, c, address, 42, core.ShardID(shard)); got != "" {
+			t.Errorf("shard %d of snapshot 42: %s", shard, got)
+		}
+	}
+	if got := read(t, c, at[1], 42, 2); got != core.ReasonSnapshotGone {
+		t.Errorf("shard of another group: %q", got)
+	}
+	f.Drop(service, server.FirstSnapshot)
+	if got := read(t, c, at[0], server.FirstSnapshot, 0); got != core.ReasonSnapshotGone {
+		t.Errorf("dropped snapshot: %q", got)
+	}
+}
+
+// Guards against a draining server that takes new work, and against a restart
+// that looks like the same incarnation.
+func TestDrainAndRestart(t *testing.T) {
+	f, at := fleet(t, server.Options{}, wide)
+	c := remote.New(remote.Options{Connections: 2})
+	defer c.Close()
+	f.Update(at[0], func(x *server.Faults) { x.State = string(core.ReplicaDraining) })
+	if got := read(t, c, at[0], server.FirstSnapshot, 0); got != core.ReasonDraining {
+		t.Errorf("draining server: %q", got)
+	}
+	before, _ := c.Status(t.Context(), at[0])
+	if err := f.Restart(at[0], time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	after, err := c.Status(context.WithoutCancel(t.Context()), at[0])
+	if err != nil || after.Incarnation <= before.Incarnation || after.State != core.ReplicaCold {
+		t.Errorf("after the restart: %+v, %v; before: %+v", after, err, before)
+	}
+}
+
+// Guards against a journal that grows without bound, and against counts that
+// stop when it is full.
+func TestJournalIsBounded(t *testing.T) {
+	f, at := fleet(t, server.Options{JournalMax: 2}, wide)
+	c := remote.New(remote.Options{Connections: 2})
+	defer c.Close()
+	for range 5 {
+		read(t, c, at[0], server.FirstSnapshot, 0)
+	}
+	stats := f.Stats()
+	if len(f.Journal()) != 2 || stats.Executions != 5 || stats.JournalDropped != 3 {
+		t.Errorf("%d entries, stats %+v", len(f.Journal()), stats)
+	}
+}
+
+// Guards against a limit that is counted but not kept.
+func TestConnectionLimitCloses(t *testing.T) {
+	f, at := fleet(t, server.Options{}, core.Limits{Slots: 1, Connections: 1})
+	first, err := net.Dial("tcp", at[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = first.Close() }()
+	second, err := net.Dial("tcp", at[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = second.Close() }()
+	if _, err := second.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection above the limit stays open")
+	}
+	if got := f.Stats(); got.OverConnections != 1 || got.MaxConnections != 2 {
+		t.Errorf("stats %+v", got)
+	}
+}
+
+// Guards against a load report that shows the present although it should lag.
+func TestLoadReportLags(t *testing.T) {
+	f, at := fleet(t, server.Options{}, wide)
+	c := remote.New(remote.Options{Connections: 4})
+	defer c.Close()
+	f.Update(at[0], func(x *server.Faults) { x.Stuck, x.LoadLagMS = true, time.Hour.Milliseconds() })
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = c.Read(ctx, at[0], core.ReadCall{CallID: "c", Service: service, Snapshot: server.FirstSnapshot, Deadline: time.Now().Add(time.Minute)})
+	}()
+	for f.Stats().Executions == 0 {
+		runtime.Gosched()
+	}
+	lagging, _ := c.Status(t.Context(), at[0])
+	f.Update(at[0], func(x *server.Faults) { x.LoadLagMS = 0 })
+	current, err := c.Status(t.Context(), at[0])
+	if err != nil || lagging.Load != 0 || current.Load != 1 {
+		t.Errorf("lagging load %d, current %d, want 0 and 1; %v", lagging.Load, current.Load, err)
+	}
+	cancel()
+	<-ended
+}
+
+// Guards against a set-up cost that is charged never or for every read.
+func TestSetupCostIsChargedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		c := server.Costly(near, 6*time.Millisecond)
+		go func() { _, _ = far.Write([]byte("ab")) }()
+		started := time.Now()
+		_, _ = c.Read(make([]byte, 1))
+		_, _ = c.Read(make([]byte, 1))
+		if got := time.Since(started); got != 6*time.Millisecond {
+			t.Errorf("two reads cost %s of simulated time, want 6ms", got)
+		}
+		_ = near.Close()
+	})
+}
+
+// Guards against a cold server that is fast at once or never warms up.
+func TestColdFactorFalls(t *testing.T) {
+	for since, want := range map[time.Duration]float64{0: 5, time.Second: 3, 2 * time.Second: 1, time.Minute: 1} {
+		if got := server.ColdFactor(5, since, 2*time.Second); got != want {
+			t.Errorf("after %s: %v, want %v", since, got, want)
+		}
+	}
+}
