--- a/io/entry/refresh.go
+++ b/io/entry/refresh.go
@@ -70,7 +70,11 @@
 		byGroup[h.Group] = append(byGroup[h.Group], h)
 	}
 	for _, g := range groups {
-		e.Table.Update(s, g, byGroup[g])
+		// An owner that has just taken a group over has not asked its replicas
+		// yet. Its silence is no news, and the table keeps what it has.
+		if h := byGroup[g]; len(h) > 0 {
+			e.Table.Update(s, g, h)
+		}
 	}
 }
 
--- a/io/node/hosts.go
+++ b/io/node/hosts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 
 	"github.com/pkg/errors"
 
@@ -24,7 +23,7 @@
 
 // runGossip keeps membership, host list and configuration until ctx ends.
 func (n *Node) runGossip(ctx context.Context) error {
-	conn, err := new(net.ListenConfig).ListenPacket(ctx, "udp", n.opts.PeerAddress)
+	conn, err := n.opts.ListenPacket("udp", n.opts.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "node: listen for gossip")
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -57,6 +57,10 @@
 	ShutdownBound time.Duration
 	Abort         <-chan struct{} // closed to end a shutdown at once; may be nil
 	Announcer     core.Announcer  // may be nil
+	// Listen, ListenPacket and Dial replace those of package net; may be nil.
+	Listen       func(network, address string) (net.Listener, error)
+	ListenPacket func(network, address string) (net.PacketConn, error)
+	Dial         peer.Dial // to hosts and replicas
 }
 
 // Node is one host.
@@ -81,6 +85,15 @@
 
 // New returns a host that is not running yet.
 func New(o Options, log *slog.Logger) (*Node, error) {
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
+	if o.ListenPacket == nil {
+		o.ListenPacket = net.ListenPacket
+	}
+	if o.Dial == nil {
+		o.Dial = new(net.Dialer).DialContext
+	}
 	inc := core.Incarnation(time.Now().UnixNano())
 	n := &Node{
 		opts:     o,
@@ -88,11 +101,11 @@
 		self:     core.NewHost(o.ID, o.DataCentre, o.PeerAddress),
 		ledger:   config.NewLedger(),
 		platform: plat.New(o.Platform, &http.Client{}),
-		backend:  remote.New(remote.Options{Connections: o.Connections}),
+		backend:  remote.New(remote.Options{Connections: o.Connections, Dial: o.Dial}),
 	}
 	n.gate = newGate(clocks(), log)
 	n.roster = member.New(n.self, inc, mrand.New(mrand.NewPCG(uint64(inc), mrand.Uint64())))
-	n.peers = peer.NewClient(o.ID, inc, new(net.Dialer).DialContext)
+	n.peers = peer.NewClient(o.ID, inc, o.Dial)
 	n.owner = owner.New(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger, gatedBackend{n.backend, n.gate}, log)
 	agent, err := n.newAgent()
 	if err != nil {
@@ -128,11 +141,11 @@
 
 // Run serves until ctx ends, then shuts down gracefully.
 func (n *Node) Run(ctx context.Context) error {
-	peers, err := net.Listen("tcp", n.opts.PeerAddress)
+	peers, err := n.opts.Listen("tcp", n.opts.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "node: listen for hosts")
 	}
-	callers, err := net.Listen("tcp", n.opts.CallerAddress)
+	callers, err := n.opts.Listen("tcp", n.opts.CallerAddress)
 	if err != nil {
 		_ = peers.Close()
 		return errors.Wrap(err, "node: listen for callers")
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -43,6 +43,8 @@
 // Options configures a client.
 type Options struct {
 	Connections int // open connections to a replica that Bound does not name
+	// Dial opens connections; net.Dialer when nil.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // bounded is the HTTP client of one replica and its connection limit.
@@ -79,7 +81,7 @@
 	if ok && old.connections == connections {
 		return
 	}
-	c.clients[address] = newBounded(connections)
+	c.clients[address] = c.newBounded(connections)
 	if ok {
 		old.CloseIdleConnections()
 	}
@@ -90,17 +92,16 @@
 	defer c.mu.Unlock()
 	b, ok := c.clients[address]
 	if !ok {
-		b = newBounded(c.opts.Connections)
+		b = c.newBounded(c.opts.Connections)
 		c.clients[address] = b
 	}
 	return b.Client
 }
 
-func newBounded(connections int) bounded {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func (c *Client) newBounded(connections int) bounded {
 	h := &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         c.dial,
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     idleTimeout,
@@ -111,6 +112,15 @@
 	return bounded{Client: h, connections: connections}
 }
 
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if c.opts.Dial != nil {
+		return c.opts.Dial(ctx, network, address)
+	}
+	return new(net.Dialer).DialContext(ctx, network, address)
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
