feat: add metrics, the decision log, the administration API and status

Cause: a host could be observed only through its text log, which was written synchronously by the goroutine that served the request, and it could not be asked or controlled at all.

Ruled out: meters and timers of go-metrics (each starts a goroutine and keeps process-wide state); the sample's sum for the exported summary (it stops growing once the sample is full); a token flag (other users can read the flags of a process); an administration API that is on by default (several hosts on one machine would collide on its port).

Before: log lines blocked on a slow reader; usage faults were partly several lines, help exited with 2. After: the log is bounded and counts what it drops, secrets are hidden, the level changes at run time; /v1 of the administration API reads and drains one host; `status` compares hosts; `check` lists every fault and also a section that the document holds twice.

Conclusion: io/telem is a slog.Handler, so the existing logger parameters stay. Replica states, budgets and the time and source of a section are read through interfaces in core and are reported as not available until they exist.

--- a/cmd/client.go
+++ b/cmd/client.go
@@ -8,11 +8,19 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 )
 
-// clientSlack is waited beyond the deadline, so that the host answers first.
-const clientSlack = 2 * time.Second
+const (
+	// clientSlack is waited beyond the deadline, so that the host answers first.
+	clientSlack = 2 * time.Second
+	// sectionSlack is waited when the section's deadline applies: the largest
+	// deadline that a section may have.
+	sectionSlack = 10 * time.Minute
+	// maxReplyBytes is above the 64 MB of rows that a host answers at most.
+	maxReplyBytes = 80 << 20
+)
 
 type clientFlags struct {
 	host     string
@@ -20,6 +28,7 @@
 	service  string
 	body     string
 	deadline time.Duration
+	json     bool
 }
 
 func (f *clientFlags) register(fs *flag.FlagSet) {
@@ -28,16 +37,24 @@
 	fs.StringVar(&f.service, "service", "", "service")
 	fs.StringVar(&f.body, "body", "{}", "request body, JSON")
 	fs.DurationVar(&f.deadline, "deadline", 0, "deadline; 0 for the section's")
+	fs.BoolVar(&f.json, "json", false, "print the host's answer as it is")
 }
 
-func (f *clientFlags) check(e env, fs *flag.FlagSet) bool {
+// check returns the first fault of the settings, or an empty string.
+func (f *clientFlags) check() string {
 	if f.host == "" || f.caller == "" || f.service == "" {
-		return reject(e, fs, "want -host, -caller and -service")
+		return "want -host, -caller and -service"
+	}
+	if _, err := netip.ParseAddrPort(f.host); err != nil {
+		return fmt.Sprintf("-host: want an IP number and port, got %q", f.host)
 	}
 	if !json.Valid([]byte(f.body)) {
-		return reject(e, fs, "-body: want JSON")
+		return "-body: want JSON"
 	}
-	return true
+	if f.deadline != 0 && f.deadline < time.Millisecond {
+		return "-deadline: want 0 or at least 1ms"
+	}
+	return ""
 }
 
 func query(ctx context.Context, e env, args []string) int {
@@ -45,8 +62,14 @@
 	fs := flag.NewFlagSet("query", flag.ContinueOnError)
 	f.register(fs)
 	coverage := fs.Float64("min-coverage", -1, "minimum coverage, 0 to 1; -1 for the section's")
-	if !parse(e, fs, args) || !f.check(e, fs) {
-		return ExitUsage
+	if code, ok := parse(e, fs, args); !ok {
+		return code
+	}
+	if fault := f.check(); fault != "" {
+		return reject(e, fs, "%s", fault)
+	}
+	if *coverage != -1 && !(*coverage >= 0 && *coverage <= 1) {
+		return reject(e, fs, "-min-coverage: want 0 to 1, or -1, got %g", *coverage)
 	}
 	in := map[string]any{
 		"caller": f.caller, "service": f.service, "body": json.RawMessage(f.body), "deadline_ms": f.deadline.Milliseconds(),
@@ -63,8 +86,14 @@
 	f.register(fs)
 	key := fs.String("key", "", "key of the order; it chooses the replica group")
 	token := fs.String("token", "", "token; empty to ask for one (the order does not run)")
-	if !parse(e, fs, args) || !f.check(e, fs) {
-		return ExitUsage
+	if code, ok := parse(e, fs, args); !ok {
+		return code
+	}
+	if fault := f.check(); fault != "" {
+		return reject(e, fs, "%s", fault)
+	}
+	if *token != "" && *key == "" {
+		return reject(e, fs, "-key: want the key of the order")
 	}
 	return f.post(ctx, e, "/v1/orders", map[string]any{
 		"caller": f.caller, "service": f.service, "key": *key, "token": *token,
@@ -75,28 +104,109 @@
 func (f *clientFlags) post(ctx context.Context, e env, path string, in any) int {
 	raw, err := json.Marshal(in)
 	if err != nil {
-		_, _ = fmt.Fprintf(e.err, "oriolebarrow: %v\n", err)
-		return ExitFault
+		return failed(e, err)
 	}
+	wait := sectionSlack
 	if f.deadline > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, f.deadline+clientSlack)
-		defer cancel()
+		wait = f.deadline
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait+clientSlack)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.host+path, bytes.NewReader(raw))
 	if err != nil {
-		_, _ = fmt.Fprintf(e.err, "oriolebarrow: %v\n", err)
-		return ExitUsage
+		return failed(e, err)
 	}
+	req.Header.Set("Content-Type", "application/json")
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		_, _ = fmt.Fprintf(e.err, "oriolebarrow: %v\n", err)
-		return ExitFault
+		return failed(e, err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	_, _ = io.Copy(e.out, res.Body)
-	if res.StatusCode != http.StatusOK {
+	raw, err = io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	if err != nil {
+		return failed(e, err)
+	}
+	var a reply
+	if err := json.Unmarshal(raw, &a); err != nil {
+		return failed(e, fmt.Errorf("the answer (status %d) is not the expected JSON: %w", res.StatusCode, err))
+	}
+	if f.json {
+		_, _ = e.out.Write(raw)
+	} else {
+		a.print(e.out)
+	}
+	if res.StatusCode != http.StatusOK || a.Coverage != nil && a.Coverage.BelowMinimum {
 		return ExitFault
 	}
 	return ExitOK
 }
+
+func failed(e env, err error) int {
+	_, _ = fmt.Fprintf(e.err, "oriolebarrow: %v\n", err)
+	return ExitFault
+}
+
+// reply holds what a host answers to a query, an order or a faulty request.
+type reply struct {
+	RequestID      string `json:"request_id"`
+	Outcome        string `json:"outcome"`
+	Reason         string `json:"reason"`
+	Error          string `json:"error"`
+	Snapshot       uint64 `json:"snapshot"`
+	ConfigRevision uint64 `json:"config_revision"`
+	RetryAfterMS   int64  `json:"retry_after_ms"`
+	DeadlineMS     int64  `json:"deadline_ms"`
+	DeadlineCapped bool   `json:"deadline_capped"`
+	Token          string `json:"token"`
+	Coverage       *struct {
+		Answered     int  `json:"answered"`
+		Total        int  `json:"total"`
+		BelowMinimum bool `json:"below_minimum"`
+		Missing      []struct {
+			Shard  int32  `json:"shard"`
+			Reason string `json:"reason"`
+		} `json:"missing"`
+	} `json:"coverage"`
+	Rows   []json.RawMessage `json:"rows"`
+	Result json.RawMessage   `json:"result"`
+}
+
+// print writes one line for each thing that the answer says.
+func (a *reply) print(w io.Writer) {
+	line := func(name, format string, args ...any) {
+		_, _ = fmt.Fprintf(w, "%-10s %s\n", name, fmt.Sprintf(format, args...))
+	}
+	line("outcome", "%s", a.Outcome)
+	for _, f := range []struct{ name, value string }{
+		{"reason", a.Reason}, {"error", a.Error}, {"request", a.RequestID}, {"token", a.Token},
+	} {
+		if f.value != "" {
+			line(f.name, "%s", f.value)
+		}
+	}
+	if c := a.Coverage; c != nil {
+		line("coverage", "%d of %d shards", c.Answered, c.Total)
+		if c.BelowMinimum {
+			line("warning", "coverage is below the minimum")
+		}
+		for _, m := range c.Missing {
+			line("missing", "shard %d: %s", m.Shard, m.Reason)
+		}
+		line("snapshot", "%d", a.Snapshot)
+	}
+	if a.ConfigRevision > 0 {
+		line("revision", "%d", a.ConfigRevision)
+	}
+	if a.RetryAfterMS > 0 {
+		line("retry", "after %d ms", a.RetryAfterMS)
+	}
+	if a.DeadlineCapped {
+		line("deadline", "%d ms, capped by the caller's section", a.DeadlineMS)
+	}
+	for _, r := range a.Rows {
+		line("rows", "%s", r)
+	}
+	if len(a.Result) > 0 {
+		line("result", "%s", a.Result)
+	}
+}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -37,16 +38,18 @@
 
 type command struct {
 	summary string
+	args    string // what follows the flags
 	run     func(ctx context.Context, e env, args []string) int
 }
 
 func commands() map[string]command {
 	return map[string]command{
-		"serve":   {"run one host", serve},
-		"check":   {"validate a configuration document", check},
-		"query":   {"send one query", query},
-		"order":   {"send one order", order},
-		"version": {"print the version", version},
+		"serve":   {"run one host", "", serve},
+		"check":   {"validate a configuration document", "FILE", check},
+		"query":   {"send one query", "", query},
+		"order":   {"send one order", "", order},
+		"status":  {"compare several hosts", "", status},
+		"version": {"print the version", "", version},
 	}
 }
 
@@ -59,16 +62,20 @@
 		usage(errOut)
 		return ExitUsage
 	}
-	if args[0] == "help" || args[0] == "-h" || args[0] == "--help" {
-		usage(out)
-		return ExitOK
+	name, rest := args[0], args[1:]
+	if name == "help" || name == "-h" || name == "-help" || name == "--help" {
+		if len(rest) == 0 {
+			usage(out)
+			return ExitOK
+		}
+		name, rest = rest[0], []string{"-help"}
 	}
-	c, ok := commands()[args[0]]
+	c, ok := commands()[name]
 	if !ok {
-		_, _ = fmt.Fprintf(errOut, "oriolebarrow: unknown command %q; see oriolebarrow help\n", args[0])
+		_, _ = fmt.Fprintf(errOut, "oriolebarrow: unknown command %q; see oriolebarrow help\n", name)
 		return ExitUsage
 	}
-	return c.run(ctx, e, args[1:])
+	return c.run(ctx, e, rest)
 }
 
 func usage(w io.Writer) {
@@ -83,22 +90,45 @@
 		_, _ = fmt.Fprintf(w, "  %-8s %s\n", name, all[name].summary)
 	}
 	_, _ = fmt.Fprintln(w, "Each flag can be set as an environment variable, OBW_ and its name in capitals.")
+	_, _ = fmt.Fprintln(w, "oriolebarrow help COMMAND lists the flags of a command.")
 }
 
-// parse reads flags, then the environment for flags that were not given. It
-// reports one line for the first fault.
-func parse(e env, fs *flag.FlagSet, args []string) bool {
+// parse reads flags, then the environment for flags that were not given. When
+// the command must not run it reports one line, or the help, and returns the
+// exit code.
+func parse(e env, fs *flag.FlagSet, args []string) (code int, ok bool) {
 	fs.SetOutput(io.Discard)
+	fs.Usage = func() {}
 	err := ff.Parse(fs, args, ff.WithEnvVarPrefix(envPrefix))
-	if err == flag.ErrHelp {
-		fs.SetOutput(e.out)
-		fs.PrintDefaults()
-		return false
+	if errors.Is(err, flag.ErrHelp) {
+		help(e.out, fs)
+		return ExitOK, false
 	}
 	if err != nil {
-		return reject(e, fs, "%s", firstLine(err))
+		return reject(e, fs, "%s", firstLine(err)), false
 	}
-	return true
+	if c := commands()[fs.Name()]; c.args == "" && fs.NArg() > 0 {
+		return reject(e, fs, "unexpected argument %q", fs.Arg(0)), false
+	}
+	return ExitOK, true
+}
+
+func help(w io.Writer, fs *flag.FlagSet) {
+	c := commands()[fs.Name()]
+	line := strings.TrimRight("usage: oriolebarrow "+fs.Name()+" [flags] "+c.args, " ")
+	_, _ = fmt.Fprintf(w, "%s\n%s\n", line, c.summary)
+	fs.VisitAll(func(f *flag.Flag) {
+		kind, text := flag.UnquoteUsage(f)
+		_, _ = fmt.Fprintf(w, "  -%s %s\n        %s (%s", f.Name, kind, text, envName(f.Name))
+		if f.DefValue != "" {
+			_, _ = fmt.Fprintf(w, ", default %s", f.DefValue)
+		}
+		_, _ = fmt.Fprintln(w, ")")
+	})
+}
+
+func envName(flagName string) string {
+	return envPrefix + "_" + strings.ToUpper(strings.ReplaceAll(flagName, "-", "_"))
 }
 
 func firstLine(err error) string {
@@ -106,15 +136,20 @@
 	return line
 }
 
-func reject(e env, fs *flag.FlagSet, format string, args ...any) bool {
+// reject reports why a command does not run.
+func reject(e env, fs *flag.FlagSet, format string, args ...any) int {
 	_, _ = fmt.Fprintf(e.err, "oriolebarrow %s: %s\n", fs.Name(), fmt.Sprintf(format, args...))
-	return false
+	return ExitUsage
 }
 
 // Version is the program's version; a release build sets it.
 const Version = "0.1.0-dev"
 
-func version(_ context.Context, e env, _ []string) int {
+func version(_ context.Context, e env, args []string) int {
+	fs := flag.NewFlagSet("version", flag.ContinueOnError)
+	if code, ok := parse(e, fs, args); !ok {
+		return code
+	}
 	_, _ = fmt.Fprintln(e.out, "oriolebarrow", Version)
 	return ExitOK
 }
--- /dev/null
+++ b/cmd/cmd_test.go
@@ -0,0 +1,207 @@
+package cmd_test
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"oriolebarrow/cmd"
+)
+
+func run(args ...string) (int, string, string) {
+	var out, errOut bytes.Buffer
+	code := cmd.Main(args, &out, &errOut)
+	return code, out.String(), errOut.String()
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Guards against a host that starts with bad or contradictory settings, and
+// against faults that are reported as something else than one clear line.
+func TestUsageFaults(t *testing.T) {
+	serve := func(more ...string) []string {
+		return append([]string{"serve", "-id", "h", "-data-centre", "d", "-peer-address", "127.0.0.1:1",
+			"-caller-address", "127.0.0.1:2", "-platform", "http://127.0.0.1:3"}, more...)
+	}
+	client := []string{"query", "-host", "127.0.0.1:1", "-caller", "c", "-service", "s"}
+	short := write(t, "short")
+	for _, c := range []struct {
+		args []string
+		env  map[string]string
+		want string
+	}{
+		{[]string{"start"}, nil, `unknown command "start"`},
+		{serve("-colour"), nil, "flag provided but not defined: -colour"},
+		{serve("extra"), nil, `unexpected argument "extra"`},
+		{serve("-token-max", "x"), nil, `invalid value "x" for flag -token-max`},
+		{serve(), map[string]string{"OBW_CONNECTIONS": "many"}, `from environment variable "OBW_CONNECTIONS"`},
+		{serve(), map[string]string{"OBW_LOG_LEVEL": "loud"}, `-log-level: want debug, info, warn or error, got "loud"`},
+		{serve("-log-format", "xml"), nil, `-log-format: want text or json, got "xml"`},
+		{serve("-id", "a~b"), nil, "-id:"},
+		{serve("-peer-address", "mixco:1"), nil, "-peer-address: want an IP number and port"},
+		{serve("-peer-address", "127.0.0.1:2"), nil, "want two different addresses"},
+		{serve("-platform", "ftp://x"), nil, "-platform: want an http URL"},
+		{serve("-token-lifetime", "0s"), nil, "want values above 0"},
+		{serve("-admin-address", ":2"), nil, "-admin-address: want another address"},
+		{serve("-admin-address", "admin:2"), nil, "-admin-address: want an IP number and port"},
+		{serve("-admin-address", "10.0.0.1:4"), nil, "is not loopback; want -admin-token-file or OBW_ADMIN_TOKEN"},
+		{serve("-admin-address", ":4", "-admin-token-file", short), nil, "at least 16 bytes"},
+		{serve("-admin-token-file", short), nil, "has no use without -admin-address"},
+		{serve("-admin-address", ":4", "-admin-token-file", short), map[string]string{"OBW_ADMIN_TOKEN": "x"}, "want only one of them"},
+		{serve("-admin-address", ":4", "-admin-token-file", short+"-none"), nil, "-admin-token-file: open"},
+		{[]string{"check"}, nil, "want one file"},
+		{[]string{"check", "a", "b"}, nil, "want one file"},
+		{[]string{"query"}, nil, "want -host, -caller and -service"},
+		{append(client, "-host", "localhost:1"), nil, "-host: want an IP number and port"},
+		{append(client, "-body", "{"), nil, "-body: want JSON"},
+		{append(client, "-min-coverage", "1.5"), nil, "-min-coverage: want 0 to 1"},
+		{append(client, "-min-coverage", "NaN"), nil, "-min-coverage: want 0 to 1"},
+		{append(client, "-deadline", "-1s"), nil, "-deadline: want 0 or at least 1ms"},
+		{[]string{"order", "-host", "127.0.0.1:1", "-caller", "c", "-service", "s", "-token", "t"}, nil, "-key:"},
+		{[]string{"status"}, nil, "want -hosts"},
+		{[]string{"status", "-hosts", "127.0.0.1:1,127.0.0.1:1"}, nil, "is listed twice"},
+		{[]string{"status", "-hosts", "127.0.0.1:1", "-timeout", "0s"}, nil, "-timeout:"},
+		{[]string{"version", "now"}, nil, `unexpected argument "now"`},
+	} {
+		t.Run(strings.Join(c.args, " "), func(t *testing.T) {
+			for k, v := range c.env {
+				t.Setenv(k, v)
+			}
+			code, out, errOut := run(c.args...)
+			if code != cmd.ExitUsage || out != "" || !strings.Contains(errOut, c.want) || strings.Count(errOut, "\n") != 1 {
+				t.Errorf("exit %d, out %q, err %q; want exit 2 and one line with %q", code, out, errOut, c.want)
+			}
+			if strings.Contains(errOut, "short\n") {
+				t.Errorf("the token is printed: %q", errOut)
+			}
+		})
+	}
+}
+
+// Guards against a flag that loses to the environment, and help that fails.
+func TestHelpAndEnvironment(t *testing.T) {
+	t.Setenv("OBW_TIMEOUT", "bad")
+	if code, _, errOut := run("status", "-hosts", "127.0.0.1:1", "-timeout", "0s"); code != cmd.ExitUsage || !strings.Contains(errOut, "want a value above 0") {
+		t.Errorf("the flag does not override the environment: exit %d, %q", code, errOut)
+	}
+	for _, name := range []string{"serve", "check", "query", "order", "status", "version"} {
+		for _, args := range [][]string{{name, "-help"}, {"help", name}} {
+			code, out, errOut := run(args...)
+			if code != cmd.ExitOK || errOut != "" || !strings.Contains(out, "usage: oriolebarrow "+name) {
+				t.Errorf("%v: exit %d, %q, %q", args, code, out, errOut)
+			}
+		}
+	}
+	if _, out, _ := run("help", "serve"); !strings.Contains(out, "OBW_PEER_ADDRESS") {
+		t.Errorf("help does not name the environment: %s", out)
+	}
+}
+
+// Guards against a check that stops at the first fault or accepts a document
+// that hosts refuse.
+func TestCheck(t *testing.T) {
+	const good = "kind: caller\nname: a\nteam: t\nedition: 1\nservices: [s]\n---\n"
+	for _, c := range []struct {
+		name, text string
+		code       int
+		want       []string
+	}{
+		{"good", good + "kind: end\n", cmd.ExitOK, []string{"ok caller/a edition 1"}},
+		{"truncated", good, cmd.ExitFault, []string{"does not end"}},
+		{"empty", "", cmd.ExitFault, []string{"empty"}},
+		{"two faults", "kind: caller\nname: a\nteam: t\nedition: 0\nservices: []\nmin_coverage: 2\n---\nkind: end\n", cmd.ExitFault,
+			[]string{`section "caller/a", key "edition", line 4`, `key "min_coverage", line 6: want 0 to 1, got 2`, `key "services", line 5`}},
+		{"second section", good + good + "kind: end\n", cmd.ExitFault, []string{`section "caller/a", key "name", line 7`, "at line 1"}},
+		{"syntax", good + "kind: [\n---\nkind: end\n", cmd.ExitFault, []string{"ok caller/a", "line 7"}},
+		{"unknown key", "kind: caller\nnam: a\n---\nkind: end\n", cmd.ExitFault, []string{"line 2", "nam"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			code, out, _ := run("check", write(t, c.text))
+			if code != c.code {
+				t.Errorf("exit %d, want %d", code, c.code)
+			}
+			for _, want := range c.want {
+				if !strings.Contains(out, want) {
+					t.Errorf("no %q in %s", want, out)
+				}
+			}
+		})
+	}
+}
+
+func serveJSON(t *testing.T, status int, body string) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// Guards against a fleet that disagrees without anybody seeing it.
+func TestStatus(t *testing.T) {
+	host := func(name, digest string) string {
+		return serveJSON(t, 200, `{"host":"`+name+`","ready":true,"revision":7,"sections":2,"sections_digest":"`+digest+`","view":["a","b"]}`)
+	}
+	a, b, c := host("a", "aaaaaaaaaa"), host("b", "aaaaaaaaaa"), host("c", "cccccccccc")
+	denied := serveJSON(t, 401, `{}`)
+	for _, tc := range []struct {
+		name  string
+		hosts []string
+		more  string
+		code  int
+		want  string
+	}{
+		{"alike", []string{a, b}, "", cmd.ExitOK, "2 aaaaaaaa "},
+		{"one differs", []string{a, b, c}, "", cmd.ExitFault, "2 cccccccc*"},
+		{"named", []string{a, b, c}, "", cmd.ExitFault, "disagreement on sections (marked *):\n  aaaaaaaaaa: " + a + " " + b},
+		{"no majority", []string{a, c}, "", cmd.ExitFault, "2 aaaaaaaa*"},
+		{"no answer", []string{a, denied}, "", cmd.ExitFault, "status 401"},
+		{"json", []string{a, c}, "-json", cmd.ExitFault, `"subject": "sections"`},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			args := []string{"status", "-hosts", strings.Join(tc.hosts, ",")}
+			if tc.more != "" {
+				args = append(args, tc.more)
+			}
+			code, out, errOut := run(args...)
+			if code != tc.code || !strings.Contains(out, tc.want) {
+				t.Errorf("exit %d, want %d; no %q in\n%s%s", code, tc.code, tc.want, out, errOut)
+			}
+		})
+	}
+}
+
+// Guards against a partial or refused answer that a script takes for a good one.
+func TestQueryAndOrder(t *testing.T) {
+	for _, c := range []struct {
+		name, command, body string
+		status, code        int
+		more, want          string
+	}{
+		{"complete", "query", `{"outcome":"complete","coverage":{"answered":2,"total":2},"rows":[[1],[]]}`, 200, cmd.ExitOK, "-json=false", "coverage   2 of 2 shards"},
+		{"below minimum", "query", `{"outcome":"partial","coverage":{"answered":1,"total":2,"below_minimum":true,"missing":[{"shard":1,"reason":"deadline"}]},"rows":[]}`, 200, cmd.ExitFault, "-json=false", "missing    shard 1: deadline"},
+		{"refused", "order", `{"outcome":"not_run","reason":"no_token","token":"h~1~2"}`, 428, cmd.ExitFault, "-json=false", "token      h~1~2"},
+		{"raw", "order", `{"outcome":"unknown"}`, 504, cmd.ExitFault, "-json", `{"outcome":"unknown"}`},
+		{"no json", "query", `<html>`, 502, cmd.ExitFault, "-json=false", "status 502"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			at := serveJSON(t, c.status, c.body)
+			code, out, errOut := run(c.command, "-host", at, "-caller", "c", "-service", "s", c.more)
+			if code != c.code || !strings.Contains(out+errOut, c.want) {
+				t.Errorf("exit %d, want %d; no %q in\n%s%s", code, c.code, c.want, out, errOut)
+			}
+		})
+	}
+}
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"log/slog"
@@ -11,7 +12,14 @@
 	"time"
 
 	"oriolebarrow/core"
+	"oriolebarrow/io/admin"
 	"oriolebarrow/io/node"
+	"oriolebarrow/io/telem"
+)
+
+const (
+	loopback        = "127.0.0.1"
+	logCloseTimeout = 2 * time.Second
 )
 
 type serveFlags struct {
@@ -19,6 +27,9 @@
 	dataCentre    string
 	peerAddress   string
 	callerAddress string
+	adminAddress  string
+	adminFile     string
+	adminToken    string
 	platform      string
 	tokenLifetime time.Duration
 	tokenMax      int
@@ -34,19 +45,30 @@
 	fs.StringVar(&f.dataCentre, "data-centre", "", "data centre of this host")
 	fs.StringVar(&f.peerAddress, "peer-address", "", "IP number and port for other hosts")
 	fs.StringVar(&f.callerAddress, "caller-address", "", "IP number and port for callers")
+	fs.StringVar(&f.adminAddress, "admin-address", "", "IP number and port for operators, or :port for loopback; empty for none")
+	fs.StringVar(&f.adminFile, "admin-token-file", "", "file with the operators' bearer token; needed when -admin-address is not loopback")
 	fs.StringVar(&f.platform, "platform", "", "base URL of the platform's services")
 	fs.DurationVar(&f.tokenLifetime, "token-lifetime", time.Minute, "how long an order token is kept")
 	fs.IntVar(&f.tokenMax, "token-max", 100_000, "order tokens kept at most")
 	fs.IntVar(&f.connections, "connections", 5, "connections to one backend server at most")
 	fs.StringVar(&f.logFormat, "log-format", "text", "text or json")
 	fs.StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
-	if !parse(e, fs, args) {
-		return ExitUsage
+	if code, ok := parse(e, fs, args); !ok {
+		return code
 	}
 	if fault := f.check(); fault != "" {
-		reject(e, fs, "%s", fault)
-		return ExitUsage
+		return reject(e, fs, "%s", fault)
 	}
+	return f.run(ctx, e)
+}
+
+func (f *serveFlags) run(ctx context.Context, e env) int {
+	level, _ := telem.ParseLevel(f.logLevel)
+	metrics := telem.NewRegistry()
+	handler := telem.NewHandler(e.err, telem.Options{Format: f.logFormat, Level: level, Metrics: metrics})
+	defer closeLog(handler)
+	ctx, drain := context.WithCancel(ctx)
+	defer drain()
 	n := node.New(node.Options{
 		ID:            core.HostID(f.id),
 		DataCentre:    core.DataCentre(f.dataCentre),
@@ -56,7 +78,15 @@
 		TokenLifetime: f.tokenLifetime,
 		TokenMax:      f.tokenMax,
 		Connections:   f.connections,
-	}, f.logger(e))
+		Admin: node.AdminOptions{
+			Address: f.adminAddress,
+			Token:   f.adminToken,
+			Version: Version,
+			Levels:  handler,
+			Metrics: metrics,
+			Drain:   drain,
+		},
+	}, slog.New(handler))
 	if err := n.Run(ctx); err != nil {
 		_, _ = fmt.Fprintf(e.err, "oriolebarrow serve: %v\n", err)
 		return ExitFault
@@ -64,6 +94,13 @@
 	return ExitOK
 }
 
+// closeLog waits a bounded time, since whoever reads the log may have stopped.
+func closeLog(h *telem.Handler) {
+	ctx, cancel := context.WithTimeout(context.Background(), logCloseTimeout)
+	defer cancel()
+	_ = h.Close(ctx)
+}
+
 // check returns the first fault of the settings, or an empty string.
 func (f *serveFlags) check() string {
 	if f.id == "" || strings.ContainsAny(f.id, "~ /\t\n") {
@@ -84,25 +121,48 @@
 	if f.peerAddress == f.callerAddress {
 		return "-peer-address and -caller-address: want two different addresses"
 	}
+	if fault := f.checkAdmin(); fault != "" {
+		return fault
+	}
 	if f.tokenLifetime <= 0 || f.tokenMax <= 0 || f.connections <= 0 {
 		return "-token-lifetime, -token-max and -connections: want values above 0"
 	}
 	if f.logFormat != "text" && f.logFormat != "json" {
 		return fmt.Sprintf("-log-format: want text or json, got %q", f.logFormat)
 	}
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(f.logLevel)); err != nil {
+	if _, err := telem.ParseLevel(f.logLevel); err != nil {
 		return fmt.Sprintf("-log-level: want debug, info, warn or error, got %q", f.logLevel)
 	}
 	return ""
 }
 
-func (f *serveFlags) logger(e env) *slog.Logger {
-	var level slog.Level
-	_ = level.UnmarshalText([]byte(f.logLevel))
-	opts := &slog.HandlerOptions{Level: level}
-	if f.logFormat == "json" {
-		return slog.New(slog.NewJSONHandler(e.err, opts))
-	}
-	return slog.New(slog.NewTextHandler(e.err, opts))
+// checkAdmin reads the bearer token and returns the first fault of the
+// settings of the administration interface, or an empty string.
+func (f *serveFlags) checkAdmin() string {
+	var err error
+	if f.adminToken, err = adminToken(f.adminFile); err != nil {
+		return err.Error()
+	}
+	if f.adminAddress == "" {
+		if f.adminFile != "" {
+			return "-admin-token-file: has no use without -admin-address"
+		}
+		return ""
+	}
+	if strings.HasPrefix(f.adminAddress, ":") {
+		f.adminAddress = loopback + f.adminAddress
+	}
+	if f.adminAddress == f.peerAddress || f.adminAddress == f.callerAddress {
+		return "-admin-address: want another address than those for hosts and callers"
+	}
+	o := admin.Options{Address: f.adminAddress, Token: f.adminToken}
+	switch err := o.Check(); {
+	case errors.Is(err, admin.ErrAddress):
+		return fmt.Sprintf("-admin-address: want an IP number and port, got %q", f.adminAddress)
+	case errors.Is(err, admin.ErrNoToken):
+		return fmt.Sprintf("-admin-address: %s is not loopback; want -admin-token-file or %s", f.adminAddress, adminTokenEnv)
+	case err != nil:
+		return fmt.Sprintf("-admin-token-file or %s: want at least 16 bytes without spaces", adminTokenEnv)
+	}
+	return ""
 }
--- /dev/null
+++ b/io/admin/read.go
@@ -0,0 +1,231 @@
+package admin
+
+import (
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"time"
+
+	"oriolebarrow/core"
+)
+
+// Status is the summary of one host; the command status compares those of
+// several hosts.
+type Status struct {
+	Host            string   `json:"host"`
+	DataCentre      string   `json:"data_centre"`
+	Version         string   `json:"version"`
+	Ready           bool     `json:"ready"`
+	Reasons         []string `json:"reasons"`
+	Revision        uint64   `json:"revision"`
+	Sections        int      `json:"sections"`
+	SectionsDigest  string   `json:"sections_digest"`
+	RefusedSections int      `json:"refused_sections"`
+	View            []string `json:"view"`
+	ViewVersion     uint64   `json:"view_version"`
+	Services        int      `json:"services"`
+}
+
+func (h *Handler) status(w http.ResponseWriter, _ *http.Request) {
+	ready := h.readiness()
+	out := Status{
+		Host:       string(h.Self.ID()),
+		DataCentre: string(h.Self.DataCentre()),
+		Version:    h.Version,
+		Ready:      ready.Ready,
+		Reasons:    ready.Reasons,
+		View:       []string{},
+	}
+	if h.Settings != nil {
+		out.Revision = uint64(h.Settings.Revision())
+		out.Services = len(h.Settings.Services())
+	}
+	if h.Sections != nil {
+		all := h.Sections.SectionStatuses()
+		out.Sections = len(all)
+		out.SectionsDigest = digest(all)
+		out.RefusedSections = len(h.Sections.RefusedSections())
+	}
+	if h.Views != nil {
+		view := h.Views.View(h.now())
+		out.ViewVersion = view.Version()
+		for _, host := range view.Hosts() {
+			out.View = append(out.View, string(host.ID()))
+		}
+	}
+	write(w, http.StatusOK, out)
+}
+
+// digest is equal on two hosts that hold the same content of the same sections.
+// The revision is left out: it tells how a host got a section, not what it holds.
+func digest(all []core.SectionStatus) string {
+	sum := fnv.New64a()
+	for _, s := range all {
+		_, _ = fmt.Fprintf(sum, "%s/%s %d %x %t\n", s.Kind, s.Name, s.Edition, s.Hash, s.Removed)
+	}
+	return fmt.Sprintf("%016x", sum.Sum64())
+}
+
+type hostOut struct {
+	Host       string `json:"host"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+	State      string `json:"state"`
+	Self       bool   `json:"self"`
+}
+
+func (h *Handler) hosts(w http.ResponseWriter, _ *http.Request) {
+	if h.Hosts == nil {
+		unavailable(w, "hosts")
+		return
+	}
+	out := []hostOut{}
+	for _, s := range h.Hosts.HostStatuses(h.now()) {
+		out = append(out, hostOut{
+			Host:       string(s.Host.ID()),
+			DataCentre: string(s.Host.DataCentre()),
+			Address:    s.Host.Address(),
+			State:      s.State.String(),
+			Self:       s.Self,
+		})
+	}
+	write(w, http.StatusOK, map[string]any{"hosts": out})
+}
+
+type sectionOut struct {
+	Kind     string `json:"kind"`
+	Name     string `json:"name"`
+	Team     string `json:"team"`
+	Edition  uint64 `json:"edition"`
+	Revision uint64 `json:"revision"`
+	Hash     string `json:"hash"`
+	Removed  bool   `json:"removed"`
+	Since    string `json:"since,omitempty"`
+	Source   string `json:"source,omitempty"`
+}
+
+func (h *Handler) sections(w http.ResponseWriter, _ *http.Request) {
+	if h.Sections == nil {
+		unavailable(w, "sections")
+		return
+	}
+	out := []sectionOut{}
+	for _, s := range h.Sections.SectionStatuses() {
+		o := sectionOut{
+			Kind: s.Kind, Name: s.Name, Team: s.Team, Edition: uint64(s.Edition), Revision: uint64(s.Revision),
+			Hash: fmt.Sprintf("%016x", s.Hash), Removed: s.Removed, Source: s.Source,
+		}
+		if !s.Since.IsZero() {
+			o.Since = s.Since.UTC().Format(time.RFC3339Nano)
+		}
+		out = append(out, o)
+	}
+	write(w, http.StatusOK, map[string]any{"sections": out})
+}
+
+type refusedOut struct {
+	Section  string `json:"section"`
+	Revision uint64 `json:"revision"`
+	Reason   string `json:"reason"`
+}
+
+func (h *Handler) refused(w http.ResponseWriter, _ *http.Request) {
+	if h.Sections == nil {
+		unavailable(w, "sections")
+		return
+	}
+	out := []refusedOut{}
+	for _, r := range h.Sections.RefusedSections() {
+		out = append(out, refusedOut{Section: r.Section, Revision: uint64(r.Revision), Reason: r.Reason})
+	}
+	write(w, http.StatusOK, map[string]any{"refused": out})
+}
+
+type serviceOut struct {
+	Service     string `json:"service"`
+	Groups      int    `json:"groups"`
+	Replicas    int    `json:"replicas"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	QueueLength int    `json:"queue_length"`
+}
+
+func (h *Handler) services(w http.ResponseWriter, _ *http.Request) {
+	if h.Settings == nil {
+		unavailable(w, "services")
+		return
+	}
+	out := []serviceOut{}
+	for _, s := range h.Settings.Services() {
+		o := serviceOut{
+			Service: string(s.Name()), Groups: len(s.Groups()), Slots: s.Limits().Slots,
+			Connections: s.Limits().Connections, QueueLength: s.Limits().QueueLength,
+		}
+		for _, g := range s.Groups() {
+			o.Replicas += len(g)
+		}
+		out = append(out, o)
+	}
+	write(w, http.StatusOK, map[string]any{"services": out})
+}
+
+type replicaOut struct {
+	Service     string `json:"service"`
+	Group       int32  `json:"group"`
+	Address     string `json:"address"`
+	DataCentre  string `json:"data_centre"`
+	Owner       string `json:"owner"`
+	SlotsInUse  int    `json:"slots_in_use"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	State       string `json:"state"`
+	Reason      string `json:"reason"`
+}
+
+func (h *Handler) replicas(w http.ResponseWriter, _ *http.Request) {
+	if h.Replicas == nil {
+		unavailable(w, "replicas")
+		return
+	}
+	out := []replicaOut{}
+	for _, r := range h.Replicas.ReplicaReports(h.now()) {
+		out = append(out, replicaOut{
+			Service: string(r.Service), Group: int32(r.Group), Address: r.Address, DataCentre: string(r.DataCentre),
+			Owner: string(r.Owner), SlotsInUse: r.SlotsInUse, Slots: r.Slots, Connections: r.Connections,
+			State: r.State, Reason: r.Reason,
+		})
+	}
+	write(w, http.StatusOK, map[string]any{"replicas": out})
+}
+
+func (h *Handler) tokens(w http.ResponseWriter, _ *http.Request) {
+	if h.Tokens == nil {
+		unavailable(w, "tokens")
+		return
+	}
+	write(w, http.StatusOK, map[string]any{"tokens": h.Tokens.TokenCounts()})
+}
+
+type budgetOut struct {
+	Service   string  `json:"service"`
+	Kind      string  `json:"kind"`
+	Share     float64 `json:"share"`
+	Available float64 `json:"available"`
+	Used      uint64  `json:"used"`
+	Denied    uint64  `json:"denied"`
+}
+
+func (h *Handler) budgets(w http.ResponseWriter, _ *http.Request) {
+	if h.Budgets == nil {
+		unavailable(w, "budgets")
+		return
+	}
+	out := []budgetOut{}
+	for _, b := range h.Budgets.BudgetReports(h.now()) {
+		out = append(out, budgetOut{
+			Service: string(b.Service), Kind: b.Kind, Share: b.Share,
+			Available: b.Available, Used: b.Used, Denied: b.Denied,
+		})
+	}
+	write(w, http.StatusOK, map[string]any{"budgets": out})
+}
--- /dev/null
+++ b/io/node/admin.go
@@ -0,0 +1,165 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/config"
+	"oriolebarrow/core/order"
+	"oriolebarrow/io/admin"
+	"oriolebarrow/io/caller"
+	"oriolebarrow/io/telem"
+)
+
+// AdminOptions are the settings of the interface for operators.
+type AdminOptions struct {
+	Address string // empty for none
+	Token   string
+	Version string
+	Levels  core.Levels
+	Metrics *telem.Registry
+	Drain   func()
+}
+
+// serveAdmin serves operators until ctx ends.
+func (n *Node) serveAdmin(ctx context.Context) error {
+	o := n.opts.Admin
+	if o.Address == "" {
+		return nil
+	}
+	h, err := n.adminHandler()
+	if err != nil {
+		return errors.Wrap(err, "node: administration")
+	}
+	l, err := net.Listen("tcp", o.Address)
+	if err != nil {
+		return errors.Wrap(err, "node: listen for operators")
+	}
+	n.log.Info("admin: listening", "address", l.Addr().String(), "bearer_token", o.Token != "")
+	s := h.Server()
+	return caller.Serve(ctx, s, func() error { return s.Serve(l) })
+}
+
+func (n *Node) adminHandler() (*admin.Handler, error) {
+	o := n.opts.Admin
+	p := admin.Parts{
+		Self:      n.self,
+		Version:   o.Version,
+		Settings:  n.ledger,
+		Views:     n.roster,
+		Readiness: n,
+		Hosts:     hostSource{n},
+		Sections:  sectionSource{n.ledger},
+		Replicas:  replicaSource{n},
+		Tokens:    tokenSource{n.tokens},
+		Levels:    o.Levels,
+		Drain:     o.Drain,
+		Log:       n.log,
+	}
+	if o.Metrics != nil {
+		p.Metrics = metricsHandler(n, o.Metrics)
+	}
+	return admin.New(admin.Options{Address: o.Address, Token: o.Token}, p)
+}
+
+func metricsHandler(n *Node, m *telem.Registry) http.Handler {
+	for _, state := range []order.State{order.Issued, order.Running, order.Done, order.Refused} {
+		m.Gauge("order_tokens_"+string(state), func() int64 { return int64(n.tokens.Counts()[state]) })
+	}
+	m.Gauge("config_revision", func() int64 { return int64(n.ledger.Revision()) })
+	m.Gauge("config_sections", func() int64 { return int64(len(n.ledger.Versions())) })
+	m.Gauge("config_sections_refused", func() int64 { return int64(len(n.ledger.Refused())) })
+	m.Gauge("member_hosts_in_view", func() int64 { return int64(len(n.roster.View(time.Now()).Hosts())) })
+	m.Gauge("node_ready", func() int64 {
+		if n.ready.Load() {
+			return 1
+		}
+		return 0
+	})
+	return m.Handler()
+}
+
+// Readiness implements core.Readiness.
+func (n *Node) Readiness() (bool, []string) {
+	if n.ready.Load() {
+		return true, nil
+	}
+	return false, []string{"no_document"}
+}
+
+type hostSource struct{ node *Node }
+
+// HostStatuses lists the hosts of the live view; hosts outside it are not known here.
+func (s hostSource) HostStatuses(now time.Time) []core.HostStatus {
+	var out []core.HostStatus
+	for _, h := range s.node.roster.View(now).Hosts() {
+		out = append(out, core.HostStatus{Host: h, State: core.PeerAlive, Self: h.ID() == s.node.self.ID()})
+	}
+	return out
+}
+
+type sectionSource struct{ ledger *config.Ledger }
+
+func (s sectionSource) SectionStatuses() []core.SectionStatus {
+	var out []core.SectionStatus
+	for _, v := range s.ledger.Versions() {
+		section := v.Section()
+		out = append(out, core.SectionStatus{
+			Kind:     string(section.Key().Kind),
+			Name:     section.Key().Name,
+			Team:     section.Team(),
+			Edition:  section.Edition(),
+			Revision: v.Revision(),
+			Hash:     section.Hash(),
+			Removed:  section.Removed(),
+		})
+	}
+	return out
+}
+
+func (s sectionSource) RefusedSections() []core.RefusedSection {
+	var out []core.RefusedSection
+	for _, r := range s.ledger.Refused() {
+		out = append(out, core.RefusedSection{Section: r.Key, Revision: r.Revision, Reason: r.Reason})
+	}
+	return out
+}
+
+type replicaSource struct{ node *Node }
+
+// ReplicaReports lists configured replicas with their owner. The state and the
+// slots in use come from the owner's own reports where it gives them.
+func (s replicaSource) ReplicaReports(now time.Time) []core.ReplicaReport {
+	if source, ok := any(s.node.owner).(core.ReplicaSource); ok {
+		return source.ReplicaReports(now)
+	}
+	view := s.node.roster.View(now)
+	var out []core.ReplicaReport
+	for _, service := range s.node.ledger.Services() {
+		for i, group := range service.Groups() {
+			owner, _ := s.node.entry.Placer.Owner(view, service.Name(), core.GroupID(i))
+			for _, r := range group {
+				out = append(out, core.ReplicaReport{
+					Service: service.Name(), Group: core.GroupID(i), Address: r.Address(), DataCentre: r.DataCentre(),
+					Owner: owner, Slots: service.Limits().Slots, State: "unknown", Reason: "not_reported",
+				})
+			}
+		}
+	}
+	return out
+}
+
+type tokenSource struct{ table *order.Table }
+
+func (s tokenSource) TokenCounts() map[string]int {
+	out := make(map[string]int)
+	for state, count := range s.table.Counts() {
+		out[string(state)] = count
+	}
+	return out
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -50,6 +50,7 @@
 	TokenLifetime time.Duration
 	TokenMax      int
 	Connections   int // to one replica
+	Admin         AdminOptions
 }
 
 // Node is one host.
@@ -64,6 +65,7 @@
 	peers    *peer.Client
 	owner    *owner.Owner
 	entry    *entry.Entry
+	tokens   *order.Table
 	handler  *caller.Handler
 	ready    atomic.Bool
 }
@@ -82,7 +84,7 @@
 	n.roster = member.NewRoster(n.self)
 	n.peers = peer.NewClient(o.ID, inc, new(net.Dialer).DialContext)
 	n.owner = owner.New(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger, n.backend, log)
-	tokens := order.New(o.ID, inc, order.Options{Max: o.TokenMax, Lifetime: o.TokenLifetime}, rand.Reader)
+	n.tokens = order.New(o.ID, inc, order.Options{Max: o.TokenMax, Lifetime: o.TokenLifetime}, rand.Reader)
 	n.entry = entry.New(entry.Parts{
 		Self:        o.ID,
 		Incarnation: inc,
@@ -92,7 +94,7 @@
 		Views:       n.roster,
 		Peers:       n.peers,
 		Local:       n.owner,
-		Tokens:      tokens,
+		Tokens:      n.tokens,
 		Log:         log,
 	})
 	n.handler = caller.New(caller.Parts{
@@ -127,6 +129,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return server.Serve(ctx, peers) })
 	group.Go(func() error { return n.serveCallers(ctx, callers) })
+	group.Go(func() error { return n.serveAdmin(ctx) })
 	group.Go(func() error { return n.owner.Run(ctx) })
 	group.Go(func() error { return n.entry.Run(ctx) })
 	group.Go(func() error { return n.watchConfig(ctx) })
--- /dev/null
+++ b/io/telem/log.go
@@ -0,0 +1,256 @@
+package telem
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+const (
+	// defaultQueue holds about a second of a busy host's decisions.
+	defaultQueue = 8192
+	tokenTail    = 4 // characters of an order token that stay readable
+	hidden       = "[hidden]"
+	otherPrefix  = "other: "
+)
+
+// ErrLevel is returned for a log level that does not exist.
+var ErrLevel = errors.New("telem: want debug, info, warn or error")
+
+// Prefixes returns the prefixes of log lines, one for each part of a host.
+func Prefixes() []string {
+	return []string{"admin:", "caller:", "config:", "entry:", "gossip:", "member:", "node:", "order:", "owner:", "pause:", "peer:", "plat:", "remote:", "telem:"}
+}
+
+// Options configures a Handler.
+type Options struct {
+	Format  string // "text" or "json"
+	Level   slog.Level
+	Queue   int // lines that wait at most; 0 for the default
+	Metrics *Registry
+}
+
+type line struct {
+	to     slog.Handler
+	record slog.Record
+}
+
+// queue is shared by a handler and those derived from it.
+type queue struct {
+	lines    chan line
+	stop     chan struct{}
+	stopOnce sync.Once
+	ended    chan struct{}
+	level    slog.LevelVar
+	pending  atomic.Int64 // dropped lines that no log line has reported yet
+	written  metrics.Counter
+	dropped  metrics.Counter
+}
+
+// Handler is a slog.Handler that never blocks its caller. It hides secrets and
+// gives each line the fixed prefix of a part. Attribute values are formatted
+// later, on another goroutine, and must not be changed after the call.
+type Handler struct {
+	queue *queue
+	inner slog.Handler
+}
+
+var _ slog.Handler = (*Handler)(nil)
+
+// NewHandler returns a handler that writes to w until Close.
+func NewHandler(w io.Writer, o Options) *Handler {
+	if o.Queue <= 0 {
+		o.Queue = defaultQueue
+	}
+	if o.Metrics == nil {
+		o.Metrics = NewRegistry()
+	}
+	q := &queue{
+		lines:   make(chan line, o.Queue),
+		stop:    make(chan struct{}),
+		ended:   make(chan struct{}),
+		written: o.Metrics.Counter("log_lines"),
+		dropped: o.Metrics.Counter("log_lines_dropped"),
+	}
+	q.level.Set(o.Level)
+	opts := &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: clean}
+	h := &Handler{queue: q, inner: slog.NewTextHandler(w, opts)}
+	if o.Format == "json" {
+		h.inner = slog.NewJSONHandler(w, opts)
+	}
+	go q.run(h.inner)
+	return h
+}
+
+// Enabled implements slog.Handler.
+func (h *Handler) Enabled(_ context.Context, l slog.Level) bool { return l >= h.queue.level.Level() }
+
+// Handle implements slog.Handler. It never returns an error.
+func (h *Handler) Handle(_ context.Context, r slog.Record) error {
+	r = r.Clone()
+	r.Message = prefixed(r.Message)
+	select {
+	case <-h.queue.stop:
+		h.queue.drop()
+		return nil
+	default:
+	}
+	select {
+	case h.queue.lines <- line{to: h.inner, record: r}:
+	default:
+		h.queue.drop()
+	}
+	return nil
+}
+
+// WithAttrs implements slog.Handler.
+func (h *Handler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &Handler{queue: h.queue, inner: h.inner.WithAttrs(attrs)}
+}
+
+// WithGroup implements slog.Handler.
+func (h *Handler) WithGroup(name string) slog.Handler {
+	return &Handler{queue: h.queue, inner: h.inner.WithGroup(name)}
+}
+
+// Level returns the lowest level that is written.
+func (h *Handler) Level() string { return strings.ToLower(h.queue.level.Level().String()) }
+
+// SetLevel changes the lowest level that is written.
+func (h *Handler) SetLevel(text string) error {
+	l, err := ParseLevel(text)
+	if err != nil {
+		return err
+	}
+	h.queue.level.Set(l)
+	return nil
+}
+
+// ParseLevel reads a level by its name.
+func ParseLevel(text string) (slog.Level, error) {
+	switch text {
+	case "debug":
+		return slog.LevelDebug, nil
+	case "info":
+		return slog.LevelInfo, nil
+	case "warn":
+		return slog.LevelWarn, nil
+	case "error":
+		return slog.LevelError, nil
+	}
+	return 0, errors.Wrapf(ErrLevel, "level %q", text)
+}
+
+// Dropped returns the number of lines dropped so far.
+func (h *Handler) Dropped() int64 { return h.queue.dropped.Count() }
+
+// Close writes the lines that wait and stops. It returns when that is done or
+// ctx ends; later lines are dropped and counted.
+func (h *Handler) Close(ctx context.Context) error {
+	h.queue.stopOnce.Do(func() { close(h.queue.stop) })
+	select {
+	case <-h.queue.ended:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "telem: close log")
+	}
+}
+
+func (q *queue) drop() {
+	q.dropped.Inc(1)
+	q.pending.Add(1)
+}
+
+func (q *queue) run(own slog.Handler) {
+	defer close(q.ended)
+	for {
+		select {
+		case l := <-q.lines:
+			q.write(l, own)
+		case <-q.stop:
+			q.drain(own)
+			return
+		}
+	}
+}
+
+func (q *queue) drain(own slog.Handler) {
+	for {
+		select {
+		case l := <-q.lines:
+			q.write(l, own)
+		default:
+			return
+		}
+	}
+}
+
+func (q *queue) write(l line, own slog.Handler) {
+	_ = l.to.Handle(context.Background(), l.record)
+	q.written.Inc(1)
+	if n := q.pending.Swap(0); n > 0 {
+		r := slog.NewRecord(l.record.Time, slog.LevelWarn, "telem: log lines dropped", 0)
+		r.AddAttrs(slog.Int64("lines", n), slog.String("reason", "queue_full"))
+		_ = own.Handle(context.Background(), r)
+	}
+}
+
+func prefixed(msg string) string {
+	part, _, found := strings.Cut(msg, " ")
+	if found && slices.Contains(Prefixes(), part) {
+		return msg
+	}
+	return otherPrefix + msg
+}
+
+var (
+	bearer     = regexp.MustCompile(`(?i)\bbearer\s+[^\s"]+`)
+	orderToken = regexp.MustCompile(`([^\s~"=/]+)~[0-9a-fA-F]+~[0-9a-fA-F]*`)
+)
+
+// clean hides secrets in an attribute, whatever its type.
+func clean(_ []string, a slog.Attr) slog.Attr {
+	switch strings.ToLower(a.Key) {
+	case "authorization", "bearer", "password", "secret", "admin_token":
+		return slog.String(a.Key, hidden)
+	}
+	switch a.Value.Kind() {
+	case slog.KindString, slog.KindAny:
+	default:
+		return a
+	}
+	text := a.Value.String()
+	if safe := Clean(text); safe != text {
+		return slog.String(a.Key, safe)
+	}
+	// What is not an order token may be a bearer token.
+	if strings.EqualFold(a.Key, "token") {
+		return slog.String(a.Key, hidden)
+	}
+	return a
+}
+
+// Clean hides bearer tokens in a text and shortens order tokens to their issuer
+// and last characters.
+func Clean(text string) string {
+	if strings.Contains(text, "~") {
+		text = orderToken.ReplaceAllStringFunc(text, shorten)
+	}
+	if len(text) > len("bearer ") {
+		text = bearer.ReplaceAllString(text, "Bearer "+hidden)
+	}
+	return text
+}
+
+func shorten(token string) string {
+	issuer, _, _ := strings.Cut(token, "~")
+	return issuer + "~..." + token[max(len(issuer)+1, len(token)-tokenTail):]
+}
