fix(caller): answer every fault as typed JSON and bound what is read and sent

Cause: unknown paths, wrong methods and oversized headers were answered by net/http in plain text; unknown keys were ignored, so that a misspelt deadline_ms silently became the section's; an answer above 64 MB, and rows that are not JSON, were reported as not_run or as an empty body although the query had run.

Ruled out: validating every row before encoding (the encoder reads them anyway, so they are looked at again only after it fails); http.ServeMux (it redirects unclean paths in HTML); a WriteTimeout on the server (it would also bound the longest deadline).

Before: a body could arrive for as long as the caller liked, and the request then ran after its deadline. After: 5 s for a body, requests that arrive late are refused, deadlines above the section's are capped and the answer says so, rows that do not fit or are not JSON count as missing.

Conclusion: not_run is answered only before a request is started. The refusal of an order that carries a token says unknown, because an earlier request with this token may have run and only its issuer knows.

--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"path"
 	"strings"
 	"time"
 
@@ -161,6 +162,11 @@
 		fail(w, http.StatusForbidden, "cross_origin", err.Error())
 		return
 	}
+	// http.ServeMux would redirect an unclean path in HTML.
+	if path.Clean(r.URL.Path) != r.URL.Path {
+		fail(w, http.StatusNotFound, "unknown_path", "no such path")
+		return
+	}
 	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	h.mux.ServeHTTP(w, r)
 }
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -98,6 +98,7 @@
 		{"missing source", "GET", "/v1/budgets", "", local, nil, 501, `"not_available"`},
 		{"method", "GET", "/v1/drain", "", local, nil, 405, `"wrong_method"`},
 		{"path", "GET", "/v2/status", "", local, nil, 404, `"unknown_path"`},
+		{"unclean path", "GET", "/v1//status", "", local, nil, 404, `"unknown_path"`},
 		{"level", "PUT", "/v1/log-level", `{"level":"debug"}`, local, nil, 200, `"debug"`},
 		{"bad level", "PUT", "/v1/log-level", `{"level":"loud"}`, local, nil, 400, `"bad_request"`},
 		{"large", "PUT", "/v1/log-level", strings.Repeat(" ", 5000), local, nil, 413, `"too_large"`},
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	h := caller.New(caller.Parts{...})
-//	err := http.Serve(listener, h)
+//	err := caller.NewServer(h).Serve(listener)
 package caller
 
 import (
@@ -12,7 +12,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -20,9 +19,9 @@
 )
 
 const (
-	maxBodyBytes   = 1 << 20
-	maxAnswerBytes = 64 << 20
 	requestIDBytes = 8
+	// otherPath stands for all unknown paths, so that callers can't make up names.
+	otherPath = "other"
 )
 
 // Parts are the dependencies of a Handler.
@@ -32,70 +31,156 @@
 	Admitter core.Admitter
 	Ready    func() bool
 	Lifetime time.Duration // of a token
+	// Observe is told about each answer; it may be nil.
+	Observe func(path string, o core.Outcome, took time.Duration)
 }
 
 // Handler serves callers.
 type Handler struct {
 	Parts
-	mux *http.ServeMux
+	paths map[string]func(*exchange)
 }
 
 // New returns a handler over its parts.
 func New(p Parts) *Handler {
-	h := &Handler{Parts: p, mux: http.NewServeMux()}
-	h.mux.HandleFunc("POST /v1/query", h.query)
-	h.mux.HandleFunc("POST /v1/tokens", h.token)
-	h.mux.HandleFunc("POST /v1/orders", h.order)
+	h := &Handler{Parts: p}
+	// A map instead of http.ServeMux, which redirects unclean paths in HTML.
+	h.paths = map[string]func(*exchange){
+		"/v1/query":  h.query,
+		"/v1/tokens": h.token,
+		"/v1/orders": h.order,
+	}
 	return h
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.mux.ServeHTTP(w, r)
+	x := &exchange{h: h, w: w, r: r, path: r.URL.Path, started: time.Now(), refusal: core.NotRun}
+	serve, ok := h.paths[x.path]
+	switch {
+	case !ok:
+		x.path = otherPath
+		x.fail(fault{http.StatusNotFound, reasonUnknownPath, "no such path"})
+	case headerBytes(r.Header) > maxHeaderBytes:
+		x.fail(fault{http.StatusRequestHeaderFieldsTooLarge, reasonHeaders, "headers are larger than 16 KB"})
+	case r.Method != http.MethodPost:
+		w.Header().Set("Allow", http.MethodPost)
+		x.fail(fault{http.StatusMethodNotAllowed, reasonWrongMethod, "want POST"})
+	default:
+		serve(x)
+	}
 }
 
-type queryIn struct {
-	Caller      string          `json:"caller"`
-	Service     string          `json:"service"`
-	Body        json.RawMessage `json:"body"`
-	DeadlineMS  int64           `json:"deadline_ms"`
-	MinCoverage *float64        `json:"min_coverage"`
+// exchange is one request and its answer.
+type exchange struct {
+	h       *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	path    string
+	started time.Time
+	refusal core.Outcome // outcome of a refusal
+}
+
+func (x *exchange) answer(o core.Outcome, status int, body []byte) {
+	write(x.w, status, body)
+	if x.h.Observe != nil {
+		x.h.Observe(x.path, o, time.Since(x.started))
+	}
+}
+
+// refuse answers that nothing was started on this request.
+func (x *exchange) refuse(r core.Refusal) {
+	status := http.StatusServiceUnavailable
+	if r.Reason == core.ReasonRate || r.Reason == core.ReasonConcurrency {
+		status = http.StatusTooManyRequests
+	}
+	x.answer(x.refusal, status, encode(tokenOut{
+		Outcome: string(x.refusal), Reason: string(r.Reason), RetryAfterMS: r.RetryAfter.Milliseconds(),
+	}))
+}
+
+// fail answers a faulty request; nothing was started on it.
+func (x *exchange) fail(f fault) {
+	x.answer(x.refusal, f.status, encode(errorOut{Outcome: string(x.refusal), Reason: f.reason, Error: f.text}))
+}
+
+// decode reads the body. It answers the request itself when it returns false.
+func (x *exchange) decode(into any) bool {
+	raw, f := readBody(x.w, x.r)
+	if f == nil {
+		f = decodeStrict(raw, into)
+	}
+	if f != nil {
+		x.fail(*f)
+		return false
+	}
+	return true
+}
+
+func (x *exchange) ready() bool {
+	if !x.h.Ready() {
+		x.refuse(core.Refusal{Reason: core.ReasonNotReady})
+		return false
+	}
+	return true
 }
 
-type coverageOut struct {
-	Answered     int          `json:"answered"`
-	Total        int          `json:"total"`
-	BelowMinimum bool         `json:"below_minimum"`
-	Missing      []missingOut `json:"missing"`
+// section finds the caller's section.
+func (x *exchange) section(caller, service string) (core.Caller, bool) {
+	section, ok := x.h.Settings.Caller(core.CallerName(caller))
+	if !ok {
+		x.fail(fault{http.StatusForbidden, string(core.ReasonUnknownCaller), "caller: no such section in force"})
+		return section, false
+	}
+	_, known := x.h.Settings.Service(core.ServiceName(service))
+	if !known || !section.MayUse(core.ServiceName(service)) {
+		x.fail(fault{http.StatusForbidden, string(core.ReasonUnknownService), "service: not in the caller's section"})
+		return section, false
+	}
+	return section, true
 }
 
-type missingOut struct {
-	Shard  int32  `json:"shard"`
-	Reason string `json:"reason"`
+// limit finds the deadline, counted from the arrival of the request.
+func (x *exchange) limit(c core.Caller, ms int64) (limit, bool) {
+	length := c.Policy().Deadline
+	if ms < 0 {
+		x.fail(fault{http.StatusBadRequest, reasonBadRequest, "deadline_ms: want 0 (the section's deadline) or more"})
+		return limit{}, false
+	}
+	capped := ms > length.Milliseconds()
+	if ms > 0 && !capped {
+		length = min(length, time.Duration(ms)*time.Millisecond)
+	}
+	l := limit{deadline: x.started.Add(length), length: length, capped: capped}
+	if !time.Now().Before(l.deadline) {
+		x.fail(fault{http.StatusRequestTimeout, string(core.ReasonDeadline), "the deadline passed before the request had arrived"})
+		return limit{}, false
+	}
+	return l, true
 }
 
-type queryOut struct {
-	RequestID      string            `json:"request_id"`
-	Outcome        string            `json:"outcome"`
-	Reason         string            `json:"reason,omitempty"`
-	Snapshot       uint64            `json:"snapshot,omitempty"`
-	Coverage       *coverageOut      `json:"coverage,omitempty"`
-	ConfigRevision uint64            `json:"config_revision"`
-	RetryAfterMS   int64             `json:"retry_after_ms,omitempty"`
-	Rows           []json.RawMessage `json:"rows"`
+type queryIn struct {
+	Caller      string          `json:"caller"`
+	Service     string          `json:"service"`
+	Body        json.RawMessage `json:"body"`
+	DeadlineMS  int64           `json:"deadline_ms"`
+	MinCoverage *float64        `json:"min_coverage"`
 }
 
-func (h *Handler) query(w http.ResponseWriter, r *http.Request) {
-	started := time.Now()
+func (h *Handler) query(x *exchange) {
 	var in queryIn
-	if !h.decode(w, r, &in) {
+	if !x.ready() || !x.decode(&in) {
 		return
 	}
-	section, ok := h.section(w, in.Caller, in.Service)
+	if f := checkNames(map[string]string{"caller": in.Caller, "service": in.Service}); f != nil {
+		x.fail(*f)
+		return
+	}
+	section, ok := x.section(in.Caller, in.Service)
 	if !ok {
 		return
 	}
-	deadline, ok := h.deadline(w, started, section, in.DeadlineMS)
+	l, ok := x.limit(section, in.DeadlineMS)
 	if !ok {
 		return
 	}
@@ -104,12 +189,12 @@
 		coverage = *in.MinCoverage
 	}
 	if coverage < 0 || coverage > 1 {
-		h.fail(w, http.StatusBadRequest, "min_coverage: want 0 to 1", "bad_request")
+		x.fail(fault{http.StatusBadRequest, reasonBadRequest, "min_coverage: want 0 to 1"})
 		return
 	}
-	release, refused := h.Admitter.Admit(started, section)
+	release, refused := h.Admitter.Admit(time.Now(), section)
 	if refused != nil {
-		h.refuse(w, *refused)
+		x.refuse(*refused)
 		return
 	}
 	defer release()
@@ -118,65 +203,26 @@
 		Caller:      section.Name(),
 		Service:     core.ServiceName(in.Service),
 		Body:        in.Body,
-		Deadline:    deadline,
+		Deadline:    l.deadline,
 		MinCoverage: coverage,
 		Priority:    section.Policy().Priority,
 		Repeatable:  section.Policy().Repeatable,
 	}
-	h.answer(w, q, h.Requests.Query(r.Context(), q))
-}
-
-func (h *Handler) answer(w http.ResponseWriter, q core.Query, a core.Answer) {
-	out := queryOut{
-		RequestID:      string(q.ID),
-		Outcome:        string(a.Outcome),
-		Reason:         string(a.Reason),
-		Snapshot:       uint64(a.Snapshot),
-		ConfigRevision: uint64(h.Settings.Revision()),
-		RetryAfterMS:   a.RetryAfter.Milliseconds(),
-		Rows:           []json.RawMessage{},
-	}
-	if a.Outcome == core.NotRun {
-		write(w, http.StatusServiceUnavailable, out)
-		return
-	}
-	out.Coverage = &coverageOut{
-		Answered: a.Answered, Total: a.Total, BelowMinimum: a.BelowMinimum, Missing: []missingOut{},
-	}
-	for _, m := range a.Missing {
-		out.Coverage.Missing = append(out.Coverage.Missing, missingOut{Shard: int32(m.Shard), Reason: string(m.Reason)})
-	}
-	size := 0
-	for _, rows := range a.Rows {
-		size += len(rows)
-		out.Rows = append(out.Rows, rows)
-	}
-	if size > maxAnswerBytes {
-		h.fail(w, http.StatusInternalServerError, "answer is larger than 64 MB", string(core.ReasonTooLarge))
-		return
-	}
-	write(w, http.StatusOK, out)
-}
-
-type tokenOut struct {
-	Token        string `json:"token,omitempty"`
-	ExpiresInMS  int64  `json:"expires_in_ms,omitempty"`
-	Outcome      string `json:"outcome,omitempty"`
-	Reason       string `json:"reason,omitempty"`
-	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	a := h.Requests.Query(x.r.Context(), q)
+	status, body := h.queryAnswer(q, l, a)
+	x.answer(a.Outcome, status, body)
 }
 
-func (h *Handler) token(w http.ResponseWriter, _ *http.Request) {
-	if !h.Ready() {
-		h.refuse(w, core.Refusal{Reason: core.ReasonNotReady})
+func (h *Handler) token(x *exchange) {
+	if !x.ready() {
 		return
 	}
 	r := h.Requests.IssueToken()
 	if r.Token == "" {
-		h.refuse(w, core.Refusal{Reason: r.Reason, RetryAfter: r.RetryAfter})
+		x.refuse(core.Refusal{Reason: r.Reason, RetryAfter: r.RetryAfter})
 		return
 	}
-	write(w, http.StatusOK, tokenOut{Token: r.Token, ExpiresInMS: h.Lifetime.Milliseconds()})
+	x.answer(core.Complete, http.StatusOK, encode(tokenOut{Token: r.Token, ExpiresInMS: h.Lifetime.Milliseconds()}))
 }
 
 type orderIn struct {
@@ -188,139 +234,47 @@
 	DeadlineMS int64           `json:"deadline_ms"`
 }
 
-type orderOut struct {
-	RequestID    string          `json:"request_id"`
-	Outcome      string          `json:"outcome"`
-	Reason       string          `json:"reason,omitempty"`
-	Token        string          `json:"token,omitempty"`
-	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
-	Result       json.RawMessage `json:"result,omitempty"`
-}
-
-func (h *Handler) order(w http.ResponseWriter, r *http.Request) {
-	started := time.Now()
+func (h *Handler) order(x *exchange) {
 	var in orderIn
-	if !h.decode(w, r, &in) {
+	if !x.decode(&in) {
+		return
+	}
+	if in.Token != "" {
+		// An earlier request with this token may have run, and only the issuer
+		// knows, so a refusal before the token is looked up is not proof.
+		x.refusal = core.Unknown
+	}
+	f := checkNames(map[string]string{"caller": in.Caller, "service": in.Service, "key": in.Key, "token": in.Token})
+	if f != nil {
+		x.fail(*f)
+		return
+	}
+	if !x.ready() {
 		return
 	}
-	section, ok := h.section(w, in.Caller, in.Service)
+	section, ok := x.section(in.Caller, in.Service)
 	if !ok {
 		return
 	}
-	deadline, ok := h.deadline(w, started, section, in.DeadlineMS)
+	l, ok := x.limit(section, in.DeadlineMS)
 	if !ok {
 		return
 	}
-	release, refused := h.Admitter.Admit(started, section)
+	release, refused := h.Admitter.Admit(time.Now(), section)
 	if refused != nil {
-		h.refuse(w, *refused)
+		x.refuse(*refused)
 		return
 	}
 	defer release()
 	id := newRequestID()
-	result := h.Requests.Order(r.Context(), in.Token, id, core.Order{
+	result := h.Requests.Order(x.r.Context(), in.Token, id, core.Order{
 		Caller:  section.Name(),
 		Service: core.ServiceName(in.Service),
 		Key:     in.Key,
 		Body:    in.Body,
-	}, deadline)
-	write(w, orderStatus(result), orderOut{
-		RequestID:    string(id),
-		Outcome:      string(result.Outcome),
-		Reason:       string(result.Reason),
-		Token:        result.Token,
-		RetryAfterMS: result.RetryAfter.Milliseconds(),
-		Result:       result.Body,
-	})
-}
-
-func orderStatus(r core.OrderResult) int {
-	switch {
-	case r.Outcome == core.Complete:
-		return http.StatusOK
-	case r.Outcome == core.Unknown:
-		return http.StatusGatewayTimeout
-	case r.Reason == core.ReasonNoToken:
-		return http.StatusPreconditionRequired
-	default:
-		return http.StatusServiceUnavailable
-	}
-}
-
-func (h *Handler) decode(w http.ResponseWriter, r *http.Request, into any) bool {
-	if !h.Ready() {
-		h.refuse(w, core.Refusal{Reason: core.ReasonNotReady})
-		return false
-	}
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		h.fail(w, http.StatusRequestEntityTooLarge, "body is larger than 1 MB", string(core.ReasonTooLarge))
-		return false
-	}
-	if err != nil {
-		h.fail(w, http.StatusBadRequest, "body: "+err.Error(), "bad_request")
-		return false
-	}
-	if err := json.Unmarshal(raw, into); err != nil {
-		h.fail(w, http.StatusBadRequest, "body: "+err.Error(), "bad_request")
-		return false
-	}
-	return true
-}
-
-func (h *Handler) section(w http.ResponseWriter, caller, service string) (core.Caller, bool) {
-	section, ok := h.Settings.Caller(core.CallerName(caller))
-	if !ok {
-		h.fail(w, http.StatusForbidden, "caller: no such section in force", string(core.ReasonUnknownCaller))
-		return section, false
-	}
-	_, known := h.Settings.Service(core.ServiceName(service))
-	if !known || !section.MayUse(core.ServiceName(service)) {
-		h.fail(w, http.StatusForbidden, "service: not in the caller's section", string(core.ReasonUnknownService))
-		return section, false
-	}
-	return section, true
-}
-
-func (h *Handler) deadline(w http.ResponseWriter, now time.Time, c core.Caller, ms int64) (time.Time, bool) {
-	limit := c.Policy().Deadline
-	if ms < 0 {
-		h.fail(w, http.StatusBadRequest, "deadline_ms: want 0 (the section's deadline) or more", "bad_request")
-		return time.Time{}, false
-	}
-	if ms > 0 && ms < limit.Milliseconds() {
-		limit = time.Duration(ms) * time.Millisecond
-	}
-	return now.Add(limit), true
-}
-
-// refuse answers that the request did not run.
-func (h *Handler) refuse(w http.ResponseWriter, r core.Refusal) {
-	status := http.StatusServiceUnavailable
-	if r.Reason == core.ReasonRate || r.Reason == core.ReasonConcurrency {
-		status = http.StatusTooManyRequests
-	}
-	write(w, status, tokenOut{
-		Outcome: string(core.NotRun), Reason: string(r.Reason), RetryAfterMS: r.RetryAfter.Milliseconds(),
-	})
-}
-
-type errorOut struct {
-	Outcome string `json:"outcome"`
-	Reason  string `json:"reason"`
-	Error   string `json:"error"`
-}
-
-// fail answers a faulty request; nothing of it ran.
-func (h *Handler) fail(w http.ResponseWriter, status int, msg, reason string) {
-	write(w, status, errorOut{Outcome: string(core.NotRun), Reason: reason, Error: msg})
-}
-
-func write(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	}, l.deadline)
+	status, body := orderAnswer(id, l, result)
+	x.answer(result.Outcome, status, body)
 }
 
 func newRequestID() core.RequestID {
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -84,6 +85,18 @@
 	return m.Handler()
 }
 
+// observer counts answers to callers by path and outcome.
+func observer(m *telem.Registry) func(string, core.Outcome, time.Duration) {
+	if m == nil {
+		return nil
+	}
+	return func(path string, o core.Outcome, took time.Duration) {
+		name := "caller_" + strings.TrimPrefix(path, "/v1/")
+		m.Counter(name + "_" + string(o)).Inc(1)
+		m.Histogram(name + "_us").Update(took.Microseconds())
+	}
+}
+
 // Readiness implements core.Readiness.
 func (n *Node) Readiness() (bool, []string) {
 	if n.ready.Load() {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -34,10 +34,8 @@
 )
 
 const (
-	headerTimeout  = 5 * time.Second
-	maxHeaderBytes = 16 << 10
-	hostsInterval  = time.Second
-	backoffMin     = 200 * time.Millisecond
+	hostsInterval = time.Second
+	backoffMin    = 200 * time.Millisecond
 )
 
 // Options are the settings of one host.
@@ -103,6 +101,7 @@
 		Admitter: admit.New(),
 		Ready:    n.ready.Load,
 		Lifetime: o.TokenLifetime,
+		Observe:  observer(o.Admin.Metrics),
 	})
 	return n
 }
@@ -138,7 +137,7 @@
 }
 
 func (n *Node) serveCallers(ctx context.Context, l net.Listener) error {
-	s := &http.Server{Handler: n.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s := caller.NewServer(n.handler)
 	return caller.Serve(ctx, s, func() error { return s.Serve(l) })
 }
 
