fix(config): refuse sections that are costly to parse, and add fuzz targets

Cause: the YAML parser takes time and memory that grow with the square of the nesting depth, and aliases multiply.

Ruled out: a limit on the section's size (the largest useful section is far above the smallest harmful one); counting brackets in the text (quotes change what they mean, so the parser's own tokens are used).

A list of 20,000 empty lists (60 KB) still takes 1 s and allocates 2 GB in total; that remains open.

Conclusion: anchors, aliases, tags, more than 8 levels of brackets and more than 64 columns of indentation are faults of the section.

--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -107,6 +107,9 @@
 // Parse decodes one section strictly, sets defaults and validates it. The
 // section is nil when there are faults.
 func Parse(p Part) (*Section, []Fault) {
+	if f := guard(p); f != nil {
+		return nil, []Fault{*f}
+	}
 	f := new(file)
 	tree, err := parser.ParseBytes(p.text, 0)
 	if err != nil {
--- /dev/null
+++ b/io/remote/fuzz_test.go
@@ -0,0 +1,78 @@
+package remote_test
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/io/remote"
+)
+
+type canned struct {
+	status int
+	body   []byte
+	sum    string
+}
+
+// Guards against an answer of a backend server that crashes a host, counts as
+// rows although it is not, exceeds its bound, or passes for proof that a
+// request did not run.
+func FuzzAnswers(f *testing.F) {
+	for _, body := range []string{
+		`{"snapshot":3,"shard":1,"rows":[]}`, `{"snapshot":3,"shard":1,"rows":[{"a":1}]}`, `{"snapshot":3,"shard":1}`,
+		`{"snapshot":4,"shard":1,"rows":[]}`, `{"snapshot":3,"shard":1,"rows":{}}`, `{"refused":"draining","ran":false}`,
+		`{"incarnation":7,"state":"ready","load":1,"snapshots":[{"snapshot":3,"shard_count":2,"shards":[0,1]}]}`,
+		`{"result":{"n":1}}`, ``, `null`, `[`,
+	} {
+		f.Add(uint16(200), []byte(body))
+		f.Add(uint16(503), []byte(body))
+	}
+	const limit = 64
+	var answer atomic.Pointer[canned]
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		a := answer.Load()
+		w.Header().Set(remote.ChecksumHeader, a.sum)
+		w.WriteHeader(a.status)
+		_, _ = w.Write(a.body)
+	}))
+	f.Cleanup(server.Close)
+	client := remote.New(remote.Options{Connections: 2})
+	f.Cleanup(client.Close)
+	at := strings.TrimPrefix(server.URL, "http://")
+	f.Fuzz(func(t *testing.T, status uint16, body []byte) {
+		body = body[:min(len(body), 16<<10)]
+		answer.Store(&canned{status: 200 + int(status)%400, body: body, sum: remote.Checksum(body)})
+		deadline := time.Now().Add(time.Minute)
+		rows, err := client.Read(t.Context(), at, core.ReadCall{Snapshot: 3, Shard: 1, MaxBytes: limit, Deadline: deadline})
+		check(t, err, body)
+		if err == nil && (!json.Valid(rows) || rows[0] != '[' || len(rows) > limit+4<<10) {
+			t.Fatalf("not rows: %q", rows)
+		}
+		_, err = client.Status(t.Context(), at)
+		check(t, err, body)
+		_, err = client.Order(t.Context(), at, core.OrderRun{Deadline: deadline, MaxBytes: limit})
+		check(t, err, body)
+	})
+}
+
+func check(t *testing.T, err error, body []byte) {
+	t.Helper()
+	if err == nil {
+		return
+	}
+	var call *core.CallError
+	if !errors.As(err, &call) {
+		t.Fatalf("untyped error: %v", err)
+	}
+	var said struct{ Ran *bool }
+	_ = json.Unmarshal(body, &said)
+	if call.NotRun && (said.Ran == nil || *said.Ran) {
+		t.Fatalf("%q passes for proof that the request did not run", body)
+	}
+}
