fix(telem): write errors without their stack trace

Cause: slog formats errors with %+v, which makes pkg/errors add a stack trace to each line; seen in a run of serve without a platform. Ruled out: other error values, which each package would have to convert. Before: one error line held about ten frames. After: the message only. Conclusion: the handler converts errors; no test covers this yet.

--- a/io/telem/log.go
+++ b/io/telem/log.go
@@ -227,6 +227,10 @@
 	default:
 		return a
 	}
+	// An error is written without the stack trace that pkg/errors adds to %+v.
+	if err, ok := a.Value.Any().(error); ok {
+		return slog.String(a.Key, Clean(err.Error()))
+	}
 	text := a.Value.String()
 	if safe := Clean(text); safe != text {
 		return slog.String(a.Key, safe)
