--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"oriolebarrow/core"
+	"oriolebarrow/io/caller"
 	"oriolebarrow/io/gossip"
 	"oriolebarrow/io/peer"
 )
@@ -111,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	h := &http.Server{Handler: n.front, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	h := caller.NewServer(n.front)
 	// The parts outlive ctx: they serve until the drain has ended.
 	group, work, stop := newGroup()
 	defer stop()
@@ -123,6 +124,7 @@
 		}
 		return err
 	})
+	group.Go(func() error { return n.serveAdmin(work) })
 	group.Go(func() error { return n.owner.Run(work) })
 	group.Go(func() error { return n.entry.Run(work) })
 	group.Go(func() error { return n.runGossip(work) })
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -35,11 +35,6 @@
 	"oriolebarrow/io/remote"
 )
 
-const (
-	headerTimeout  = 5 * time.Second
-	maxHeaderBytes = 16 << 10
-)
-
 // Options are the settings of one host.
 type Options struct {
 	ID            core.HostID
@@ -61,6 +56,7 @@
 	Listen       func(network, address string) (net.Listener, error)
 	ListenPacket func(network, address string) (net.PacketConn, error)
 	Dial         peer.Dial // to hosts and replicas
+	Admin        AdminOptions
 }
 
 // Node is one host.
@@ -134,6 +130,7 @@
 		Admitter: admit.New(),
 		Ready:    n.serving,
 		Lifetime: o.TokenLifetime,
+		Observe:  observer(o.Admin.Metrics),
 	})
 	n.front = &front{next: n.handler, leaving: &n.leaving}
 	return n, nil
