test(node): three-host form of the second signal

Cause of the hang seen before: all groups of the fixed placement belong to the last host, and the test waited for a call and for a cut at a host that had neither. The event now comes from whichever host starts a call, and a missing ErrCut ends the test instead of waiting for its log line. Ruled out: goroutines that never end. goleak passes for the package after aborting the entry host and the owner, and the other hosts then shut down without a cut request. Before: waiting for a call at h0 or h1 times out. Conclusion: the fault was in the test; no product change.

--- a/io/node/rolling_test.go
+++ b/io/node/rolling_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"oriolebarrow/core"
 	"oriolebarrow/core/config"
 	"oriolebarrow/io/node"
@@ -23,6 +25,8 @@
 	"oriolebarrow/standin/server"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 const (
 	loopback  = "127.0.0.14"
 	hostCount = 3
@@ -35,15 +39,22 @@
 // signals passes on when a host is ready, starts a call, or ends with less.
 type signals struct {
 	slog.Handler
-	ready, called, cut chan struct{}
+	host       int
+	ready, cut chan struct{}
+	called     chan int // shared by all hosts
 }
 
 func (s signals) Enabled(context.Context, slog.Level) bool { return true }
 
 func (s signals) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "owner: call starts" {
+		select {
+		case s.called <- s.host:
+		default: // nobody waits, or an earlier call was seen already
+		}
+	}
 	event := map[string]chan struct{}{
 		"node: host is ready":               s.ready,
-		"owner: call starts":                s.called,
 		"node: shutdown cut requests short": s.cut,
 	}[r.Message]
 	select {
@@ -60,6 +71,7 @@
 	url      string
 	peers    []string
 	callers  []string
+	called   chan int // the host that started a call
 
 	mu    sync.Mutex
 	nodes []*node.Node
@@ -95,7 +107,7 @@
 	if err := servers.Start(service); err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{t: t, platform: platform.New(0)}
+	f := &fleet{t: t, platform: platform.New(0), called: make(chan int, 1)}
 	f.platform.Publish(1, []byte(doc.String()))
 	web := httptest.NewServer(f.platform)
 	t.Cleanup(web.Close)
@@ -124,7 +136,7 @@
 
 // launch starts a host; the returned function waits until it is ready.
 func (f *fleet) launch(i int, abort <-chan struct{}) (events signals, await func()) {
-	events = signals{slog.DiscardHandler, make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)}
+	events = signals{slog.DiscardHandler, i, make(chan struct{}, 1), make(chan struct{}, 1), f.called}
 	n, err := node.New(node.Options{
 		ID: hostID(i), DataCentre: "mixco", PeerAddress: f.peers[i], CallerAddress: f.callers[i],
 		Platform: f.url, TokenLifetime: time.Minute, TokenMax: 100_000, Connections: 60,
@@ -184,8 +196,12 @@
 }
 
 func (f *fleet) post(c *http.Client, path string, body map[string]any) (reply, error) {
+	return f.postTo(c, f.pick(), path, body)
+}
+
+func (f *fleet) postTo(c *http.Client, host, path string, body map[string]any) (reply, error) {
 	raw, _ := json.Marshal(body)
-	res, err := c.Post("http://"+f.pick()+path, "application/json", bytes.NewReader(raw))
+	res, err := c.Post("http://"+host+path, "application/json", bytes.NewReader(raw))
 	if err != nil {
 		return reply{}, err
 	}
@@ -272,25 +288,51 @@
 	t.Logf("%d rounds of a query, a token and an order", rounds)
 }
 
-// Guards against a second signal that is ignored while a request runs, and
-// against a cut request that is not logged.
+// Guards against a second signal that is ignored while calls run at the host or
+// for it at another one, a cut request that is not logged, calls of an aborted
+// host that hold up the shutdown of others, and goroutines that never end.
 func TestSecondSignalEndsTheShutdown(t *testing.T) {
-	f, servers := newFleet(t, 1)
-	abort := make(chan struct{})
-	events, await := f.launch(0, abort)
-	await()
+	t.Run("one host", func(t *testing.T) { secondSignal(t, 1, false) })
+	t.Run("entry host of three", func(t *testing.T) { secondSignal(t, hostCount, false) })
+	t.Run("owner of three", func(t *testing.T) { secondSignal(t, hostCount, true) })
+}
+
+func secondSignal(t *testing.T, hosts int, owner bool) {
+	f, servers := newFleet(t, hosts)
+	var aborts []chan struct{}
+	var events []signals
+	var awaits []func()
+	for i := range hosts {
+		aborts = append(aborts, make(chan struct{}))
+		e, await := f.launch(i, aborts[i])
+		events, awaits = append(events, e), append(awaits, await)
+	}
+	for _, await := range awaits {
+		await()
+	}
 	servers.Update("", func(faults *server.Faults) { faults.Stuck = true })
 	var load sync.WaitGroup
 	load.Go(func() {
 		c := &http.Client{Transport: &http.Transport{}}
 		defer c.CloseIdleConnections()
-		_, _ = f.post(c, "/v1/query", map[string]any{"caller": "dispatch", "service": "kiln"})
+		_, _ = f.postTo(c, f.callers[0], "/v1/query", map[string]any{"caller": "dispatch", "service": "kiln"})
 	})
-	<-events.called
-	close(abort)
-	if err := f.stops[0](); !errors.Is(err, node.ErrCut) {
-		t.Errorf("error %v, want %v", err, node.ErrCut)
+	cut := <-f.called // any host may own the groups
+	if !owner {
+		cut = 0
+	}
+	close(aborts[cut])
+	if err := f.stops[cut](); !errors.Is(err, node.ErrCut) {
+		t.Fatalf("host %d: error %v, want %v", cut, err, node.ErrCut)
 	}
-	<-events.cut
+	<-events[cut].cut
 	load.Wait()
+	for i, stop := range f.stops[:hosts] {
+		if i == cut {
+			continue
+		}
+		if err := stop(); err != nil {
+			t.Errorf("host %d: %v, want no call of the aborted host left", i, err)
+		}
+	}
 }
