feat(node): derive the shutdown bound, log cut request ids, bound unused tokens

-shutdown-bound 0 (the default) is the largest deadline of the caller sections in force plus -lb-lag. Unused tokens hold a leaving host only for that deadline after their issue; before, each one held it for its lifetime or the whole bound. Remaining times from other hosts are bounded to an hour, since a larger one overflowed time.Duration. Ruled out: holding for lag plus deadline, since tokens issued while the load balancer lags would then reach the whole bound again.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -57,7 +57,7 @@
 	fs.IntVar(&f.tokenMax, "token-max", 100_000, "order tokens kept at most")
 	fs.IntVar(&f.connections, "connections", 5, "connections to one backend server at most")
 	fs.DurationVar(&f.lbLag, "lb-lag", 3*time.Second, "how long the load balancer may send requests to a host that is not ready")
-	fs.DurationVar(&f.shutdownBound, "shutdown-bound", 10*time.Second, "largest duration of a shutdown: the largest deadline plus -lb-lag")
+	fs.DurationVar(&f.shutdownBound, "shutdown-bound", 0, "largest duration of a shutdown; 0 derives it: the largest deadline of the caller sections in force plus -lb-lag")
 	fs.StringVar(&f.logFormat, "log-format", "text", "text or json")
 	fs.StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
 	if code, ok := parse(e, fs, args); !ok {
@@ -165,8 +165,8 @@
 	if f.tokenLifetime <= 0 || f.tokenMax <= 0 || f.connections <= 0 {
 		return "-token-lifetime, -token-max and -connections: want values above 0"
 	}
-	if f.lbLag < 0 || f.shutdownBound <= f.lbLag {
-		return "-lb-lag and -shutdown-bound: want a bound above the lag"
+	if f.lbLag < 0 || f.shutdownBound < 0 || f.shutdownBound > 0 && f.shutdownBound <= f.lbLag {
+		return "-lb-lag and -shutdown-bound: want a lag of 0 or more, and a bound of 0 or above the lag"
 	}
 	if f.logFormat != "text" && f.logFormat != "json" {
 		return fmt.Sprintf("-log-format: want text or json, got %q", f.logFormat)
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -19,6 +19,12 @@
 // whichever of the monotonic and the wall clock is further ahead, since the
 // monotonic clock stands still while a machine is suspended.
 //
+// # Shutdown
+//
+// A leaving host stays for its running orders, and for a token that was issued
+// and not used until the largest deadline of the caller sections in force has
+// passed since its issue. A caller that uses its token later may get unknown.
+//
 // # Usage
 //
 //	t := order.New("host-1", 7, order.Options{Max: 10_000, Lifetime: time.Minute}, rand)
@@ -189,9 +195,10 @@
 	close(e.changed)
 }
 
-// Unfinished returns how many tokens are issued or running. The channel is
-// closed when one of the running orders ends; it is nil when none runs.
-func (t *Table) Unfinished(now time.Time) (issued, running int, changed <-chan struct{}) {
+// Unfinished returns how many tokens were issued within the last hold time and
+// not used, and how many are running. The channel is closed when one of the
+// running orders ends; it is nil when none runs.
+func (t *Table) Unfinished(now time.Time, hold time.Duration) (issued, running int, changed <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range t.entries {
@@ -199,7 +206,7 @@
 		case e.state == Running:
 			running++
 			changed = e.changed
-		case e.state == Issued && !e.expired(now):
+		case e.state == Issued && pause.Left(now, e.expiry) > max(0, t.opts.Lifetime-hold):
 			issued++
 		}
 	}
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+	"unsafe"
 
 	"pgregory.net/rapid"
 
@@ -92,6 +93,58 @@
 	}
 }
 
+// Guards against an unused token that holds a leaving host for its whole life,
+// and against a running order that does not hold it.
+func TestUnusedTokensHoldALeavingHostForTheHoldTime(t *testing.T) {
+	const hold = 2 * time.Second
+	now := time.Unix(1000, 0)
+	table := newTable(4)
+	running, _ := table.Issue(now)
+	table.Redeem(now, running, order.Print{})
+	_, _ = table.Issue(now)
+	for after, want := range map[time.Duration]int{0: 1, hold - 1: 1, hold: 0, 2 * lifetime: 0} {
+		issued, orders, changed := table.Unfinished(now.Add(after), hold)
+		if issued != want || orders != 1 || changed == nil {
+			t.Errorf("after %v: %d issued, %d running, want %d and 1", after, issued, orders, want)
+		}
+	}
+}
+
+// suspended returns now after a suspension: the wall clock has advanced, the
+// monotonic clock stood still. The time package can't construct such a reading.
+func suspended(now time.Time, d time.Duration) time.Time {
+	now = now.Add(d)
+	(*struct {
+		wall uint64
+		ext  int64 // the monotonic reading
+	})(unsafe.Pointer(&now)).ext -= int64(d)
+	return now
+}
+
+// Guards against a token and a seen id that outlive a suspension, in which only
+// the wall clock advances, and against a running order that is dropped then.
+func TestTablesAfterASuspension(t *testing.T) {
+	now := time.Now()
+	table, seen := newTable(2), order.NewSeen(1, time.Second)
+	token, _ := table.Issue(now)
+	running, _ := table.Issue(now)
+	table.Redeem(now, running, order.Print{})
+	seen.Arrive(now, "a", now)
+	woken := suspended(now, lifetime)
+	if issued, _, _ := table.Unfinished(woken, lifetime); issued != 0 {
+		t.Errorf("%d unused tokens hold a host after their life, want 0", issued)
+	}
+	if d := table.Redeem(woken, token, order.Print{}); d.Verdict != order.NoEntry {
+		t.Errorf("expired token: verdict %v, want NoEntry", d.Verdict)
+	}
+	if d := table.Redeem(woken, running, order.Print{}); d.Verdict != order.Wait {
+		t.Errorf("running order: verdict %v, want Wait", d.Verdict)
+	}
+	if got := seen.Arrive(woken, "b", woken); got != order.First {
+		t.Errorf("id after the suspension: %v, want First", got)
+	}
+}
+
 // Guards against a duplicated order call that is sent, also while the memory is
 // full or being swept.
 func TestSeenLetsEachIDThroughOnce(t *testing.T) {
--- a/core/pause/pause_test.go
+++ b/core/pause/pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"oriolebarrow/core/pause"
 )
@@ -41,3 +42,26 @@
 		})
 	}
 }
+
+// Guards against time that is left by one clock only: the monotonic clock stands
+// still during a suspension, and the wall clock may be set back.
+func TestLeftFollowsTheClockThatIsAhead(t *testing.T) {
+	start := time.Now()
+	for name, test := range map[string]struct {
+		wall, mono, want time.Duration
+	}{
+		"both":          {time.Second, time.Second, 2 * time.Second},
+		"suspended":     {time.Hour, 0, 3*time.Second - time.Hour},
+		"wall set back": {-time.Hour, time.Second, 2 * time.Second},
+	} {
+		now := start.Add(test.wall)
+		// The time package can't construct a reading whose clocks differ.
+		(*struct {
+			wall uint64
+			ext  int64 // the monotonic reading
+		})(unsafe.Pointer(&now)).ext += int64(test.mono - test.wall)
+		if got := pause.Left(now, start.Add(3*time.Second)); got != test.want {
+			t.Errorf("%s: %v left, want %v", name, got, test.want)
+		}
+	}
+}
--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -60,7 +60,12 @@
 // drain ends the service without interrupting a request. It returns ErrCut when
 // the bound or abort came first.
 func (n *Node) drain(callers *http.Server, peers *peer.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), n.opts.ShutdownBound)
+	deadline := n.largestDeadline()
+	bound := n.opts.ShutdownBound
+	if bound == 0 {
+		bound = deadline + n.opts.LBLag
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
 	go func() {
 		select {
@@ -69,29 +74,40 @@
 		case <-ctx.Done():
 		}
 	}()
-	n.log.Info("node: host leaves", "lb_lag", n.opts.LBLag, "bound", n.opts.ShutdownBound)
+	n.log.Info("node: host leaves", "lb_lag", n.opts.LBLag, "bound", bound, "token_hold", deadline)
 	n.leaving.Store(true)
 	n.opts.Announcer.Leave(ctx)
 	wait(ctx, n.opts.LBLag)
 	_ = callers.Shutdown(ctx)
-	n.awaitTokens(ctx)
+	n.awaitTokens(ctx, deadline)
 	exchanges := peers.Drain(ctx)
-	issued, orders, _ := n.tokens.Unfinished(time.Now())
+	issued, orders, _ := n.tokens.Unfinished(time.Now(), n.opts.TokenLifetime)
 	requests := n.front.running.Load()
 	if requests > 0 || exchanges > 0 || orders > 0 {
 		n.log.Error("node: shutdown cut requests short", "caller_requests", requests,
-			"host_requests", exchanges, "orders", orders, "unused_tokens", issued)
+			"host_requests", exchanges, "orders", orders, "unused_tokens", issued, "request_ids", n.running.ids())
 		return ErrCut
 	}
 	n.log.Info("node: host has left", "unused_tokens", issued)
 	return nil
 }
 
-// awaitTokens waits for running orders and for issued tokens, which callers
-// may be about to use at other hosts.
-func (n *Node) awaitTokens(ctx context.Context) {
+// largestDeadline returns the largest deadline of the caller sections in force.
+func (n *Node) largestDeadline() time.Duration {
+	var largest time.Duration
+	for _, v := range n.ledger.Versions() {
+		if c, ok := n.ledger.Caller(core.CallerName(v.Section().Key().Name)); ok {
+			largest = max(largest, c.Policy().Deadline)
+		}
+	}
+	return largest
+}
+
+// awaitTokens waits for running orders and, for the hold time after their
+// issue, for tokens that callers may be about to use at other hosts.
+func (n *Node) awaitTokens(ctx context.Context, hold time.Duration) {
 	for ctx.Err() == nil {
-		issued, running, changed := n.tokens.Unfinished(time.Now())
+		issued, running, changed := n.tokens.Unfinished(time.Now(), hold)
 		if issued+running == 0 {
 			return
 		}
--- a/io/node/handler.go
+++ b/io/node/handler.go
@@ -23,6 +23,7 @@
 		_ = reply(true, &wire.Frame{Body: &wire.Frame_Refusal{Refusal: &wire.Refusal{Reason: string(core.ReasonNotReady)}}})
 		return
 	}
+	defer h.node.running.enter(requestID(f))()
 	switch body := f.Body.(type) {
 	case *wire.Frame_ReadBatch:
 		h.read(ctx, body.ReadBatch, reply)
@@ -42,6 +43,20 @@
 	}
 }
 
+// requestID returns the request that a frame belongs to, if any.
+func requestID(f *wire.Frame) core.RequestID {
+	switch body := f.Body.(type) {
+	case *wire.Frame_ReadBatch:
+		return core.RequestID(body.ReadBatch.GetRequestId())
+	case *wire.Frame_OrderCall:
+		return core.RequestID(body.OrderCall.GetRequestId())
+	case *wire.Frame_Redeem:
+		return core.RequestID(body.Redeem.GetRequestId())
+	default:
+		return ""
+	}
+}
+
 func (h handler) read(ctx context.Context, w *wire.ReadBatch, reply peer.Reply) {
 	b := peer.BatchFromWire(w, time.Now())
 	ack := &wire.Frame{Body: &wire.Frame_ReadAck{ReadAck: &wire.ReadAck{Accepted: int32(len(b.Shards))}}}
@@ -62,13 +77,13 @@
 		Service:   o.Service,
 		Key:       o.Key,
 		Body:      o.Body,
-		Deadline:  time.Now().Add(time.Duration(w.RemainingUs) * time.Microsecond),
+		Deadline:  peer.Deadline(time.Now(), w.RemainingUs),
 	}, core.GroupID(w.Group))
 	_ = reply(true, orderResult(r))
 }
 
 func (h handler) redeem(ctx context.Context, w *wire.Redeem, reply peer.Reply) {
-	deadline := time.Now().Add(time.Duration(w.RemainingUs) * time.Microsecond)
+	deadline := peer.Deadline(time.Now(), w.RemainingUs)
 	r := h.node.entry.Redeem(ctx, w.Token, core.RequestID(w.RequestId), peer.OrderFromWire(w.Order), deadline)
 	_ = reply(true, orderResult(r))
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -48,7 +48,8 @@
 	// LBLag is how long the load balancer may send requests to a host that is
 	// no longer ready. It must cover the time until other hosts see it leave.
 	LBLag time.Duration
-	// ShutdownBound ends a shutdown: the largest deadline plus LBLag.
+	// ShutdownBound ends a shutdown. 0 means the largest deadline of the caller
+	// sections in force when the shutdown begins, plus LBLag.
 	ShutdownBound time.Duration
 	Abort         <-chan struct{} // closed to end a shutdown at once; may be nil
 	Announcer     core.Announcer  // may be nil
@@ -76,6 +77,7 @@
 	tokens   *order.Table
 	gate     *gate
 	front    *front
+	running  running
 	leaving  atomic.Bool
 }
 
@@ -125,7 +127,7 @@
 		Log:         log,
 	})
 	n.handler = caller.New(caller.Parts{
-		Requests: n.entry,
+		Requests: trackedRequests{n.entry, &n.running},
 		Settings: n.ledger,
 		Admitter: admit.New(),
 		Ready:    n.serving,
--- a/io/node/rolling_test.go
+++ b/io/node/rolling_test.go
@@ -33,7 +33,8 @@
 	clients   = 8
 	// lbLag covers the 1 s in which hosts read the host list.
 	lbLag = 1500 * time.Millisecond
-	bound = 10 * time.Second
+	// sectionDeadline is that of the caller section.
+	sectionDeadline = 2 * time.Second
 )
 
 // signals passes on when a host is ready, starts a call, or ends with less.
@@ -41,7 +42,8 @@
 	slog.Handler
 	host       int
 	ready, cut chan struct{}
-	called     chan int // shared by all hosts
+	bound      chan time.Duration // of the shutdown
+	called     chan int           // shared by all hosts
 }
 
 func (s signals) Enabled(context.Context, slog.Level) bool { return true }
@@ -53,6 +55,21 @@
 		default: // nobody waits, or an earlier call was seen already
 		}
 	}
+	ids := 0
+	r.Attrs(func(a slog.Attr) bool {
+		switch v := a.Value.Any().(type) {
+		case []core.RequestID:
+			ids = len(v)
+		case time.Duration:
+			if a.Key == "bound" {
+				s.bound <- v
+			}
+		}
+		return true
+	})
+	if r.Message == "node: shutdown cut requests short" && ids == 0 {
+		return nil // a test that waits for the event then ends with its timeout
+	}
 	event := map[string]chan struct{}{
 		"node: host is ready":               s.ready,
 		"node: shutdown cut requests short": s.cut,
@@ -94,7 +111,7 @@
 	for range 4 {
 		fmt.Fprintf(&doc, "  - - {address: %q, data_centre: mixco}\n    - {address: %q, data_centre: mixco}\n", freeAddress(t), freeAddress(t))
 	}
-	doc.WriteString("---\nkind: caller\nname: dispatch\nteam: b\nedition: 1\ndeadline: 2s\nmin_coverage: 1\npriority: 7\nservices: [kiln]\n---\nkind: end\n")
+	fmt.Fprintf(&doc, "---\nkind: caller\nname: dispatch\nteam: b\nedition: 1\ndeadline: %s\nmin_coverage: 1\npriority: 7\nservices: [kiln]\n---\nkind: end\n", sectionDeadline)
 	ledger := config.NewLedger()
 	if _, err := ledger.Apply(core.Document{Revision: 1, Text: []byte(doc.String())}); err != nil {
 		t.Fatal(err)
@@ -136,11 +153,11 @@
 
 // launch starts a host; the returned function waits until it is ready.
 func (f *fleet) launch(i int, abort <-chan struct{}) (events signals, await func()) {
-	events = signals{slog.DiscardHandler, i, make(chan struct{}, 1), make(chan struct{}, 1), f.called}
+	events = signals{slog.DiscardHandler, i, make(chan struct{}, 1), make(chan struct{}, 1), make(chan time.Duration, 1), f.called}
 	n, err := node.New(node.Options{
 		ID: hostID(i), DataCentre: "mixco", PeerAddress: f.peers[i], CallerAddress: f.callers[i],
 		Platform: f.url, TokenLifetime: time.Minute, TokenMax: 100_000, Connections: 60,
-		LBLag: lbLag, ShutdownBound: bound, Abort: abort,
+		LBLag: lbLag, Abort: abort,
 	}, slog.New(events))
 	if err != nil {
 		f.t.Fatal(err)
@@ -289,7 +306,8 @@
 }
 
 // Guards against a second signal that is ignored while calls run at the host or
-// for it at another one, a cut request that is not logged, calls of an aborted
+// for it at another one, a cut request whose id is not logged, a bound that does
+// not follow the sections in force, calls of an aborted
 // host that hold up the shutdown of others, and goroutines that never end.
 func TestSecondSignalEndsTheShutdown(t *testing.T) {
 	t.Run("one host", func(t *testing.T) { secondSignal(t, 1, false) })
@@ -326,6 +344,9 @@
 		t.Fatalf("host %d: error %v, want %v", cut, err, node.ErrCut)
 	}
 	<-events[cut].cut
+	if got := <-events[cut].bound; got != lbLag+sectionDeadline {
+		t.Errorf("bound %v, want the section's deadline and the load balancer's lag", got)
+	}
 	load.Wait()
 	for i, stop := range f.stops[:hosts] {
 		if i == cut {
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -7,6 +7,17 @@
 	"oriolebarrow/io/wire"
 )
 
+// maxRemaining is far above the largest deadline of a caller section (10
+// minutes). Without a bound, a faulty remaining time overflows time.Duration.
+const maxRemaining = time.Hour
+
+// Deadline returns the deadline, on this host's clock, of a message that was
+// received now. A remaining time below 0 has passed.
+func Deadline(now time.Time, remainingUs int64) time.Time {
+	us := min(max(remainingUs, 0), maxRemaining.Microseconds())
+	return now.Add(time.Duration(us) * time.Microsecond)
+}
+
 func batchToWire(b core.ReadBatch) *wire.ReadBatch {
 	w := &wire.ReadBatch{
 		RequestId:   string(b.Query.ID),
@@ -32,7 +43,7 @@
 			Caller:     core.CallerName(w.Caller),
 			Service:    core.ServiceName(w.Service),
 			Body:       w.Body,
-			Deadline:   now.Add(time.Duration(w.RemainingUs) * time.Microsecond),
+			Deadline:   Deadline(now, w.RemainingUs),
 			Priority:   int(w.Priority),
 			Repeatable: w.Repeatable,
 		},
@@ -94,7 +105,7 @@
 		Outcome:    core.Outcome(w.Outcome),
 		Reason:     core.Reason(w.Reason),
 		Body:       w.Body,
-		RetryAfter: time.Duration(w.RetryAfterUs) * time.Microsecond,
+		RetryAfter: time.Duration(min(max(w.RetryAfterUs, 0), maxRemaining.Microseconds())) * time.Microsecond,
 	}
 }
 
