--- a/io/entry/history_test.go
+++ b/io/entry/history_test.go
@@ -64,6 +64,7 @@
 	dead  atomic.Bool
 	entry *entry.Entry
 	owner *owner.Owner
+	links *links // nil: messages are function calls
 }
 
 func newWorld(faults map[int64]fault) *world {
@@ -142,6 +143,9 @@
 }
 
 func (h *host) Order(ctx context.Context, to core.Host, id string, req core.RequestID, o core.Order, g core.GroupID, by time.Time) (core.OrderResult, error) {
+	if h.links != nil {
+		return h.links.client.Order(ctx, to, id, req, o, g, by)
+	}
 	return h.send(ctx, to, by, func(ctx context.Context, peer *host) core.OrderResult {
 		run := core.OrderRun{OrderID: id, RequestID: req, Service: o.Service, Key: o.Key, Body: o.Body, Deadline: by}
 		return peer.owner.Order(ctx, run, g)
@@ -149,6 +153,9 @@
 }
 
 func (h *host) Redeem(ctx context.Context, to core.Host, token string, req core.RequestID, o core.Order, by time.Time) (core.OrderResult, error) {
+	if h.links != nil {
+		return h.links.client.Redeem(ctx, to, token, req, o, by)
+	}
 	return h.send(ctx, to, by, func(ctx context.Context, peer *host) core.OrderResult {
 		return peer.entry.Redeem(ctx, token, req, o, by)
 	})
@@ -290,9 +297,12 @@
 	},
 }
 
-func runWorld(t *testing.T, faults map[int64]fault) (points int64, complete int) {
+func runWorld(t *testing.T, faults map[int64]fault, linked bool) (points int64, complete int) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(faults)
+		if linked {
+			defer w.connect(t)()
+		}
 		w.scenario(t)
 		points = w.points.Load()
 		for _, op := range w.history {
@@ -307,13 +317,18 @@
 // Guards against an order that runs twice, a not_run for an order that ran, and
 // a complete for one that did not, with each fault at each message.
 func TestOrderHistoriesWithAFaultAtEachMessage(t *testing.T) {
-	points, complete := runWorld(t, nil)
+	t.Run("calls", func(t *testing.T) { faultAtEachMessage(t, false) })
+	t.Run("links", func(t *testing.T) { faultAtEachMessage(t, true) })
+}
+
+func faultAtEachMessage(t *testing.T, linked bool) {
+	points, complete := runWorld(t, nil, linked)
 	if complete < 6 {
 		t.Fatalf("%d complete answers without faults, want one at each host for each token", complete)
 	}
 	for at := range points {
 		for f := refuse; f < lastFault; f++ {
-			runWorld(t, map[int64]fault{at: f})
+			runWorld(t, map[int64]fault{at: f}, linked)
 		}
 	}
 }
@@ -326,7 +341,8 @@
 		for range 2 + random.IntN(5) {
 			faults[random.Int64N(30)] = fault(1 + random.IntN(int(lastFault)-1))
 		}
-		runWorld(t, faults)
+		runWorld(t, faults, false)
+		runWorld(t, faults, true)
 	}
 }
 
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -35,12 +35,27 @@
 
 var _ core.Peers = (*Client)(nil)
 
-// slot serialises dialing to one host.
+// slot serialises dialing to one host. Waiting for it ends with the request's
+// context, so that a host that can't be dialled delays no answer beyond its
+// deadline.
 type slot struct {
-	mu   sync.Mutex
+	held chan struct{} // holds one token while the slot is locked
 	link *link
 }
 
+func newSlot() *slot { return &slot{held: make(chan struct{}, 1)} }
+
+func (s *slot) lock(ctx context.Context) error {
+	select {
+	case s.held <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *slot) unlock() { <-s.held }
+
 // NewClient returns a client that introduces itself as host.
 func NewClient(host core.HostID, inc core.Incarnation, dial Dial) *Client {
 	return &Client{
@@ -58,11 +73,11 @@
 	c.links = make(map[core.HostID]*slot)
 	c.mu.Unlock()
 	for _, s := range slots {
-		s.mu.Lock()
+		_ = s.lock(context.Background()) // held for dialTimeout at most
 		if s.link != nil {
 			s.link.fail(ErrLinkClosed)
 		}
-		s.mu.Unlock()
+		s.unlock()
 	}
 }
 
@@ -70,12 +85,14 @@
 	c.mu.Lock()
 	s := c.links[h.ID()]
 	if s == nil {
-		s = new(slot)
+		s = newSlot()
 		c.links[h.ID()] = s
 	}
 	c.mu.Unlock()
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	if err := s.lock(ctx); err != nil {
+		return nil, err
+	}
+	defer s.unlock()
 	if s.link != nil && s.link.alive() {
 		return s.link, nil
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -90,7 +90,7 @@
 func (s *Server) Link(stream wire.DRPCPeer_LinkStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	in := &inbound{server: s, ctx: ctx, out: newOutbox(nil), cancels: make(map[uint64]context.CancelFunc)}
+	in := &inbound{server: s, ctx: ctx, out: newOutbox(nil), cancels: make(map[uint64]*context.CancelFunc)}
 	defer in.out.close()
 	go func() {
 		_ = in.out.run(stream)
@@ -114,7 +114,7 @@
 	out    *outbox
 
 	mu      sync.Mutex // guards cancels; nothing is called under it
-	cancels map[uint64]context.CancelFunc
+	cancels map[uint64]*context.CancelFunc
 }
 
 func (i *inbound) take(f *wire.Frame) {
@@ -127,13 +127,13 @@
 	}
 	ctx, cancel := context.WithCancel(i.ctx)
 	i.mu.Lock()
-	i.cancels[f.Id] = cancel
+	i.cancels[f.Id] = &cancel
 	i.mu.Unlock()
 	i.server.enter()
 	go func() {
 		defer i.server.leave()
 		defer i.out.flush(i.ctx)
-		defer i.cancel(f.Id)
+		defer i.end(f.Id, &cancel)
 		i.server.handler.Handle(ctx, f, func(last bool, body *wire.Frame) error {
 			body.Id = f.Id
 			body.Last = last
@@ -142,12 +142,23 @@
 	}()
 }
 
+// end forgets an exchange that was answered. After a duplicated frame the id may
+// belong to another exchange by now, which goes on.
+func (i *inbound) end(id uint64, cancel *context.CancelFunc) {
+	(*cancel)()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.cancels[id] == cancel {
+		delete(i.cancels, id)
+	}
+}
+
 func (i *inbound) cancel(id uint64) {
 	i.mu.Lock()
 	cancel := i.cancels[id]
 	delete(i.cancels, id)
 	i.mu.Unlock()
 	if cancel != nil {
-		cancel()
+		(*cancel)()
 	}
 }
