test(node): an order is not written after a pause beyond its deadline

The pause lies between the gate's check and the write, while dialing. The headers may leave, the body doesn't, and the answer is not_run with reason deadline. Without the check at the body's first read the test fails: the body is written and the answer may have run.

--- a/io/node/gate_test.go
+++ b/io/node/gate_test.go
@@ -1,8 +1,10 @@
 package node_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"net"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -11,6 +13,7 @@
 	"oriolebarrow/core"
 	"oriolebarrow/core/pause"
 	"oriolebarrow/io/node"
+	"oriolebarrow/io/remote"
 )
 
 // calls counts what passes the gate.
@@ -107,3 +110,52 @@
 		<-done
 	})
 }
+
+// written notes whether an order's body reaches a server, which can't start the
+// order by its headers alone.
+type written struct {
+	net.Conn
+	body *atomic.Bool
+}
+
+func (w written) Write(p []byte) (int, error) {
+	if bytes.Contains(p, []byte("order_id")) {
+		w.body.Store(true)
+	}
+	return len(p), nil
+}
+
+// Guards against an order that is written after its deadline when the process
+// was paused between the gate's check and the write, here while dialing.
+func TestOrderIsNotWrittenAfterAPauseBeyondItsDeadline(t *testing.T) {
+	for held, sent := range map[time.Duration]bool{0: true, 2 * time.Second: false} {
+		synctest.Test(t, func(t *testing.T) {
+			near, far := net.Pipe()
+			var body atomic.Bool
+			client := remote.New(remote.Options{Connections: 1, Dial: func(context.Context, string, string) (net.Conn, error) {
+				time.Sleep(held)
+				return written{near, &body}, nil
+			}})
+			gate := node.NewGate(func() pause.Reading { return pause.Reading{Wall: time.Unix(1000, 0)} }) // sees no gap
+			failed := make(chan error, 1)
+			go func() {
+				_, err := gate.Backend(client).Order(context.Background(), "b1", core.OrderRun{
+					OrderID: "t", Body: []byte("{}"), Deadline: time.Now().Add(time.Second),
+				})
+				failed <- err
+			}()
+			time.Sleep(held)
+			synctest.Wait()
+			_ = far.Close()
+			var call *core.CallError
+			err := <-failed
+			if !errors.As(err, &call) || call.NotRun == sent || body.Load() != sent {
+				t.Errorf("held for %v: error %v, body written %v, want %v", held, err, body.Load(), sent)
+			}
+			if !sent && call.Reason != core.ReasonDeadline {
+				t.Errorf("reason %s, want deadline", call.Reason)
+			}
+			client.Close()
+		})
+	}
+}
