--- a/io/node/rolling_test.go
+++ b/io/node/rolling_test.go
@@ -89,6 +89,7 @@
 	peers    []string
 	callers  []string
 	called   chan int // the host that started a call
+	bound    time.Duration
 
 	mu    sync.Mutex
 	nodes []*node.Node
@@ -156,8 +157,8 @@
 	events = signals{slog.DiscardHandler, i, make(chan struct{}, 1), make(chan struct{}, 1), make(chan time.Duration, 1), f.called}
 	n, err := node.New(node.Options{
 		ID: hostID(i), DataCentre: "mixco", PeerAddress: f.peers[i], CallerAddress: f.callers[i],
-		Platform: f.url, TokenLifetime: time.Minute, TokenMax: 100_000, Connections: 60,
-		LBLag: lbLag, Abort: abort,
+		Platform: f.url, TokenLifetime: time.Hour, TokenMax: 100_000, Connections: 60,
+		LBLag: lbLag, ShutdownBound: f.bound, Abort: abort,
 	}, slog.New(events))
 	if err != nil {
 		f.t.Fatal(err)
@@ -305,6 +306,24 @@
 	t.Logf("%d rounds of a query, a token and an order", rounds)
 }
 
+// Guards against a shutdown that waits for an unused token for the token's life
+// or for its bound; both are an hour here, so that the test would time out.
+func TestUnusedTokenDelaysNoShutdown(t *testing.T) {
+	f, _ := newFleet(t, 1)
+	f.bound = time.Hour
+	_, await := f.launch(0, nil)
+	await()
+	c := &http.Client{Transport: &http.Transport{}}
+	token, err := f.postTo(c, f.callers[0], "/v1/tokens", nil)
+	if err != nil || token.Token == "" {
+		t.Fatalf("token: %+v %v", token, err)
+	}
+	c.CloseIdleConnections()
+	if err := f.stops[0](); err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+}
+
 // Guards against a second signal that is ignored while calls run at the host or
 // for it at another one, a cut request whose id is not logged, a bound that does
 // not follow the sections in force, calls of an aborted
