fix(member): place no work on hosts that are not ready

Cause: a host that starts was alive to the others at once. They gave it groups before it had a document, and its refusals came out as partial answers and unknown_service. The flag in direct packets was not used by the view, and at 3,300 hosts one host hears directly from another only rarely.

A host that is not ready is now `joining`, a state that precedes `alive` in the same incarnation and travels with the updates. View holds the hosts that are alive and ready; Reachable holds those that run, ready or not, and decides who reads the platform, since in a cold start no host is ready. A suspected host keeps its readiness, and one that becomes ready announces it.

Rule (a) of readiness counted hosts of a stale list that the detector holds dead, so that a restarted host in a fleet of three waited for the list. It now counts the others only; one compared host must still be ready.

Ruled out: waiting for the host list (it lags), and the flag of direct packets alone. TestJoiningHost fails when View takes joining hosts; the cases "stale list" of TestReadiness fail when dead hosts are counted.

--- a/core/host.go
+++ b/core/host.go
@@ -70,9 +70,11 @@
 // PeerState is what a host believes about another host.
 type PeerState int32
 
-// Peer states, in the order in which the same incarnation may pass them.
+// Peer states, in the order in which the same incarnation may pass them. A
+// joining host is not ready and gets no work.
 const (
-	PeerAlive PeerState = iota
+	PeerJoining PeerState = iota
+	PeerAlive
 	PeerLeaving
 	PeerSuspect
 	PeerDead
@@ -81,6 +83,8 @@
 // String returns the state's name in snake case.
 func (p PeerState) String() string {
 	switch p {
+	case PeerJoining:
+		return "joining"
 	case PeerAlive:
 		return "alive"
 	case PeerLeaving:
--- a/core/member/fleet_test.go
+++ b/core/member/fleet_test.go
@@ -341,3 +341,43 @@
 		}
 	}
 }
+
+// Guards against groups that are placed on a host that is not ready, against a
+// joining host that nobody pings, and against one that stays out when it is
+// ready. A host that hears of another only by gossip must see the same.
+func TestJoiningHost(t *testing.T) {
+	f := newFleet(t, 9)
+	f.stopped["b01"] = true
+	f.ids = f.ids[:len(f.ids):len(f.ids)]
+	f.start("b01", 100)
+	f.ids = f.ids[:len(f.ids)-1]
+	f.nodes["b01"].SetStatus(member.Status{})
+	f.stopped["b01"] = false
+	f.publish(f.ids...)
+	// Only a00 hears from the joining host itself.
+	f.cut = func(from, to core.HostID) bool { return from == "b01" && to != "a00" || to == "b01" && from != "a00" }
+	f.run(5 * time.Second)
+	for _, u := range f.nodes["c05"].Updates() {
+		if u.Host.ID() == "b01" && (u.Incarnation < 100 || u.State == core.PeerAlive) {
+			t.Errorf("a joining host is known by gossip as %s, incarnation %d", u.State, u.Incarnation)
+		}
+	}
+	if _, ok := f.nodes["a00"].Reachable(f.now).Lookup("b01"); !ok {
+		t.Error("a joining host is not reachable")
+	}
+	f.cut = func(_, _ core.HostID) bool { return false }
+	f.run(10 * time.Second)
+	f.wantViews(func(by, other core.HostID) bool { return other != "b01" })
+	for _, u := range f.nodes["c05"].Updates() {
+		if u.Host.ID() == "b01" && u.State != core.PeerJoining {
+			t.Errorf("a joining host that answers is held %s", u.State)
+		}
+	}
+	f.nodes["b01"].SetStatus(member.Status{Ready: true})
+	f.send("b01", f.nodes["b01"].Announce())
+	f.run(2 * time.Second)
+	f.wantViews(all)
+	f.stopped["b01"] = true
+	f.run(15 * time.Second)
+	f.wantViews(func(by, other core.HostID) bool { return other != "b01" })
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -67,6 +67,7 @@
 	host        core.Host
 	incarnation core.Incarnation
 	state       core.PeerState
+	ready       bool // this incarnation was seen ready; a suspect host keeps it
 	listed      bool
 	leaving     bool // as the host list says
 	down        bool // did not answer this host itself
@@ -76,11 +77,15 @@
 	status      Status
 }
 
-// usable reports whether the host belongs to the view.
-func (p *peer) usable() bool {
-	return !p.down && !p.leaving && (p.state == core.PeerAlive || p.state == core.PeerSuspect)
+// reachable reports whether the host is taken to run and to stay, ready or not.
+// A listed host that was not heard of yet counts.
+func (p *peer) reachable() bool {
+	return !p.down && !p.leaving && p.state != core.PeerLeaving && p.state != core.PeerDead
 }
 
+// usable reports whether the host belongs to the view.
+func (p *peer) usable() bool { return p.ready && p.reachable() }
+
 // Detector is the failure detector of one host. It is safe for concurrent use;
 // its one lock covers all fields and it calls nothing outside the package.
 type Detector struct {
@@ -101,8 +106,9 @@
 	nextDead    time.Time
 	lastTick    time.Time
 	refreshing  time.Time // until then nothing is concluded from silence
-	dirty       bool
+	dirty       bool      // view and reach are out of date
 	view        core.View
+	reach       core.View
 }
 
 var _ core.Views = (*Detector)(nil)
@@ -167,7 +173,11 @@
 func (d *Detector) SetStatus(s Status) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	became := s.Ready && !d.status.Ready
 	d.status = s
+	if became {
+		d.announce()
+	}
 }
 
 // Leave announces that this host is leaving.
@@ -188,6 +198,9 @@
 	if d.leaving {
 		return core.PeerLeaving
 	}
+	if !d.status.Ready {
+		return core.PeerJoining
+	}
 	return core.PeerAlive
 }
 
@@ -205,30 +218,53 @@
 	d.dirty = true
 }
 
-// View returns the hosts that are usable now, this host included unless it is
-// leaving.
+// View returns the hosts that get work now: alive and ready. This host is
+// included unless it is leaving; before it is ready it gets no requests, and
+// its own view lets it fetch snapshots in advance.
 func (d *Detector) View(now time.Time) core.View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.observe(now)
+	d.rebuild()
+	return d.view
+}
+
+// Reachable returns the hosts that are taken to run, ready or not. It decides
+// who reads the platform, since in a cold start no host is ready and not every
+// host may read.
+func (d *Detector) Reachable(now time.Time) core.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.observe(now)
+	d.rebuild()
+	return d.reach
+}
+
+func (d *Detector) rebuild() {
 	if !d.dirty {
-		return d.view
+		return
 	}
 	d.dirty = false
+	d.view = d.renew(d.view, (*peer).usable)
+	d.reach = d.renew(d.reach, (*peer).reachable)
+}
+
+// renew returns old if its hosts are those that match.
+func (d *Detector) renew(old core.View, match func(*peer) bool) core.View {
 	hosts := make([]core.Host, 0, len(d.peers)+1)
 	if !d.leaving {
 		hosts = append(hosts, d.self)
 	}
 	for _, p := range d.peers {
-		if p.usable() {
+		if match(p) {
 			hosts = append(hosts, p.host)
 		}
 	}
-	next := core.NewView(d.view.Version()+1, hosts)
-	if d.view.Version() == 0 || !slices.Equal(next.Hosts(), d.view.Hosts()) {
-		d.view = next
+	next := core.NewView(old.Version()+1, hosts)
+	if old.Version() > 0 && slices.Equal(next.Hosts(), old.Hosts()) {
+		return old
 	}
-	return d.view
+	return next
 }
 
 // Locate returns a host whether or not it is in the view.
@@ -286,7 +322,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []Send
-	targets := d.shuffled(func(p *peer) bool { return p.state == core.PeerAlive && !p.down })
+	targets := d.shuffled(func(p *peer) bool { return p.state <= core.PeerAlive && !p.down })
 	for _, p := range targets[:min(announcePeers, len(targets))] {
 		out = d.ping(p, out)
 	}
--- a/core/member/packet.go
+++ b/core/member/packet.go
@@ -45,6 +45,18 @@
 	Updates     []Update
 }
 
+// state returns what the sender says about itself.
+func (p Packet) state() core.PeerState {
+	switch {
+	case p.Leaving:
+		return core.PeerLeaving
+	case p.Status.Ready:
+		return core.PeerAlive
+	default:
+		return core.PeerJoining
+	}
+}
+
 // Send is a packet and the host that it goes to.
 type Send struct {
 	To     core.Host
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -211,7 +211,7 @@
 		p.down = true
 		d.dirty = true
 	}
-	if !pr.indirect && (p.state == core.PeerAlive || p.state == core.PeerLeaving) {
+	if !pr.indirect && p.state < core.PeerSuspect {
 		d.change(now, p, p.incarnation, core.PeerSuspect)
 	}
 }
@@ -228,7 +228,11 @@
 		case p.state == core.PeerSuspect && age >= timeout:
 			if p.heard.After(p.since) {
 				// It answers this host, whatever others see.
-				p.state, p.since = core.PeerAlive, now
+				p.state, p.since = core.PeerJoining, now
+				if p.ready {
+					p.state = core.PeerAlive
+				}
+				d.dirty = true
 				continue
 			}
 			d.change(now, p, p.incarnation, core.PeerDead)
--- a/core/member/ready.go
+++ b/core/member/ready.go
@@ -44,8 +44,10 @@
 func (r *Readiness) HasCompared(id core.HostID) bool { return r.compared[id] }
 
 // Check applies the rules. The roster holds the other hosts that the host list
-// names as live; known is false while there is no host list.
-func (r *Readiness) Check(hasDocument, known bool, roster []core.HostID) Rule {
+// names as live, and dead those of them that the failure detector holds dead:
+// a lagging list must not keep a host waiting for one that is gone. known is
+// false while there is no host list.
+func (r *Readiness) Check(hasDocument, known bool, roster []core.HostID, dead int) Rule {
 	if r.rule != NotReady || !hasDocument || !known {
 		return r.rule
 	}
@@ -63,7 +65,7 @@
 	switch {
 	case len(roster) == 0:
 		r.rule = Alone
-	case compared >= min(comparePeers, len(roster)) && comparedReady > 0:
+	case compared >= min(comparePeers, len(roster)-dead) && comparedReady > 0:
 		r.rule = Compared
 	case 2*answered > len(roster) && ready == 0:
 		r.rule = ColdAll
--- a/core/member/ready_test.go
+++ b/core/member/ready_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -10,7 +11,8 @@
 
 // Guards against a starting host that serves an older configuration than the
 // fleet, and against a fleet that never becomes ready after a cold start.
-// Hosts are letters; capital letters are ready.
+// Hosts are letters; capital letters are ready. The roster's hosts after a slash
+// are held dead, as after a restart beside a host that the list still names.
 func TestReadiness(t *testing.T) {
 	for name, c := range map[string]struct {
 		document, known            bool
@@ -27,6 +29,10 @@
 		"all of a small roster":           {true, true, "ab", "aB", "", member.Compared},
 		"one other host, ready":           {true, true, "a", "A", "", member.Compared},
 		"compared hosts left the roster":  {true, true, "cde", "ABC", "", member.NotReady},
+		"stale list, a live host ready":   {true, true, "a/b", "A", "", member.Compared},
+		"stale list, a live host is not":  {true, true, "a/b", "a", "", member.NotReady},
+		"stale list, one live host left":  {true, true, "abc/def", "aB", "", member.NotReady},
+		"stale list, all held dead":       {true, true, "/ab", "", "", member.NotReady},
 		"cold start, half answered":       {true, true, "abcd", "", "ab", member.NotReady},
 		"cold start, most answered":       {true, true, "abcd", "", "abc", member.ColdAll},
 		"cold start, one of them ready":   {true, true, "abcd", "", "abC", member.NotReady},
@@ -47,11 +53,12 @@
 			}
 			each(c.answered, r.Answered)
 			each(c.compared, r.Compared)
-			roster := each(c.roster, func(core.HostID, bool) {})
-			if got := r.Check(c.document, c.known, roster); got != c.want {
+			live, dead, _ := strings.Cut(c.roster, "/")
+			roster := each(live+dead, func(core.HostID, bool) {})
+			if got := r.Check(c.document, c.known, roster, len(dead)); got != c.want {
 				t.Errorf("got %q, want %q", got, c.want)
 			}
-			if got := r.Check(false, false, []core.HostID{"x", "y"}); got != c.want {
+			if got := r.Check(false, false, []core.HostID{"x", "y"}, 0); got != c.want {
 				t.Errorf("isolated later: %q, want %q", got, c.want)
 			}
 		})
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -14,11 +14,7 @@
 		return nil
 	}
 	d.observe(now)
-	state := core.PeerAlive
-	if in.Leaving {
-		state = core.PeerLeaving
-	}
-	d.apply(now, Update{Host: in.From, Incarnation: in.Incarnation, State: state})
+	d.apply(now, Update{Host: in.From, Incarnation: in.Incarnation, State: in.state()})
 	for _, u := range in.Updates[:min(len(in.Updates), maxUpdates)] {
 		d.apply(now, u)
 	}
@@ -116,6 +112,11 @@
 	if u.State == core.PeerDead && !p.heard.IsZero() && now.Sub(p.heard) < recentContact {
 		u.State = core.PeerSuspect
 	}
+	if u.Incarnation == p.incarnation && u.State == core.PeerAlive && !p.ready {
+		// A suspicion may have overtaken the news that the host is ready.
+		p.ready = true
+		d.dirty = true
+	}
 	if u.Incarnation < p.incarnation || u.Incarnation == p.incarnation && u.State <= p.state {
 		return
 	}
@@ -144,7 +145,7 @@
 	if u.Incarnation < d.incarnation {
 		return
 	}
-	if u.Incarnation == d.incarnation && (u.State == core.PeerAlive || u.State == d.ownState()) {
+	if u.Incarnation == d.incarnation && u.State <= d.ownState() {
 		return
 	}
 	d.incarnation = u.Incarnation + 1
@@ -152,6 +153,7 @@
 }
 
 func (d *Detector) change(now time.Time, p *peer, inc core.Incarnation, s core.PeerState) {
+	p.ready = s == core.PeerAlive || p.ready && inc == p.incarnation
 	p.incarnation, p.state, p.since = inc, s, now
 	d.dirty = true
 	d.news.add(Update{Host: p.host, Incarnation: inc, State: s})
--- a/io/gossip/config.go
+++ b/io/gossip/config.go
@@ -34,7 +34,7 @@
 // reader reports whether this host watches the platform. A host that knows no
 // other host does, so that it learns of them.
 func (a *Agent) reader() bool {
-	for _, id := range a.Placer.Readers(a.Detector.View(time.Now()), a.Self.DataCentre()) {
+	for _, id := range a.Placer.Readers(a.Detector.Reachable(time.Now()), a.Self.DataCentre()) {
 		if id == a.Self.ID() {
 			return true
 		}
@@ -187,7 +187,7 @@
 // start compares the document with other hosts until this host is ready.
 func (a *Agent) start(ctx context.Context) error {
 	for ctx.Err() == nil {
-		roster, candidate, found := a.survey()
+		roster, dead, candidate, found := a.survey()
 		if found {
 			if news, err := a.pullSections(ctx, candidate); err == nil {
 				a.mu.Lock()
@@ -197,7 +197,7 @@
 		}
 		a.mu.Lock()
 		known := a.hosts.Version() > 0
-		rule := a.readiness.Check(a.Ledger.HasDocument(), known, roster)
+		rule := a.readiness.Check(a.Ledger.HasDocument(), known, roster, dead)
 		a.mu.Unlock()
 		if rule != member.NotReady {
 			a.ready.Store(true)
@@ -210,9 +210,9 @@
 	return nil
 }
 
-// survey returns the other live hosts of the roster and one to compare with
-// next, preferring hosts that said they are ready.
-func (a *Agent) survey() (roster []core.HostID, candidate core.Host, found bool) {
+// survey returns the other live hosts of the roster, how many of them are held
+// dead, and one to compare with next, preferring hosts that said they are ready.
+func (a *Agent) survey() (roster []core.HostID, dead int, candidate core.Host, found bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var good, rest []core.Host
@@ -224,6 +224,9 @@
 			continue
 		}
 		roster = append(roster, i.Host.ID())
+		if i.State == core.PeerDead {
+			dead++
+		}
 		switch {
 		case i.State == core.PeerDead || a.readiness.HasCompared(i.Host.ID()):
 		case i.Status.Ready:
@@ -236,7 +239,7 @@
 		good = rest
 	}
 	if len(good) == 0 {
-		return roster, core.Host{}, false
+		return roster, dead, core.Host{}, false
 	}
-	return roster, good[pick(len(good))], true
+	return roster, dead, good[pick(len(good))], true
 }
--- a/io/gossip/packet.go
+++ b/io/gossip/packet.go
@@ -87,7 +87,7 @@
 	}
 	for _, u := range w.Updates {
 		h, ok := host(u.Host, u.DataCentre, u.Address)
-		if !ok || u.State < int32(core.PeerAlive) || u.State > int32(core.PeerDead) {
+		if !ok || u.State < int32(core.PeerJoining) || u.State > int32(core.PeerDead) {
 			return member.Packet{}, ErrMalformed
 		}
 		p.Updates = append(p.Updates, member.Update{
--- a/io/gossip/packet_test.go
+++ b/io/gossip/packet_test.go
@@ -44,7 +44,8 @@
 		"no body":    {Host: "h", Address: "10.0.0.1:1"},
 		"no host":    {Body: ping, Address: "10.0.0.1:1"},
 		"no address": {Body: ping, Host: "h"},
-		"state":      update(&wire.Update{Host: "i", Address: "10.0.0.2:1", State: 4}),
+		"state":      update(&wire.Update{Host: "i", Address: "10.0.0.2:1", State: 5}),
+		"no state":   update(&wire.Update{Host: "i", Address: "10.0.0.2:1", State: -1}),
 		"update":     update(&wire.Update{Host: "i", Address: "nowhere"}),
 		"too large":  {Body: ping, Host: strings.Repeat("h", maxPacketBytes), Address: "10.0.0.1:1"},
 	} {
