feat(member): give a starting host the states of all hosts

Cause: a starting host learnt of lost hosts only by its own probes, one a second and three for hosts that were silent, so its first view named hosts of a stale list that were gone.

A starting host now pulls the states of all hosts once from the first ready host that it compares its document with (StatesGet and StatesReply over drpc). What is first news here is not spread again: 3,300 updates would fill the packets for minutes.

Ruled out: pulling from any host that answers, since another starting host knows as little. TestStartingHostKnowsTheLostOnes fails without the exchange.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -21,10 +21,21 @@
 	Buckets map[int][]HostEntry // whole content of the buckets that differ
 }
 
+// PeerUpdate is one host's state as another host knows it. It carries the
+// address, so that hosts learn of each other before the lagging host list names
+// them.
+type PeerUpdate struct {
+	Host        Host
+	Incarnation Incarnation
+	State       PeerState
+}
+
 // Exchange pulls configuration and host list from other hosts.
 type Exchange interface {
 	// Sections sends the digests of this host's sections. It calls sink with
 	// each chunk of sections that differ.
 	Sections(ctx context.Context, h Host, buckets []uint64, sink func([]SectionText)) (SectionsNews, error)
 	Hosts(ctx context.Context, h Host, buckets []uint64) (HostsNews, error)
+	// States returns what a host knows of all hosts, itself included.
+	States(ctx context.Context, h Host) ([]PeerUpdate, error)
 }
--- a/core/member/packet.go
+++ b/core/member/packet.go
@@ -17,13 +17,8 @@
 	Ack
 )
 
-// Update is one host's state as another host knows it. It carries the address,
-// so that hosts learn of each other before the lagging host list names them.
-type Update struct {
-	Host        core.Host
-	Incarnation core.Incarnation
-	State       core.PeerState
-}
+// Update is one host's state as another host knows it.
+type Update = core.PeerUpdate
 
 // Status is what a host says about itself in every packet.
 type Status struct {
@@ -88,6 +83,8 @@
 	b.queue[u.Host.ID()] = &queued{update: u}
 }
 
+func (b *broadcasts) drop(id core.HostID) { delete(b.queue, id) }
+
 // take returns the n updates that were sent least and drops those that were
 // sent limit times.
 func (b *broadcasts) take(n, limit int) []Update {
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -88,13 +88,20 @@
 	return out
 }
 
-// Merge takes the updates of a full exchange.
+// Merge takes the updates of a full exchange. What is the first news of a host
+// here is not spread, since the other host's peers have it: 3,300 updates would
+// fill the packets for minutes.
 func (d *Detector) Merge(now time.Time, updates []Update) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.observe(now)
 	for _, u := range updates {
+		p := d.peers[u.Host.ID()]
+		first := u.Host.ID() != d.self.ID() && (p == nil || p.incarnation == 0)
 		d.apply(now, u)
+		if first {
+			d.news.drop(u.Host.ID())
+		}
 	}
 }
 
--- a/io/gossip/config.go
+++ b/io/gossip/config.go
@@ -186,6 +186,7 @@
 
 // start compares the document with other hosts until this host is ready.
 func (a *Agent) start(ctx context.Context) error {
+	hasStates := false
 	for ctx.Err() == nil {
 		roster, dead, candidate, found := a.survey()
 		if found {
@@ -193,6 +194,10 @@
 				a.mu.Lock()
 				a.readiness.Compared(candidate.ID(), news.Ready)
 				a.mu.Unlock()
+				// A host that is not ready knows as little as this one.
+				if news.Ready && !hasStates {
+					hasStates = a.pullStates(ctx, candidate)
+				}
 			}
 		}
 		a.mu.Lock()
--- a/io/gossip/hosts.go
+++ b/io/gossip/hosts.go
@@ -98,6 +98,36 @@
 	return &wire.HostsReply{Version: version, Compressed: raw}, nil
 }
 
+// pullStates learns once from another host what it knows of all hosts. Without
+// it a starting host would learn of lost hosts by its own probes only.
+func (a *Agent) pullStates(ctx context.Context, from core.Host) bool {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	a.pulled.Add(1)
+	states, err := a.Exchange.States(ctx, from)
+	if err != nil {
+		a.pullFails.Add(1)
+		a.Log.Debug("member: states not pulled", "host", from.ID(), "err", err)
+		return false
+	}
+	a.Detector.Merge(time.Now(), states)
+	a.Log.Info("member: states taken", "hosts", len(states), "from", from.ID())
+	return true
+}
+
+// StatesReply answers another host with what this one knows of all hosts.
+func (a *Agent) StatesReply() (*wire.StatesReply, error) {
+	set := new(wire.StateSet)
+	for _, u := range a.Detector.Updates() {
+		set.Updates = append(set.Updates, update(u))
+	}
+	raw, err := a.packer.Pack(set)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.StatesReply{Compressed: raw}, nil
+}
+
 func hostBucket(index int, entries []core.HostEntry) *wire.HostBucket {
 	b := &wire.HostBucket{Index: int32(index)}
 	for _, e := range entries {
--- a/io/gossip/packet.go
+++ b/io/gossip/packet.go
@@ -40,13 +40,7 @@
 		w.Body = &wire.Packet_Ack{Ack: &wire.Ack{Seq: p.Seq, Target: string(p.Target)}}
 	}
 	for _, u := range p.Updates {
-		w.Updates = append(w.Updates, &wire.Update{
-			Host:        string(u.Host.ID()),
-			DataCentre:  string(u.Host.DataCentre()),
-			Address:     u.Host.Address(),
-			Incarnation: uint64(u.Incarnation),
-			State:       int32(u.State),
-		})
+		w.Updates = append(w.Updates, update(u))
 	}
 	for proto.Size(w) > maxPacketBytes && len(w.Updates) > 0 {
 		w.Updates = w.Updates[:len(w.Updates)-1]
@@ -97,6 +91,16 @@
 	return p, nil
 }
 
+func update(u core.PeerUpdate) *wire.Update {
+	return &wire.Update{
+		Host:        string(u.Host.ID()),
+		DataCentre:  string(u.Host.DataCentre()),
+		Address:     u.Host.Address(),
+		Incarnation: uint64(u.Incarnation),
+		State:       int32(u.State),
+	}
+}
+
 func host(id, dc, address string) (core.Host, bool) {
 	_, err := netip.ParseAddrPort(address)
 	return core.NewHost(core.HostID(id), core.DataCentre(dc), address), id != "" && err == nil
--- a/io/memnet/memnet.go
+++ b/io/memnet/memnet.go
@@ -248,3 +248,16 @@
 	}
 	return peer.HostsFromWire(e.host.packer, r)
 }
+
+// States implements core.Exchange.
+func (e exchange) States(ctx context.Context, h core.Host) ([]core.PeerUpdate, error) {
+	to, err := e.call(ctx, h)
+	if err != nil {
+		return nil, err
+	}
+	r, err := to.Agent.StatesReply()
+	if err != nil {
+		return nil, err
+	}
+	return peer.StatesFromWire(e.host.packer, r)
+}
--- a/io/memnet/spread_test.go
+++ b/io/memnet/spread_test.go
@@ -1,6 +1,7 @@
 package memnet_test
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"testing"
@@ -42,3 +43,48 @@
 		t.Logf("in 10 s: %d reads, %d bytes", w.cluster.Platform.Reads()-reads, w.hosts[7].Agent.Stats().SentBytes-bytes)
 	})
 }
+
+// Guards against a starting host that learns of lost hosts only by its own
+// probes, which takes several seconds: with a list that still names two of
+// them, its first view must be that of the fleet.
+func TestStartingHostKnowsTheLostOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := memnet.New(slog.New(slog.DiscardHandler), time.Millisecond)
+		c.Platform.Publish(1, []byte("kind: caller\nname: a\nteam: t\nedition: 1\nservices: [s]\n---\nkind: end\n"))
+		var hosts []*memnet.Host
+		start := func(id core.HostID) *memnet.Host {
+			h, err := c.Start(id, "a")
+			if err != nil {
+				t.Fatal(err)
+			}
+			return h
+		}
+		for i := range 9 {
+			hosts = append(hosts, start(core.HostID(fmt.Sprintf("h%d", i))))
+		}
+		stale := c.Entries()
+		c.Platform.SetHosts(stale)
+		time.Sleep(5 * time.Second)
+		hosts[1].Stop()
+		hosts[2].Stop()
+		time.Sleep(20 * time.Second)
+		joined := start("h9")
+		for !joined.Agent.Ready() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		lost := 0
+		for _, i := range joined.Detector.Peers() {
+			if i.State == core.PeerDead {
+				lost++
+			}
+		}
+		if view := joined.Detector.View(time.Now()).Hosts(); lost != 2 || len(view) != 8 {
+			t.Errorf("ready with %d hosts in view and %d held dead, want 8 and 2", len(view), lost)
+		}
+		for i, h := range append(hosts, joined) {
+			if i != 1 && i != 2 {
+				h.Stop()
+			}
+		}
+	})
+}
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -34,3 +34,13 @@
 	h.node.log.Warn("node: exchange refused", "err", err)
 	_ = reply(true, &wire.Frame{Body: &wire.Frame_Refusal{Refusal: &wire.Refusal{Reason: "not_available"}}})
 }
+
+// states answers another host with what this one knows of all hosts.
+func (h handler) states(reply peer.Reply) {
+	r, err := h.node.agent.StatesReply()
+	if err != nil {
+		h.refuse(err, reply)
+		return
+	}
+	_ = reply(true, &wire.Frame{Body: &wire.Frame_StatesReply{StatesReply: r}})
+}
--- a/io/node/handler.go
+++ b/io/node/handler.go
@@ -37,6 +37,8 @@
 		h.sections(body.SectionsGet, reply)
 	case *wire.Frame_HostsGet:
 		h.hosts(body.HostsGet, reply)
+	case *wire.Frame_StatesGet:
+		h.states(reply)
 	default:
 		_ = reply(true, &wire.Frame{Body: &wire.Frame_Refusal{Refusal: &wire.Refusal{Reason: "unknown_message"}}})
 	}
--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -60,6 +60,26 @@
 	return news, err
 }
 
+// States asks a host for what it knows of all hosts.
+func (c *Client) States(ctx context.Context, h core.Host) ([]core.PeerUpdate, error) {
+	packer, err := c.packer()
+	if err != nil {
+		return nil, err
+	}
+	get := &wire.Frame{Body: &wire.Frame_StatesGet{StatesGet: &wire.StatesGet{}}}
+	var states []core.PeerUpdate
+	err = c.stream(ctx, h, get, func(f *wire.Frame) error {
+		body, ok := f.Body.(*wire.Frame_StatesReply)
+		if !ok {
+			return errors.Errorf("unexpected reply %T", f.Body)
+		}
+		var err error
+		states, err = StatesFromWire(packer, body.StatesReply)
+		return err
+	})
+	return states, err
+}
+
 // stream sends a request and calls take for each reply until the last one.
 func (c *Client) stream(ctx context.Context, h core.Host, f *wire.Frame, take func(*wire.Frame) error) error {
 	link, err := c.link(ctx, h)
@@ -134,3 +154,24 @@
 	}
 	return news, nil
 }
+
+// StatesFromWire expands the states of all hosts.
+func StatesFromWire(p *wire.Packer, w *wire.StatesReply) ([]core.PeerUpdate, error) {
+	set := new(wire.StateSet)
+	if err := p.Unpack(w.Compressed, set); err != nil {
+		return nil, err
+	}
+	out := make([]core.PeerUpdate, 0, len(set.Updates))
+	for _, u := range set.Updates {
+		state := core.PeerState(u.State)
+		if state < core.PeerJoining || state > core.PeerDead {
+			return nil, errors.Errorf("unknown state %d of %s", u.State, u.Host)
+		}
+		out = append(out, core.PeerUpdate{
+			Host:        core.NewHost(core.HostID(u.Host), core.DataCentre(u.DataCentre), u.Address),
+			Incarnation: core.Incarnation(u.Incarnation),
+			State:       state,
+		})
+	}
+	return out, nil
+}
