--- a/io/memnet/memnet.go
+++ b/io/memnet/memnet.go
@@ -48,6 +48,15 @@
 	hosts map[string]*Host // by address
 	next  uint64
 	cut   func(from, to core.Host) bool
+	noise Noise
+	rng   *rand.Rand
+}
+
+// Noise is what the network does to messages at random.
+type Noise struct {
+	Lose      float64       // share of packets lost and of exchanges cut short
+	Duplicate float64       // share of packets that arrive twice
+	Delay     time.Duration // up to which a duplicate arrives later
 }
 
 // New returns a cluster without hosts. Packets and calls take latency one way.
@@ -58,6 +67,7 @@
 		latency:  latency,
 		hosts:    make(map[string]*Host),
 		cut:      func(_, _ core.Host) bool { return false },
+		rng:      rand.New(rand.NewPCG(1, 1)),
 	}
 }
 
@@ -73,6 +83,8 @@
 	inbox   chan []byte
 	closed  chan struct{}
 	once    sync.Once
+	mu      sync.Mutex
+	running chan struct{} // open while the host is paused
 	cancel  context.CancelFunc
 	done    chan error
 }
@@ -100,7 +112,7 @@
 	h.Detector = member.New(h.Self, core.Incarnation(n), rand.New(rand.NewPCG(n, n)))
 	log := c.log.With("host", id)
 	h.Agent, err = gossip.New(gossip.Parts{
-		Self: h.Self, Detector: h.Detector, Ledger: h.Ledger, Platform: c.Platform,
+		Self: h.Self, Detector: h.Detector, Ledger: h.Ledger, Platform: platform{c.Platform, h},
 		Placer: place.New(place.DefaultSetSize), Exchange: exchange{h}, Log: log,
 	})
 	if err != nil {
@@ -145,6 +157,60 @@
 	c.cut = cut
 }
 
+// Disturb sets what the network does to messages from now on.
+func (c *Cluster) Disturb(n Noise) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noise = n
+}
+
+// chance draws whether something that happens with a probability happens.
+func (c *Cluster) chance(share func(Noise) float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng.Float64() < share(c.noise)
+}
+
+func (c *Cluster) delay() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(c.rng.Float64() * float64(c.noise.Delay))
+}
+
+func lose(n Noise) float64      { return n.Lose }
+func duplicate(n Noise) float64 { return n.Duplicate }
+
+// Pause stops the host at its next input or output, as a stopped process; what
+// arrives waits for it.
+func (h *Host) Pause() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.running = make(chan struct{})
+}
+
+// Resume lets a paused host go on.
+func (h *Host) Resume() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.running)
+	h.running = nil
+}
+
+// await waits while the host is paused, until done at most.
+func (h *Host) await(done <-chan struct{}) {
+	h.mu.Lock()
+	running := h.running
+	h.mu.Unlock()
+	if running == nil {
+		return
+	}
+	select {
+	case <-running:
+	case <-h.closed:
+	case <-done:
+	}
+}
+
 func (c *Cluster) reach(from core.Host, address string) (*Host, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -157,8 +223,20 @@
 
 // WriteTo delivers after the latency, or never: the sender cannot tell.
 func (c conn) WriteTo(raw []byte, to net.Addr) (int, error) {
+	c.host.await(nil)
+	cluster := c.host.cluster
 	copied := append([]byte(nil), raw...)
-	time.AfterFunc(c.host.cluster.latency, func() {
+	if !cluster.chance(lose) {
+		c.deliver(copied, to, cluster.latency)
+	}
+	if cluster.chance(duplicate) {
+		c.deliver(copied, to, cluster.latency+cluster.delay())
+	}
+	return len(raw), nil
+}
+
+func (c conn) deliver(copied []byte, to net.Addr, after time.Duration) {
+	time.AfterFunc(after, func() {
 		if h, ok := c.host.cluster.reach(c.host.Self, to.String()); ok {
 			select {
 			case h.inbox <- copied:
@@ -166,12 +244,12 @@
 			}
 		}
 	})
-	return len(raw), nil
 }
 
 func (c conn) ReadFrom(buffer []byte) (int, net.Addr, error) {
 	select {
 	case raw := <-c.host.inbox:
+		c.host.await(nil)
 		return copy(buffer, raw), c.LocalAddr(), nil
 	case <-c.host.closed:
 		return 0, nil, net.ErrClosed
@@ -208,6 +286,11 @@
 	if !there {
 		return nil, errCut
 	}
+	e.host.await(nil)
+	to.await(ctx.Done())
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	if _, back := e.host.cluster.reach(h, e.host.Self.Address()); !back {
 		return nil, errCut
 	}
@@ -226,6 +309,9 @@
 		return news, err
 	}
 	for _, r := range replies {
+		if e.host.cluster.chance(lose) {
+			return news, errCut
+		}
 		texts, err := peer.SectionsFromWire(e.host.packer, r)
 		if err != nil {
 			return news, err
--- a/io/memnet/platform.go
+++ b/io/memnet/platform.go
@@ -109,3 +109,23 @@
 	}
 	return p.hosts, nil
 }
+
+// platform is the platform as one host reads it, which may be paused.
+type platform struct {
+	*Platform
+	host *Host
+}
+
+// Document implements core.Platform.
+func (p platform) Document(ctx context.Context, after core.Revision) (core.Document, error) {
+	doc, err := p.Platform.Document(ctx, after)
+	p.host.await(nil)
+	return doc, err
+}
+
+// Hosts implements core.Platform.
+func (p platform) Hosts(ctx context.Context) ([]core.HostEntry, error) {
+	hosts, err := p.Platform.Hosts(ctx)
+	p.host.await(nil)
+	return hosts, err
+}
