perf(member): make the cost of a tick independent of the fleet

Cause: each tick looked at every known host for hints, suspicions, lost and dead ones. The detector now keeps the set of hosts that are lost, suspect or hinted, and draws relays from the view instead of shuffling all hosts.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -97,7 +97,8 @@
 	leaving     bool
 	status      Status
 	peers       map[core.HostID]*peer
-	order       []core.HostID // remaining hosts of the current ping round
+	odd         map[core.HostID]*peer // those that a tick has to look at, see note
+	order       []core.HostID         // remaining hosts of the current ping round
 	probes      map[uint64]*probe
 	relayed     map[uint64]relay
 	seq         uint64
@@ -121,6 +122,7 @@
 		rng:         rng,
 		incarnation: inc,
 		peers:       make(map[core.HostID]*peer),
+		odd:         make(map[core.HostID]*peer),
 		probes:      make(map[uint64]*probe),
 		relayed:     make(map[uint64]relay),
 		news:        newBroadcasts(),
@@ -169,6 +171,17 @@
 	return p
 }
 
+// note keeps the set of hosts that a tick has to look at: lost, suspect and
+// hinted ones. It must be called after each change of those fields, so that a
+// tick costs the same in a fleet of any size.
+func (d *Detector) note(p *peer) {
+	if p.down || p.hinted || p.state >= core.PeerSuspect {
+		d.odd[p.host.ID()] = p
+		return
+	}
+	delete(d.odd, p.host.ID())
+}
+
 // SetStatus sets what this host says about itself in every packet.
 func (d *Detector) SetStatus(s Status) {
 	d.mu.Lock()
@@ -215,6 +228,7 @@
 		return
 	}
 	p.down, p.hinted = true, true
+	d.note(p)
 	d.dirty = true
 }
 
@@ -322,7 +336,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []Send
-	targets := d.shuffled(func(p *peer) bool { return p.state <= core.PeerAlive && !p.down })
+	targets := d.shuffled(d.peers, func(p *peer) bool { return p.state <= core.PeerAlive && !p.down })
 	for _, p := range targets[:min(announcePeers, len(targets))] {
 		out = d.ping(p, out)
 	}
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -8,6 +8,10 @@
 	"oriolebarrow/core"
 )
 
+// manyHosts is the size of a view from which a few random draws find relays
+// sooner than a shuffle does.
+const manyHosts = 16
+
 // probe is one ping that waits for its answer.
 type probe struct {
 	target   core.HostID
@@ -63,7 +67,7 @@
 			out = d.start(now, p, out)
 		}
 	}
-	down := d.shuffled(func(p *peer) bool {
+	down := d.shuffled(d.odd, func(p *peer) bool {
 		return p.down && p.state != core.PeerDead && !d.probing(p.host.ID())
 	})
 	for _, p := range down[:min(extraProbes, len(down))] {
@@ -71,7 +75,7 @@
 	}
 	if !now.Before(d.nextDead) {
 		d.nextDead = now.Add(deadPingInterval)
-		if dead := d.shuffled(func(p *peer) bool { return p.state == core.PeerDead }); len(dead) > 0 {
+		if dead := d.shuffled(d.odd, func(p *peer) bool { return p.state == core.PeerDead }); len(dead) > 0 {
 			out = d.ping(dead[0], out)
 		}
 	}
@@ -79,9 +83,9 @@
 }
 
 // shuffled returns the matching hosts in random order.
-func (d *Detector) shuffled(match func(*peer) bool) []*peer {
+func (d *Detector) shuffled(peers map[core.HostID]*peer, match func(*peer) bool) []*peer {
 	var out []*peer
-	for _, p := range d.peers {
+	for _, p := range peers {
 		if match(p) {
 			out = append(out, p)
 		}
@@ -103,7 +107,7 @@
 				return p
 			}
 		}
-		for _, p := range d.shuffled(func(p *peer) bool { return p.state != core.PeerDead }) {
+		for _, p := range d.shuffled(d.peers, func(p *peer) bool { return p.state != core.PeerDead }) {
 			d.order = append(d.order, p.host.ID())
 		}
 	}
@@ -151,9 +155,10 @@
 }
 
 func (d *Detector) probeHinted(now time.Time, out []Send) []Send {
-	hinted := d.shuffled(func(p *peer) bool { return p.hinted })
+	hinted := d.shuffled(d.odd, func(p *peer) bool { return p.hinted })
 	for _, p := range hinted[:min(extraProbes, len(hinted))] {
 		p.hinted = false
+		d.note(p)
 		if !d.probing(p.host.ID()) {
 			out = d.start(now, p, out)
 		}
@@ -193,8 +198,7 @@
 // in case the first packet was lost.
 func (d *Detector) askRelays(p *peer, seq uint64, out []Send) []Send {
 	out = append(out, Send{To: p.host, Packet: d.packet(Ping, seq, p)})
-	helpers := d.shuffled(func(h *peer) bool { return h != p && h.usable() })
-	for _, h := range helpers[:min(relays, len(helpers))] {
+	for _, h := range d.helpers(p) {
 		packet := d.packet(PingReq, seq, h)
 		packet.Target = p.host.ID()
 		out = append(out, Send{To: h.host, Packet: packet})
@@ -202,6 +206,25 @@
 	return out
 }
 
+// helpers returns random usable hosts other than p. It draws a few hosts of the
+// view instead of shuffling all of them.
+func (d *Detector) helpers(p *peer) []*peer {
+	d.rebuild()
+	hosts := d.view.Hosts()
+	var out []*peer
+	if len(hosts) <= manyHosts {
+		out = d.shuffled(d.peers, func(h *peer) bool { return h != p && h.usable() })
+		return out[:min(relays, len(out))]
+	}
+	for len(out) < relays {
+		h := d.peers[hosts[d.rng.IntN(len(hosts))].ID()] // nil for this host
+		if h != nil && h != p && !slices.Contains(out, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // conclude ends a probe that got no direct answer.
 func (d *Detector) conclude(now time.Time, p *peer, pr *probe) {
 	if now.Before(d.refreshing) {
@@ -209,6 +232,7 @@
 	}
 	if !p.down {
 		p.down = true
+		d.note(p)
 		d.dirty = true
 	}
 	if !pr.indirect && p.state < core.PeerSuspect {
@@ -222,7 +246,7 @@
 		return
 	}
 	timeout := d.suspicionTimeout()
-	for id, p := range d.peers {
+	for id, p := range d.odd {
 		age := now.Sub(p.since)
 		switch {
 		case p.state == core.PeerSuspect && age >= timeout:
@@ -232,12 +256,14 @@
 				if p.ready {
 					p.state = core.PeerAlive
 				}
+				d.note(p)
 				d.dirty = true
 				continue
 			}
 			d.change(now, p, p.incarnation, core.PeerDead)
 		case p.state == core.PeerDead && !p.listed && age >= forgetAfter:
 			delete(d.peers, id)
+			delete(d.odd, id)
 			d.dirty = true
 		}
 	}
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -45,6 +45,7 @@
 	d.refreshing = time.Time{}
 	if p.down && !p.hinted {
 		p.down = false
+		d.note(p)
 		d.dirty = true
 	}
 }
@@ -82,7 +83,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := []Update{{Host: d.self, Incarnation: d.incarnation, State: d.ownState()}}
-	for _, p := range d.shuffled(func(*peer) bool { return true }) {
+	for _, p := range d.shuffled(d.peers, func(*peer) bool { return true }) {
 		out = append(out, Update{Host: p.host, Incarnation: p.incarnation, State: p.state})
 	}
 	return out
@@ -162,6 +163,7 @@
 func (d *Detector) change(now time.Time, p *peer, inc core.Incarnation, s core.PeerState) {
 	p.ready = s == core.PeerAlive || p.ready && inc == p.incarnation
 	p.incarnation, p.state, p.since = inc, s, now
+	d.note(p)
 	d.dirty = true
 	d.news.add(Update{Host: p.host, Incarnation: inc, State: s})
 }
--- /dev/null
+++ b/core/member/scale_test.go
@@ -0,0 +1,66 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/member"
+)
+
+// known returns a detector that knows n other hosts, all alive and listed.
+func known(n int) (*member.Detector, time.Time) {
+	now := time.Unix(1_000_000, 0)
+	d := member.New(core.NewHost("self", "a", "10.0.0.1:1"), 1, rand.New(rand.NewPCG(1, 1)))
+	d.SetStatus(member.Status{Ready: true})
+	entries := make([]core.HostEntry, 0, n)
+	updates := make([]member.Update, 0, n)
+	for i := range n {
+		h := core.NewHost(core.HostID(fmt.Sprintf("host-%04d", i)), "a", fmt.Sprintf("10.1.%d.%d:7000", i>>8, i&255))
+		entries = append(entries, core.HostEntry{Host: h})
+		updates = append(updates, member.Update{Host: h, Incarnation: 1, State: core.PeerAlive})
+	}
+	d.Publish(now, entries)
+	d.Merge(now, updates)
+	return d, now
+}
+
+// BenchmarkTick measures one tick of a quiet fleet in which pings are answered.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{100, 1000, 3300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d, now := known(n)
+			for b.Loop() {
+				now = now.Add(member.TickInterval)
+				for _, s := range d.Tick(now) {
+					d.Receive(now, member.Packet{
+						Kind: member.Ack, Seq: s.Packet.Seq, From: s.To, Incarnation: 1, Status: member.Status{Ready: true},
+					})
+				}
+			}
+		})
+	}
+}
+
+// Guards against memory for each known host that does not fit beside the rest
+// of a host: 3,300 hosts, an eighth of 64 MB.
+func TestMemoryOfTheFleet(t *testing.T) {
+	heap := func() int64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	before := heap()
+	d, now := known(3300)
+	view := d.View(now)
+	used := heap() - before
+	if used > 8<<20 || len(view.Hosts()) != 3301 {
+		t.Errorf("%d bytes for %d hosts", used, len(view.Hosts()))
+	}
+	t.Logf("%d bytes for each known host, addresses included", used/3300)
+	runtime.KeepAlive(d)
+}
