feat(eject): yield slots to other owners and distrust old statuses

Cause: a host that was paused, cut off or replaced and its successor both use all slots of a replica; the servers refuse the surplus as busy, and nothing reacted to that. After a pause, calls started on a status from before it.

A refusal as busy now takes slots from its replica, holds further ones back for 0.5 to 8 s, and pauses a replica that refused the only call for 10 ms to 1 s. It is no fault of the replica. A status older than 2.4 s is not relied on: the replica gets no call until it is asked again, and then starts with one slot. The scheduler wakes when a pause ends. An owner tells a group that holds nothing from one that it has not asked, and drops a batch given up before it started.

Ruled out: the ramp of a new owner as the only guard, since both owners reach all slots within a few calls.

--- a/core/core.go
+++ b/core/core.go
@@ -78,6 +78,7 @@
 	ReasonIssuerGone     Reason = "issuer_gone"
 	ReasonTableFull      Reason = "table_full"
 	ReasonDraining       Reason = "draining"
+	ReasonBusy           Reason = "busy" // a backend server has no free slot
 	ReasonUnknownCaller  Reason = "unknown_caller"
 	ReasonUnknownService Reason = "unknown_service"
 	ReasonRate           Reason = "rate"
--- a/core/eject/eject.go
+++ b/core/eject/eject.go
@@ -41,6 +41,15 @@
 	// drainHold is how long a draining statement outweighs the state ready of
 	// the same incarnation, since status endpoints lag.
 	drainHold = 30 * time.Second
+	// busyMin and busyMax are the pauses of a replica that refused the only
+	// call of this host as busy: calls of other hosts use all its slots.
+	busyMin = 10 * time.Millisecond
+	busyMax = time.Second
+	// holdMin and holdMax are how long a replica that was busy gets no further
+	// slot. With two owners on two slots each try costs a few refusals, and
+	// one every 8 s keeps them below 0.5% of 200 calls/s.
+	holdMin = 500 * time.Millisecond
+	holdMax = 8 * time.Second
 	// dropHold is how long a refusal snapshot_gone outweighs a status that
 	// still lists the shard.
 	dropHold = 5 * time.Second
@@ -63,7 +72,13 @@
 	Replicas int
 	Slots    int
 	NoEject  bool // never ejects stragglers
-	NoRamp   bool // gives all slots at once
+
+	// StaleAfter is the age beyond which a status is not relied on: the
+	// replica gets no call until it is asked again, since it may have begun to
+	// drain. Zero relies on any status.
+	StaleAfter time.Duration
+	NoRamp     bool // gives all slots at once
+	NoBackoff  bool // keeps the slots of a replica that is busy with others' calls
 }
 
 // holding is one shard of one snapshot.
@@ -76,6 +91,7 @@
 	status  core.ReplicaStatus
 	known   bool
 	asked   time.Time // when the status was asked for
+	heard   time.Time // when the last poll that ended was started
 	stated  State     // ready, cold or draining
 	drained time.Time
 	renewed time.Time // when the first status of this incarnation was asked for
@@ -91,6 +107,7 @@
 
 	allowed int
 	good    int // successful calls since the last change of allowed
+	backoff backoff
 }
 
 // Group is the health of one replica group. It is not safe for concurrent use.
@@ -125,7 +142,7 @@
 func (g *Group) Slots(now time.Time, i int) int {
 	r := &g.replicas[i]
 	switch {
-	case r.stated == Draining:
+	case r.stated == Draining || g.Stale(now, i) || now.Before(r.backoff.until):
 		return 0
 	case r.missed >= goneAfter || r.ejected:
 		if !g.otherInService(i) {
@@ -232,6 +249,13 @@
 	return out
 }
 
+// Known reports whether it is known what the replica offers: it gave a status,
+// drains or is gone.
+func (g *Group) Known(i int) bool {
+	s := g.State(i)
+	return g.replicas[i].known || s == Draining || s == Gone
+}
+
 // Started tells that a call to the replica starts.
 func (g *Group) Started(now time.Time, i int) {
 	r := &g.replicas[i]
@@ -260,6 +284,10 @@
 	case e.Refused && e.Reason == core.ReasonBackendError:
 		g.miss(now, i)
 		return
+	case e.Refused && e.Reason == core.ReasonBusy:
+		r.missed = 0
+		g.busy(now, i, now.Add(-e.Took))
+		return
 	case e.Refused:
 		r.missed = 0 // shedding says nothing about the service time
 		return
@@ -284,7 +312,8 @@
 	}
 	r.slow += weight * (sample - r.slow)
 	if !slow {
-		if r.good++; r.good >= rampCalls {
+		r.backoff.pause = 0
+		if r.good++; r.good >= rampCalls && !now.Before(r.backoff.growAt) {
 			r.good = 0
 			r.allowed = min(g.opts.Slots, r.allowed+1)
 		}
@@ -321,8 +350,11 @@
 	r.dropped[h] = now
 }
 
-// Unreachable tells that the replica gave no status.
-func (g *Group) Unreachable(now time.Time, i int) { g.miss(now, i) }
+// Unreachable tells that the replica gave no status when asked at a time.
+func (g *Group) Unreachable(asked time.Time, i int) {
+	g.replicas[i].heard = asked
+	g.miss(asked, i)
+}
 
 // Status takes the replica's own report, which was asked for at a time.
 func (g *Group) Status(asked time.Time, i int, s core.ReplicaStatus) {
@@ -330,7 +362,9 @@
 	if r.known && (s.Incarnation < r.status.Incarnation || asked.Before(r.asked)) {
 		return
 	}
-	r.asked = asked
+	// After a gap another host may have owned the group and run calls.
+	resumed := r.known && g.opts.StaleAfter > 0 && asked.Sub(r.heard) > g.opts.StaleAfter
+	r.asked, r.heard = asked, asked
 	// Until the first status the incarnation is not known, so a statement made
 	// before it is taken to be of the incarnation that the status names.
 	renewed := r.known && r.status.Incarnation != 0 && s.Incarnation > r.status.Incarnation
@@ -338,7 +372,7 @@
 	if renewed {
 		r.renewed = asked
 	}
-	if renewed || r.missed >= goneAfter {
+	if renewed || resumed || r.missed >= goneAfter {
 		g.ramp(i)
 	}
 	r.missed = 0
--- a/core/eject/eject_test.go
+++ b/core/eject/eject_test.go
@@ -109,7 +109,7 @@
 		t.Fatal("no trial call after 2 s")
 	}
 	g.Started(now, 0)
-	if g.Slots(now, 0) != 0 {
+	if g.Slots(now, 0) != 0 || g.Slots(now.Add(time.Minute), 0) != 0 {
 		t.Error("a second trial call may start")
 	}
 	g.Ended(now, 0, core.CallEnd{Took: time.Millisecond, Median: 10 * time.Millisecond})
@@ -141,3 +141,57 @@
 		t.Error("a lagging status undoes the refusal, or the refusal drops another shard")
 	}
 }
+
+// TestStale guards against work on a status from before a pause, or on one that
+// was asked for before it and arrived after it, and against all slots at once
+// after the pause, when another host may own the group.
+func TestStale(t *testing.T) {
+	g := eject.New(eject.Options{Replicas: 1, Slots: 2, StaleAfter: 2 * time.Second})
+	slots := func(after time.Duration, want int, why string) {
+		t.Helper()
+		if got := g.Slots(start.Add(after), 0); got != want {
+			t.Errorf("%d slots %s, want %d", got, why, want)
+		}
+	}
+	slots(0, 0, "before the first status")
+	g.Status(start, 0, status(1, core.ReplicaReady))
+	for range 4 {
+		call(g, start, 0, time.Millisecond)
+	}
+	slots(2*time.Second, 2, "with a fresh status")
+	slots(3*time.Second, 0, "after a pause")
+	g.Status(start.Add(100*time.Millisecond), 0, status(1, core.ReplicaReady))
+	slots(3*time.Second, 0, "after a status asked for before the pause")
+	g.Unreachable(start.Add(200*time.Millisecond), 0)
+	slots(3*time.Second, 0, "after a poll that began before the pause and failed")
+	g.Status(start.Add(3*time.Second), 0, status(1, core.ReplicaReady))
+	slots(3*time.Second, 1, "after a status asked for since the pause")
+}
+
+// TestBusy guards against a replica that is ejected or counts as gone because
+// calls of another host use its slots, and against a burst of refusals that
+// counts more than once.
+func TestBusy(t *testing.T) {
+	g := eject.New(eject.Options{Replicas: 2, Slots: 4})
+	for range 12 {
+		call(g, start, 0, time.Millisecond)
+	}
+	busy := core.CallEnd{Refused: true, Reason: core.ReasonBusy, Took: time.Millisecond}
+	for range 4 {
+		g.Started(start, 0)
+	}
+	g.Ended(start.Add(time.Millisecond), 0, busy)
+	g.Ended(start.Add(time.Millisecond), 0, busy)
+	if got := g.Slots(start.Add(time.Millisecond), 0); got != 3 {
+		t.Errorf("%d slots after one burst, want 3", got)
+	}
+	now := start
+	for range 20 {
+		now = now.Add(2 * time.Second)
+		g.Started(now, 1)
+		g.Ended(now, 1, busy)
+		if g.State(1) != eject.Ready || g.Slots(now, 1) != 0 || g.Slots(now.Add(time.Second), 1) != 1 {
+			t.Fatalf("state %s, %d slots at once and %d after a second", g.State(1), g.Slots(now, 1), g.Slots(now.Add(time.Second), 1))
+		}
+	}
+}
--- a/core/iface.go
+++ b/core/iface.go
@@ -131,6 +131,8 @@
 	// Read calls sink once for each shard and returns when all are decided.
 	Read(ctx context.Context, b ReadBatch, sink func(ShardResult))
 	Order(ctx context.Context, run OrderRun, g GroupID) OrderResult
+	// Snapshots says nothing about groups whose replicas were not all asked yet,
+	// and HoldsNothing about those whose live replicas hold nothing.
 	Snapshots(ctx context.Context, s ServiceName, ids []GroupID) []GroupSnapshot
 }
 
@@ -195,4 +197,7 @@
 	Holds(replica int, snapshot SnapshotID, shard ShardID) bool
 	Started(now time.Time, replica int)
 	Ended(now time.Time, replica int, e CallEnd)
+	// NextChange returns when a replica that is held back may take calls again
+	// without any event, or the zero time.
+	NextChange(now time.Time) time.Time
 }
--- a/core/query.go
+++ b/core/query.go
@@ -22,6 +22,15 @@
 	Shards     []ShardID
 }
 
+// HoldsNothing is the statement of an owner that no live replica of a group
+// holds any shard. A group that is absent from a reply was not asked yet.
+func HoldsNothing(g GroupID) GroupSnapshot { return GroupSnapshot{Group: g} }
+
+// IsNothing reports whether h is a statement made by HoldsNothing.
+func (h GroupSnapshot) IsNothing() bool {
+	return h.Snapshot == 0 && h.ShardCount == 0 && len(h.Shards) == 0
+}
+
 // Pin is the snapshot chosen for one query and where its shards are.
 type Pin struct {
 	snapshot SnapshotID
--- a/core/queue/bind.go
+++ b/core/queue/bind.go
@@ -12,6 +12,10 @@
 	for {
 		a, ok := s.bindOne(now, &out)
 		if !ok {
+			s.wake = time.Time{}
+			if s.Waiting() > 0 || len(s.extras) > 0 {
+				s.wake = s.opts.Health.NextChange(now)
+			}
 			return out
 		}
 		out = append(out, a)
--- a/core/queue/main_test.go
+++ b/core/queue/main_test.go
@@ -61,6 +61,7 @@
 func (w *ward) Trial(time.Time, int) bool                           { return false }
 func (w *ward) Available(r int) bool                                { return !w.draining[r] }
 func (w *ward) Holds(r int, _ core.SnapshotID, _ core.ShardID) bool { return !w.missing[r] }
+func (w *ward) NextChange(time.Time) time.Time                      { return time.Time{} }
 func (w *ward) Started(time.Time, int)                              {}
 func (w *ward) Ended(_ time.Time, r int, e core.CallEnd) {
 	if e.Reason == core.ReasonDraining {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -62,6 +62,7 @@
 	next     uint64
 	serial   uint64
 	turn     int
+	wake     time.Time // when health lets a replica back without an event
 }
 
 // New returns an empty scheduler.
@@ -252,10 +253,13 @@
 	for {
 		a, ok := s.alarms.Peek()
 		if !ok {
-			return time.Time{}
+			return s.wake
 		}
 		if !a.off {
-			return a.at
+			if s.wake.IsZero() || a.at.Before(s.wake) {
+				return a.at
+			}
+			return s.wake
 		}
 		s.alarms.Pop()
 		s.off--
--- a/io/owner/group.go
+++ b/io/owner/group.go
@@ -57,7 +57,9 @@
 		id:       id,
 		replicas: replicas,
 		polling:  make([]atomic.Bool, len(replicas)),
-		health:   eject.New(eject.Options{Replicas: len(replicas), Slots: s.Limits().CallSlots()}),
+		health: eject.New(eject.Options{
+			Replicas: len(replicas), Slots: s.Limits().CallSlots(), StaleAfter: staleAfter,
+		}),
 		jobs:     make(map[uint64]*job),
 		calls:    make(map[uint64]*job),
 		used:     time.Now(),
@@ -110,14 +112,23 @@
 	g.step(func(now time.Time) []queue.Action { return g.sched.Withdraw(now, id) })
 }
 
+// add queues a task. Replicas without a fresh status are asked at once, since
+// the task waits for it.
 func (g *group) add(j *job, t queue.Task) uint64 {
+	stale := false
 	g.step(func(now time.Time) []queue.Action {
 		g.next++
 		t.ID = g.next
 		g.jobs[t.ID] = j
 		g.used = now
+		for i := range g.replicas {
+			stale = stale || g.health.Stale(now, i)
+		}
 		return g.sched.Add(now, t)
 	})
+	if stale {
+		go g.poll(context.Background())
+	}
 	return t.ID
 }
 
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -24,6 +24,10 @@
 	// which new work to a leaving server must stop.
 	pollInterval = 250 * time.Millisecond
 	pollTimeout  = time.Second
+	// staleAfter lets a replica that answers no status (asked every 1.25 s at
+	// worst, known to fail 1 s later) keep its calls, and leaves time for one
+	// poll within the 3 s after a pause.
+	staleAfter = 2400 * time.Millisecond
 	// groupIdle is how long a group is polled after its last use.
 	groupIdle = time.Minute
 	// orderPriority is the highest of caller sections (0 to 9): an order
@@ -141,6 +145,12 @@
 // Read queues the shards of a batch and calls sink once for each. When ctx ends
 // the shards without a result are given up and their calls cancelled.
 func (o *Owner) Read(ctx context.Context, b core.ReadBatch, sink func(core.ShardResult)) {
+	if ctx.Err() != nil { // given up before it started, such as a batch that was held back
+		for _, ref := range b.Shards {
+			sink(core.ShardResult{Shard: ref.Shard, Missing: core.ReasonDeadline})
+		}
+		return
+	}
 	var wait sync.WaitGroup
 	giveUp := make([]func(), 0, len(b.Shards))
 	for _, ref := range b.Shards {
--- a/io/owner/poll.go
+++ b/io/owner/poll.go
@@ -39,7 +39,7 @@
 	g.step(func(now time.Time) []queue.Action {
 		before = g.health.State(i)
 		if err != nil {
-			g.health.Unreachable(now, i)
+			g.health.Unreachable(asked, i)
 		} else {
 			g.health.Status(asked, i, status)
 		}
@@ -52,14 +52,18 @@
 	}
 }
 
-// held returns the snapshots and shards that live replicas of the group hold.
+// held returns the snapshots and shards that live replicas of the group hold,
+// or core.HoldsNothing when every replica is known and none holds any. It
+// returns nothing while a replica that may hold some was not asked yet.
 func (g *group) held() []core.GroupSnapshot {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.used = time.Now()
 	at := make(map[core.SnapshotID]int)
+	known := true
 	var out []core.GroupSnapshot
 	for i := range g.replicas {
+		known = known && g.health.Known(i)
 		for _, s := range g.health.Snapshots(i) {
 			n, ok := at[s.Snapshot]
 			if !ok {
@@ -76,5 +80,8 @@
 			}
 		}
 	}
+	if len(out) == 0 && known {
+		return []core.GroupSnapshot{core.HoldsNothing(g.id)}
+	}
 	return out
 }
