fix(entry): tell dead groups from unasked ones and keep restarts in time

A shard held by several groups always went to the highest number.

An entry with only a group in SnapshotsReply now says that the group holds nothing; an absent group was not asked. Selections spread a shard over its holders. The refresh before a restart takes at most a quarter of the time left. Rejected results are counted in the metric entry_results_rejected.

Ruled out: a flag for the whole reply, since one owner may have asked only some of its groups.

--- a/core/snaps/snaps.go
+++ b/core/snaps/snaps.go
@@ -9,7 +9,10 @@
 package snaps
 
 import (
+	"cmp"
+	"slices"
 	"sync"
+	"sync/atomic"
 
 	"oriolebarrow/core"
 )
@@ -22,6 +25,7 @@
 type Table struct {
 	mu       sync.RWMutex
 	services map[core.ServiceName]map[core.GroupID][]core.GroupSnapshot
+	turn     atomic.Uint64 // selections so far
 }
 
 var _ core.Selector = (*Table)(nil)
@@ -66,7 +70,8 @@
 }
 
 // Select returns the newest snapshot in which every shard is held by a group,
-// else the one with the best coverage (the newest of these).
+// else the one with the best coverage (the newest of these). Selections in turn
+// spread a shard over all groups that hold it.
 func (t *Table) Select(s core.ServiceName) (core.Pin, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -85,12 +90,12 @@
 	if best == nil {
 		return core.Pin{}, false
 	}
-	return core.NewPin(best.snapshot, best.groups), true
+	return core.NewPin(best.snapshot, best.choose(t.turn.Add(1))), true
 }
 
 type shardMap struct {
 	snapshot core.SnapshotID
-	groups   []core.GroupID
+	holders  [][]core.GroupID // by shard
 	known    int
 }
 
@@ -100,26 +105,36 @@
 	}
 	m := maps[h.Snapshot]
 	if m == nil {
-		m = &shardMap{snapshot: h.Snapshot, groups: make([]core.GroupID, h.ShardCount)}
-		for i := range m.groups {
-			m.groups[i] = core.NoGroup
-		}
+		m = &shardMap{snapshot: h.Snapshot, holders: make([][]core.GroupID, h.ShardCount)}
 		maps[h.Snapshot] = m
 	}
 	for _, shard := range h.Shards {
-		if shard < 0 || int(shard) >= len(m.groups) {
+		if shard < 0 || int(shard) >= len(m.holders) {
 			continue
 		}
-		if m.groups[shard] == core.NoGroup {
+		if len(m.holders[shard]) == 0 {
 			m.known++
 		}
-		m.groups[shard] = max(m.groups[shard], g)
+		m.holders[shard] = append(m.holders[shard], g)
+	}
+}
+
+// choose returns one holder of each shard.
+func (m *shardMap) choose(turn uint64) []core.GroupID {
+	groups := make([]core.GroupID, len(m.holders))
+	for i, holders := range m.holders {
+		groups[i] = core.NoGroup
+		if n := uint64(len(holders)); n > 0 {
+			slices.SortFunc(holders, cmp.Compare)
+			groups[i] = holders[turn%n]
+		}
 	}
+	return groups
 }
 
 func (m *shardMap) betterThan(other *shardMap) bool {
 	// Compares known/total without division: a/b > c/d when a*d > c*b.
-	a, b := m.known*len(other.groups), other.known*len(m.groups)
+	a, b := m.known*len(other.holders), other.known*len(m.holders)
 	if a != b {
 		return a > b
 	}
--- a/core/snaps/snaps_test.go
+++ b/core/snaps/snaps_test.go
@@ -81,3 +81,27 @@
 		}
 	})
 }
+
+// TestSpread guards against one of several holders of a shard that gets every
+// query, and against queries that still go to a holder that was lost.
+func TestSpread(t *testing.T) {
+	table := snaps.New()
+	for g := range core.GroupID(3) {
+		table.Update("s", g, []core.GroupSnapshot{{Group: g, Snapshot: 41, ShardCount: 1, Shards: []core.ShardID{0}}})
+	}
+	count := func() map[core.GroupID]int {
+		got := map[core.GroupID]int{}
+		for range 12 {
+			pin, _ := table.Select("s")
+			got[pin.Group(0)]++
+		}
+		return got
+	}
+	if got := count(); got[0] != 4 || got[1] != 4 || got[2] != 4 {
+		t.Errorf("12 queries go to %v", got)
+	}
+	table.Update("s", 2, nil)
+	if got := count(); got[0] != 6 || got[1] != 6 {
+		t.Errorf("12 queries go to %v after group 2 was lost", got)
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -10,7 +10,9 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oriolebarrow/core"
@@ -26,6 +28,9 @@
 	maxRestarts = 2
 	// restartShare is the share of the time that must be left for a restart.
 	restartShare = 3
+	// refreshShare is the share of the time left that a refresh in mid-query
+	// may take.
+	refreshShare = 4
 )
 
 // Parts are the dependencies of an Entry.
@@ -45,37 +50,55 @@
 // Entry serves caller requests. It is safe for concurrent use.
 type Entry struct {
 	Parts
+	rejected atomic.Uint64
 }
 
 // New returns an entry over its parts.
 func New(p Parts) *Entry { return &Entry{Parts: p} }
 
+// Rejected returns the number of shard results refused for a wrong snapshot, a
+// wrong shard or missing rows.
+func (e *Entry) Rejected() uint64 { return e.rejected.Load() }
+
 // Query answers one query before its deadline.
 func (e *Entry) Query(ctx context.Context, q core.Query) core.Answer {
 	end := q.Deadline.Add(-sendReserve)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	started := time.Now()
-	var answer core.Answer
+	var answer core.Answer // the one with the best coverage so far
+	var last core.SnapshotID
 	for try := 0; ; try++ {
 		pin, ok := e.pin(ctx, q.Service)
+		if try > 0 && (!ok || pin.Snapshot() <= last) {
+			return answer
+		}
 		if !ok {
 			return core.Answer{Outcome: core.NotRun, Reason: core.ReasonNoReplica}
 		}
-		if try > 0 && pin.Snapshot() <= answer.Snapshot {
-			return answer
-		}
+		last = pin.Snapshot()
 		e.Log.Info("entry: snapshot pinned", "request_id", q.ID, "service", q.Service,
 			"snapshot", pin.Snapshot(), "shards", pin.ShardCount(), "try", try)
-		answer = e.run(ctx, q, pin)
+		got := e.run(ctx, q, pin)
+		if try == 0 || got.Answered*answer.Total >= answer.Answered*got.Total {
+			answer = got
+		}
 		left := time.Until(end)
-		if try >= maxRestarts || !lostSnapshot(answer) || left < time.Since(started)/restartShare {
+		if try >= maxRestarts || !lostSnapshot(got) || left < time.Since(started)/restartShare {
 			return answer
 		}
-		e.refresh(ctx, q.Service)
+		e.refreshWithin(ctx, q.Service, left/refreshShare)
 	}
 }
 
+// refreshWithin refreshes the table in a part of the query's time, since an
+// owner that hangs must not use up what the restart needs.
+func (e *Entry) refreshWithin(ctx context.Context, s core.ServiceName, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	e.refresh(ctx, s)
+}
+
 func lostSnapshot(a core.Answer) bool {
 	for _, m := range a.Missing {
 		if m.Reason == core.ReasonSnapshotGone {
@@ -149,42 +172,54 @@
 
 // send asks the owner and, when it is lost, the standbys for what is missing.
 func (e *Entry) send(ctx context.Context, q core.Query, pin core.Pin, m *merge.Merge, p *part) {
-	var mu sync.Mutex // guards answered
-	answered := make(map[core.ShardID]bool)
+	var mu sync.Mutex // guards decided
+	decided := make(map[core.ShardID]bool)
+	asked := make(map[core.ShardID]bool, len(p.shards))
+	for _, ref := range p.shards {
+		asked[ref.Shard] = true
+	}
 	sink := func(r core.ShardResult) {
-		if v := m.Add(r); v == merge.WrongSnapshot || v == merge.WrongShard {
+		v := merge.WrongShard
+		if asked[r.Shard] {
+			v = m.Add(r)
+		}
+		if v == merge.WrongSnapshot || v == merge.WrongShard || v == merge.NoRows && r.Missing == "" {
+			e.rejected.Add(1)
 			e.Log.Warn("entry: shard result rejected", "request_id", q.ID, "shard", r.Shard, "verdict", v)
+			return // the standby is asked for the shard if the owner is lost
 		}
 		if r.Missing == core.ReasonSnapshotGone {
 			e.Table.Drop(q.Service, pin.Group(r.Shard), pin.Snapshot())
 		}
 		mu.Lock()
-		answered[r.Shard] = true
+		decided[r.Shard] = true
 		mu.Unlock()
 	}
 	if e.ask(ctx, p.owner, q, pin, p.shards, sink) == nil {
 		return
 	}
-	for id, refs := range p.standby {
+	open := func(refs []core.ShardRef) []core.ShardRef {
 		mu.Lock()
-		var open []core.ShardRef
-		for _, ref := range refs {
-			if !answered[ref.Shard] {
-				open = append(open, ref)
-			}
-		}
-		mu.Unlock()
-		if len(open) == 0 || ctx.Err() != nil {
+		defer mu.Unlock()
+		return slices.DeleteFunc(slices.Clone(refs), func(ref core.ShardRef) bool { return decided[ref.Shard] })
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	for _, ref := range open(p.shards) { // until a standby says more
+		m.Add(core.ShardResult{Shard: ref.Shard, Missing: core.ReasonOwnerLost})
+	}
+	var wait sync.WaitGroup
+	for id, refs := range p.standby {
+		left := open(refs)
+		if len(left) == 0 {
 			continue
 		}
 		e.Log.Info("entry: batch planned", "request_id", q.ID, "service", q.Service,
-			"owner", id, "shards", len(open), "reason", "standby")
-		if err := e.ask(ctx, id, q, pin, open, sink); err != nil {
-			for _, ref := range open {
-				m.Add(core.ShardResult{Shard: ref.Shard, Missing: core.ReasonOwnerLost})
-			}
-		}
+			"owner", id, "shards", len(left), "reason", "standby")
+		wait.Go(func() { _ = e.ask(ctx, id, q, pin, left, sink) })
 	}
+	wait.Wait()
 }
 
 func (e *Entry) ask(ctx context.Context, id core.HostID, q core.Query, pin core.Pin, refs []core.ShardRef, sink func(core.ShardResult)) error {
--- a/io/entry/refresh.go
+++ b/io/entry/refresh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,10 +71,10 @@
 		byGroup[h.Group] = append(byGroup[h.Group], h)
 	}
 	for _, g := range groups {
-		// An owner that has just taken a group over has not asked its replicas
-		// yet. Its silence is no news, and the table keeps what it has.
+		// A group is absent while its owner has not asked the replicas yet; the
+		// table then keeps what it has, so that a new owner wipes nothing.
 		if h := byGroup[g]; len(h) > 0 {
-			e.Table.Update(s, g, h)
+			e.Table.Update(s, g, slices.DeleteFunc(h, core.GroupSnapshot.IsNothing))
 		}
 	}
 }
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -72,6 +72,7 @@
 	for _, state := range []order.State{order.Issued, order.Running, order.Done, order.Refused} {
 		m.Gauge("order_tokens_"+string(state), func() int64 { return int64(n.tokens.Counts()[state]) })
 	}
+	m.Gauge("entry_results_rejected", func() int64 { return int64(n.entry.Rejected()) })
 	m.Gauge("config_revision", func() int64 { return int64(n.ledger.Revision()) })
 	m.Gauge("config_sections", func() int64 { return int64(len(n.ledger.Versions())) })
 	m.Gauge("config_sections_refused", func() int64 { return int64(len(n.ledger.Refused())) })
