fix(entry): keep an owner in the view after one late acknowledgement

Cause: one acknowledgement later than 25 ms took its owner out of this host's view until the next answered probe. All its groups went to their standbys here while other hosts still used the owner, so both ran calls on the same replicas.

An owner now leaves the view when it has failed to acknowledge for 50 ms, or at once when it refuses or cannot be dialled. The batch itself still goes to the standby after the first timeout, with only the shards that are missing.

Ruled out: a longer ack timeout, which every query to a lost owner would pay.

Before: one late acknowledgement took the owner out once, and three between acknowledgements three times. After: neither does. TestSilentOwner was seen to fail without the wait, without the reset by an acknowledgement, without the limit of 50 ms, and without the exception for refusals.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"sync"
@@ -31,6 +32,12 @@
 	// refreshShare is the share of the time left that a refresh in mid-query
 	// may take.
 	refreshShare = 4
+	// silentFor is how long an owner must fail to acknowledge before it is
+	// taken out of the view. One late acknowledgement moves only its own batch:
+	// other hosts still use the owner, and all its groups would get a second one.
+	silentFor = 50 * time.Millisecond
+	// silentKeep is how long a failure to acknowledge counts.
+	silentKeep = time.Second
 )
 
 // Parts are the dependencies of an Entry.
@@ -51,10 +58,15 @@
 type Entry struct {
 	Parts
 	rejected atomic.Uint64
+
+	mu     sync.Mutex // guards silent; nothing is called under it
+	silent map[core.HostID]time.Time
 }
 
 // New returns an entry over its parts.
-func New(p Parts) *Entry { return &Entry{Parts: p} }
+func New(p Parts) *Entry {
+	return &Entry{Parts: p, silent: make(map[core.HostID]time.Time)}
+}
 
 // Rejected returns the number of shard results refused for a wrong snapshot, a
 // wrong shard or missing rows.
@@ -233,9 +245,37 @@
 		return &core.CallError{Op: "read", Target: string(id), Reason: core.ReasonNoOwner, NotRun: true}
 	}
 	err := e.Peers.Read(ctx, host, b, sink)
-	if err != nil && ctx.Err() == nil {
+	if ctx.Err() != nil {
+		return err
+	}
+	if err != nil {
 		e.Log.Warn("entry: owner lost", "request_id", q.ID, "owner", id, "err", err)
-		e.Views.MarkDown(time.Now(), id)
+	}
+	if now := time.Now(); e.down(now, id, err) {
+		e.Views.MarkDown(now, id)
 	}
 	return err
 }
+
+// down reports whether a host must leave the view after a batch: at once when
+// it refused or could not be dialled, else when it failed for silentFor.
+func (e *Entry) down(now time.Time, id core.HostID, err error) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err == nil {
+		delete(e.silent, id)
+		return false
+	}
+	var call *core.CallError
+	since, ok := e.silent[id]
+	switch {
+	case errors.As(err, &call) && call.NotRun:
+	case !ok || now.Sub(since) > silentKeep:
+		e.silent[id] = now
+		return false
+	case now.Sub(since) < silentFor:
+		return false
+	}
+	delete(e.silent, id)
+	return true
+}
--- a/io/entry/query_test.go
+++ b/io/entry/query_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +33,8 @@
 	mu   sync.Mutex
 	sent map[core.HostID][][]core.ShardID
 	pins []core.SnapshotID
+
+	downs atomic.Int64
 }
 
 func newTier(snapshots ...core.SnapshotID) *tier {
@@ -286,6 +289,43 @@
 	}
 }
 
+// Guards against one late acknowledgement that moves all groups of an owner,
+// and against an owner that stays in the view although it is lost.
+func TestSilentOwner(t *testing.T) {
+	for name, c := range map[string]struct {
+		notRun bool
+		acks   bool // between the failures
+		tries  int
+		want   int64
+	}{
+		"one late ack":        {false, false, 1, 0},
+		"acks between":        {false, true, 6, 0},
+		"silent":              {false, false, 4, 1},
+		"refused or no route": {true, false, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tier := newTier(41)
+				try := 0
+				tier.read = func(_ context.Context, h core.HostID, b core.ReadBatch, sink func(core.ShardResult)) error {
+					if h == "h0" && len(b.Shards) == 2 && (!c.acks || try%2 == 0) {
+						time.Sleep(ackTime)
+						return failed(c.notRun)
+					}
+					answerAll(b, sink)
+					return nil
+				}
+				for ; try < c.tries; try++ {
+					expect(t, tier.ask(t), core.Complete, 41, shards, "")
+				}
+				if got := tier.downs.Load(); got != c.want {
+					t.Errorf("taken out of the view %d times, want %d", got, c.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a dead group that keeps its old snapshots, and against a new
 // owner that wipes good ones before it asked its replicas.
 func TestRefresh(t *testing.T) {
@@ -333,7 +373,7 @@
 func (c *tier) View(time.Time) core.View {
 	return core.NewView(1, []core.Host{core.NewHost("h0", "", ""), core.NewHost("h1", "", ""), core.NewHost("h2", "", "")})
 }
-func (c *tier) MarkDown(time.Time, core.HostID)                    {}
+func (c *tier) MarkDown(time.Time, core.HostID)                    { c.downs.Add(1) }
 func (c *tier) OwnerSet(core.View, core.ServiceName) []core.HostID { return nil }
 func (c *tier) Readers(core.View, core.DataCentre) []core.HostID   { return nil }
 func (c *tier) Caller(core.CallerName) (core.Caller, bool)         { return core.Caller{}, false }
