perf(eject): try for a second slot sooner after the first busy refusal

Cause: one refusal because of a lost host's last calls kept a replica at one slot for 0.5 s, half of its capacity.

The first hold is now 50 ms and grows by 4 with each refusal, up to 8 s.

--- a/core/eject/busy.go
+++ b/core/eject/busy.go
@@ -26,7 +26,7 @@
 	if now.After(b.growAt.Add(holdMax)) {
 		b.hold = 0
 	}
-	b.hold = min(holdMax, max(holdMin, 2*b.hold))
+	b.hold = min(holdMax, max(holdMin, holdGrowth*b.hold))
 	b.growAt = now.Add(b.hold)
 	r.allowed = max(1, min(r.allowed-1, r.running))
 	if r.running == 0 {
--- a/core/eject/eject.go
+++ b/core/eject/eject.go
@@ -47,9 +47,12 @@
 	busyMax = time.Second
 	// holdMin and holdMax are how long a replica that was busy gets no further
 	// slot. With two owners on two slots each try costs a few refusals, and
-	// one every 8 s keeps them below 0.5% of 200 calls/s.
-	holdMin = 500 * time.Millisecond
-	holdMax = 8 * time.Second
+	// one every 8 s keeps them below 0.5% of 200 calls/s. The first try comes
+	// early, since the calls of a host that was lost soon end; each refusal
+	// makes the next wait holdGrowth times as long.
+	holdMin    = 50 * time.Millisecond
+	holdGrowth = 4
+	holdMax    = 8 * time.Second
 	// dropHold is how long a refusal snapshot_gone outweighs a status that
 	// still lists the shard.
 	dropHold = 5 * time.Second
