test: read the fakes' counts without a data race

Cause: TestSnapshotDroppedInMidQuery, TestLostOwner and the tests of io/owner read counts of their fakes while late batches or polls could still write them; the race detector reported the first and TestConnections.

Ruled out: a race in the code under test, as each report names the fakes only.

No check has changed.

--- a/io/entry/query_test.go
+++ b/io/entry/query_test.go
@@ -171,6 +171,7 @@
 					return nil, ctx.Err()
 				}
 				expect(t, tier.ask(t), c.outcome, c.snapshot, c.answered, core.ReasonSnapshotGone)
+				synctest.Wait() // batches that the deadline ended
 				slices.Sort(tier.pins)
 				if runs := slices.Compact(tier.pins); len(runs) != c.runs {
 					t.Errorf("ran on %v, want %d runs", runs, c.runs)
@@ -272,6 +273,7 @@
 					return nil
 				}
 				expect(t, tier.ask(t), core.Complete, 41, shards, "")
+				synctest.Wait()
 				for h, n := range c.want {
 					if got := len(tier.sent[h]); got != n {
 						t.Errorf("%d batches to %s, want %d: %v", got, h, n, tier.sent)
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -70,6 +70,17 @@
 	do(f.servers[address])
 }
 
+// all returns the servers as they are now.
+func (f *tier) all() map[string]server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]server{}
+	for address, s := range f.servers {
+		out[address] = *s
+	}
+	return out
+}
+
 // Bound implements core.Bounder, as the client of backend servers does: further
 // requests wait for a connection.
 func (f *tier) Bound(address string, connections int) {
@@ -245,13 +256,13 @@
 					t.Errorf("the first reads take %v", time.Since(resumed))
 				}
 				f.during(t, func() { f.load(t, 2*bound) })
-				s := f.servers["b0"]
+				s := f.all()["b0"]
 				for _, start := range s.starts {
 					if start.Sub(at) > bound {
 						t.Fatalf("new work %v after the evidence", start.Sub(at))
 					}
 				}
-				if len(f.servers["b1"].starts) == 0 {
+				if len(f.all()["b1"].starts) == 0 {
 					t.Error("the other server gets no work")
 				}
 			})
@@ -275,7 +286,7 @@
 					cancel()
 				}
 			})
-			for address, s := range f.servers {
+			for address, s := range f.all() {
 				if s.most > min(limits.Slots, limits.Connections/2) || s.mostConns > min(limits.Connections/2, 2*limits.Slots+1) {
 					t.Errorf("limits %d and %d: %d calls and %d connections at %s", limits.Slots, limits.Connections, s.most, s.mostConns, address)
 				}
@@ -300,7 +311,7 @@
 				f.read(ctx, 8, time.Minute)
 				cancel()
 			}
-			for address, s := range f.servers {
+			for address, s := range f.all() {
 				if len(s.starts) != 2 || s.cancels != 2 {
 					t.Errorf("%d calls, %d cancelled at %s, want 2 and 2", len(s.starts), s.cancels, address)
 				}
@@ -323,13 +334,13 @@
 		f := newTier(small())
 		f.during(t, func() {
 			f.read(t.Context(), 6, time.Second)
-			for address, s := range f.servers {
+			for address, s := range f.all() {
 				if s.most != 1 {
 					t.Errorf("%d calls at once at %s during the first three", s.most, address)
 				}
 			}
 			f.load(t, time.Second)
-			for address, s := range f.servers {
+			for address, s := range f.all() {
 				if s.most != 2 {
 					t.Errorf("%d calls at once at %s after a second, want 2", s.most, address)
 				}
@@ -345,8 +356,8 @@
 		f := newTier(small())
 		f.change("b1", func(s *server) { s.snapshots = []core.SnapshotID{42} })
 		f.during(t, func() {
-			if n := answered(f.read(t.Context(), 4, time.Second)); n != 4 || len(f.servers["b1"].starts) != 0 {
-				t.Errorf("%d answered, %d calls to the replica at another snapshot", n, len(f.servers["b1"].starts))
+			if n := answered(f.read(t.Context(), 4, time.Second)); n != 4 || len(f.all()["b1"].starts) != 0 {
+				t.Errorf("%d answered, %d calls to the replica at another snapshot", n, len(f.all()["b1"].starts))
 			}
 			f.change("b0", func(s *server) { s.wrong = true })
 			for _, r := range f.read(t.Context(), 4, time.Second) {
@@ -357,8 +368,8 @@
 			f.change("b0", func(s *server) { s.starts = nil })
 			gone, cancel := context.WithCancel(t.Context())
 			cancel()
-			if r := f.read(gone, 2, time.Second); len(r) != 2 || len(f.servers["b0"].starts) != 0 {
-				t.Errorf("%d results and %d calls for a batch that was given up", len(r), len(f.servers["b0"].starts))
+			if r := f.read(gone, 2, time.Second); len(r) != 2 || len(f.all()["b0"].starts) != 0 {
+				t.Errorf("%d results and %d calls for a batch that was given up", len(r), len(f.all()["b0"].starts))
 			}
 		})
 	})
