feat(bench): take out one mechanism at a time and save results

The tail experiment compared the design only with other policies, so a mechanism that does nothing could not be told from one that works.

--- a/bench/expt/cluster.go
+++ b/bench/expt/cluster.go
@@ -19,6 +19,7 @@
 	"oriolebarrow/core"
 	"oriolebarrow/core/config"
 	"oriolebarrow/io/node"
+	"oriolebarrow/io/owner"
 	"oriolebarrow/io/remote"
 	"oriolebarrow/standin/plat"
 	"oriolebarrow/standin/server"
@@ -54,6 +55,7 @@
 	queue       int
 	seed        uint64
 	log         *slog.Logger
+	owner       owner.Options // mechanisms of the design taken out
 }
 
 // design names the product itself among the policies.
@@ -209,6 +211,7 @@
 			Listen:       func(_, address string) (net.Listener, error) { return opened[address], nil },
 			ListenPacket: g.listenPacket,
 			Dial:         g.dial,
+			Owner:        c.owner,
 			// A stopped host stands for a killed one, so it isn't drained.
 			ShutdownBound: time.Nanosecond,
 		})
--- a/bench/expt/expt.go
+++ b/bench/expt/expt.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"math"
 	"slices"
 	"time"
@@ -39,6 +40,7 @@
 type settings struct {
 	seed  uint64
 	quick bool
+	log   *slog.Logger // decision log of the hosts; nil for none
 }
 
 // pick returns the value for a quick or for a full run.
--- a/bench/expt/main.go
+++ b/bench/expt/main.go
@@ -1,11 +1,14 @@
 package expt
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"slices"
 	"text/tabwriter"
@@ -14,7 +17,7 @@
 )
 
 func experiments() []experiment {
-	return []experiment{tail(), tailStragglers(), cost(), decisionLog(), slots(), overload(), coverage()}
+	return []experiment{tail(), tailWithout(), tailStragglers(), cost(), decisionLog(), slots(), overload(), coverage()}
 }
 
 // List prints the experiments.
@@ -35,11 +38,14 @@
 	}
 	var s settings
 	var rounds int
+	var resultPath, logPath string
 	fs := flag.NewFlagSet("run", flag.ContinueOnError)
 	fs.SetOutput(errOut)
 	fs.Uint64Var(&s.seed, "seed", 1, "seed of arrivals, service times and choices")
 	fs.IntVar(&rounds, "rounds", 0, "rounds; 0 means 3, or 1 with -quick")
 	fs.BoolVar(&s.quick, "quick", false, "shorter run with fewer operating points")
+	fs.StringVar(&resultPath, "out", "", "file of the result instead of standard output")
+	fs.StringVar(&logPath, "log", "", "file of the hosts' decision log, as JSON lines")
 	if fs.Parse(args[1:]) != nil || fs.NArg() > 0 || rounds < 0 {
 		return 2
 	}
@@ -52,10 +58,13 @@
 		_, _ = fmt.Fprintf(errOut, "bench run: no experiment %q; see bench list\n", args[0])
 		return 2
 	}
-	r, err := all[i].run(ctx, s, rounds, errOut)
-	if err == nil {
-		err = r.write(out)
-	}
+	err := withLog(&s, logPath, func() error {
+		r, err := all[i].run(ctx, s, rounds, errOut)
+		if err != nil {
+			return err
+		}
+		return writeResult(r, resultPath, out)
+	})
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "bench run:", err)
 		return 1
@@ -63,6 +72,38 @@
 	return 0
 }
 
+// withLog runs f with the decision log going to a file, if a path is given.
+func withLog(s *settings, path string, f func() error) error {
+	if path == "" {
+		return f()
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "create log")
+	}
+	buffer := bufio.NewWriter(file)
+	s.log = slog.New(slog.NewJSONHandler(buffer, nil))
+	err = f()
+	if flushErr := buffer.Flush(); err == nil {
+		err = errors.Wrap(flushErr, "write log")
+	}
+	if closeErr := file.Close(); err == nil {
+		err = errors.Wrap(closeErr, "close log")
+	}
+	return err
+}
+
+func writeResult(r *Result, path string, out io.Writer) error {
+	if path == "" {
+		return r.write(out)
+	}
+	var b bytes.Buffer
+	if err := r.write(&b); err != nil {
+		return err
+	}
+	return errors.Wrap(os.WriteFile(path, b.Bytes(), 0o644), "write result")
+}
+
 // Compare prints the ratio of each median of file B to that of file A.
 func Compare(args []string, out, errOut io.Writer) int {
 	if len(args) != 2 {
@@ -109,5 +150,5 @@
 	if err != nil {
 		return errors.Wrap(err, "read result")
 	}
-	return errors.Wrapf(json.Unmarshal(raw, into), "decode %s", path)
+	return errors.Wrapf(json.Unmarshal(raw, into), "decode result %s", path)
 }
--- a/bench/expt/tail.go
+++ b/bench/expt/tail.go
@@ -7,6 +7,9 @@
 
 	"oriolebarrow/bench/base"
 	"oriolebarrow/bench/load"
+	"oriolebarrow/core/eject"
+	"oriolebarrow/core/queue"
+	"oriolebarrow/io/owner"
 	"oriolebarrow/standin/server"
 )
 
@@ -15,14 +18,47 @@
 	tailShortest = time.Second
 )
 
-// policies are the design and its baselines for reads. A switch of the design
-// that takes out one mechanism is one more entry here.
-var policies = []base.Policy{design, base.Random, base.RandomOfTwo, base.LeastLoaded}
+// choice is the design, the design without one mechanism, or a baseline.
+type choice struct {
+	name   string
+	policy base.Policy
+	owner  owner.Options // of the design
+}
+
+func designWith(name string, o owner.Options) choice {
+	return choice{name: name, policy: design, owner: o}
+}
+
+// baselines are the design and its baselines for reads.
+func baselines() []choice {
+	return []choice{
+		designWith(string(design), owner.Options{}),
+		{name: string(base.Random), policy: base.Random},
+		{name: string(base.RandomOfTwo), policy: base.RandomOfTwo},
+		{name: string(base.LeastLoaded), policy: base.LeastLoaded},
+		designWith("queue_per_replica", owner.Options{Queue: queue.Options{PerReplica: true}}),
+	}
+}
+
+// mechanisms are the design and the design without each mechanism in turn.
+func mechanisms() []choice {
+	return []choice{
+		designWith(string(design), owner.Options{}),
+		designWith("no_hedge", owner.Options{Queue: queue.Options{NoHedge: true}}),
+		designWith("hedge_now", owner.Options{Queue: queue.Options{HedgeNow: true}}),
+		designWith("no_retry", owner.Options{Queue: queue.Options{NoRetry: true}}),
+		designWith("no_exclusion", owner.Options{Queue: queue.Options{NoExclusion: true}}),
+		designWith("no_infeasible", owner.Options{Queue: queue.Options{NoInfeasible: true}}),
+		designWith("no_fairness", owner.Options{Queue: queue.Options{NoFairness: true}}),
+		designWith("no_eject", owner.Options{Eject: eject.Options{NoEject: true}}),
+		designWith("no_ramp", owner.Options{Eject: eject.Options{NoRamp: true}}),
+	}
+}
 
 func tailLayout(s settings) layout {
 	return layout{
 		hosts: 3, groups: 20, replicas: 2, slots: 2, connections: 25, connCost: 6 * time.Millisecond,
-		mean: 10 * time.Millisecond, slow: slowShare, deadline: time.Second, seed: s.seed, queue: 1024,
+		mean: 10 * time.Millisecond, slow: slowShare, deadline: time.Second, seed: s.seed, queue: 1024, log: s.log,
 	}
 }
 
@@ -34,7 +70,19 @@
 		name:  "tail",
 		about: "tail latency with 1% of calls 10x slow and one replica 20x slow",
 		variants: func(s settings) []variant {
-			return tailVariants(true, tailLayout(s).capacity(1, slowReplica))
+			return tailVariants(baselines(), true, tailLayout(s).capacity(1, slowReplica), []int{30, 60, 80, 90})
+		},
+	}
+}
+
+// tailWithout is apart from tail and has fewer operating points, so that each
+// of them ends within 90 s.
+func tailWithout() experiment {
+	return experiment{
+		name:  "tail_without",
+		about: "as tail, with each mechanism of the design taken out in turn",
+		variants: func(s settings) []variant {
+			return tailVariants(mechanisms(), true, tailLayout(s).capacity(1, slowReplica), []int{30, 80})
 		},
 	}
 }
@@ -44,16 +92,18 @@
 		name:  "tail_stragglers",
 		about: "tail latency with 1% of calls 10x slow and no slow replica",
 		variants: func(s settings) []variant {
-			return tailVariants(false, tailLayout(s).capacity(1, 1))
+			return tailVariants(baselines(), false, tailLayout(s).capacity(1, 1), []int{30, 60, 80, 90})
 		},
 	}
 }
 
-func tailVariants(withSlow bool, capacity float64) []variant {
+func tailVariants(choices []choice, withSlow bool, capacity float64, utilisations []int) []variant {
 	var out []variant
-	for _, p := range policies {
-		out = append(out, variant{name: string(p), run: func(ctx context.Context, s settings) (Points, error) {
-			c, err := startCluster(ctx, tailLayout(s), p)
+	for _, p := range choices {
+		out = append(out, variant{name: p.name, run: func(ctx context.Context, s settings) (Points, error) {
+			l := tailLayout(s)
+			l.owner = p.owner
+			c, err := startCluster(ctx, l, p.policy)
 			if err != nil {
 				return nil, err
 			}
@@ -63,7 +113,7 @@
 				c.fleet.Update(slow, func(f *server.Faults) { f.SlowFactor = slowReplica })
 			}
 			out := make(Points)
-			for _, percent := range pick(s, []int{30, 80}, []int{30, 60, 80, 90}) {
+			for _, percent := range pick(s, []int{30, 80}, utilisations) {
 				rate := capacity * float64(percent) / 100
 				queries := pick(s, 120.0, 125.0)
 				length := time.Duration(queries / rate * float64(time.Second))
--- a/bench/main.go
+++ b/bench/main.go
@@ -17,7 +17,7 @@
 const usage = `usage:
   bench demo [flags]                                    load for scripts/demo
   bench list                                            list the experiments
-  bench run NAME [-seed N] [-rounds N] [-quick]         run an experiment
+  bench run NAME [-seed N] [-rounds N] [-quick] [-out FILE] [-log FILE]
   bench compare A B                                     ratios of two results
   bench load [flags]                                    open-loop load, JSON lines
   bench report [-out DIR] LINES                         page and plots of a load`
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -57,6 +57,7 @@
 	ListenPacket func(network, address string) (net.PacketConn, error)
 	Dial         peer.Dial // to hosts and replicas
 	Admin        AdminOptions
+	Owner        owner.Options
 }
 
 // Node is one host.
@@ -102,7 +103,8 @@
 	n.gate = newGate(clocks(), log)
 	n.roster = member.New(n.self, inc, mrand.New(mrand.NewPCG(uint64(inc), mrand.Uint64())))
 	n.peers = peer.NewClient(o.ID, inc, o.Dial)
-	n.owner = owner.New(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger, gatedBackend{n.backend, n.gate}, log)
+	n.owner = owner.NewWithOptions(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger,
+		gatedBackend{n.backend, n.gate}, log, o.Owner)
 	agent, err := n.newAgent()
 	if err != nil {
 		return nil, err
--- a/io/owner/group.go
+++ b/io/owner/group.go
@@ -50,6 +50,8 @@
 
 func newGroup(o *Owner, serial uint64, s core.Service, id core.GroupID, b *budget.Budget) *group {
 	replicas := s.Group(id)
+	health := o.opts.Eject
+	health.Replicas, health.Slots = len(replicas), s.Limits().CallSlots()
 	g := &group{
 		owner:    o,
 		serial:   serial,
@@ -57,19 +59,16 @@
 		id:       id,
 		replicas: replicas,
 		polling:  make([]atomic.Bool, len(replicas)),
-		health:   eject.New(eject.Options{Replicas: len(replicas), Slots: s.Limits().CallSlots()}),
+		health:   eject.New(health),
 		jobs:     make(map[uint64]*job),
 		calls:    make(map[uint64]*job),
 		used:     time.Now(),
 		payloads: make(map[uint64][]byte),
 	}
-	g.sched = queue.New(queue.Options{
-		Replicas: len(replicas),
-		Slots:    s.Limits().CallSlots(),
-		Length:   s.Limits().QueueLength,
-		Budget:   b,
-		Health:   g.health,
-	})
+	sched := o.opts.Queue
+	sched.Replicas, sched.Slots, sched.Length = len(replicas), s.Limits().CallSlots(), s.Limits().QueueLength
+	sched.Budget, sched.Health = b, g.health
+	g.sched = queue.New(sched)
 	if bounder, ok := o.backend.(core.Bounder); ok {
 		for _, r := range replicas {
 			bounder.Bound(r.Address(), s.Limits().ConnectionCap())
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -16,7 +16,9 @@
 
 	"oriolebarrow/core"
 	"oriolebarrow/core/budget"
+	"oriolebarrow/core/eject"
 	"oriolebarrow/core/order"
+	"oriolebarrow/core/queue"
 )
 
 const (
@@ -41,6 +43,13 @@
 	group   core.GroupID
 }
 
+// Options take mechanisms out, for experiments. Only the switches of both parts
+// are used; sizes come from the section of the service.
+type Options struct {
+	Queue queue.Options
+	Eject eject.Options
+}
+
 // Owner holds the groups of one host. Lock order: Owner.mu, then group.mu, then
 // the lock of the service's budget; no call leaves the host under any of them.
 type Owner struct {
@@ -49,6 +58,7 @@
 	backend  core.Backend
 	log      *slog.Logger
 	seen     *order.Seen
+	opts     Options
 
 	mu      sync.Mutex
 	groups  map[groupKey]*group
@@ -59,7 +69,13 @@
 // New returns an owner without groups. The name tells its calls from those of
 // other hosts and of earlier incarnations.
 func New(name string, settings core.Settings, backend core.Backend, log *slog.Logger) *Owner {
+	return NewWithOptions(name, settings, backend, log, Options{})
+}
+
+// NewWithOptions is New with mechanisms taken out.
+func NewWithOptions(name string, settings core.Settings, backend core.Backend, log *slog.Logger, opts Options) *Owner {
 	return &Owner{
+		opts:     opts,
 		name:     name,
 		settings: settings,
 		backend:  backend,
