--- a/bench/expt/expt.go
+++ b/bench/expt/expt.go
@@ -55,6 +55,7 @@
 type experiment struct {
 	name     string
 	about    string
+	rounds   int // by default; 0 means defaultRounds
 	variants func(s settings) []variant
 	// conclude adds figures over all points, such as fitted slopes.
 	conclude func(r *Result)
--- a/bench/expt/main.go
+++ b/bench/expt/main.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -17,7 +18,7 @@
 )
 
 func experiments() []experiment {
-	return []experiment{tail(), tailWithout(), tailStragglers(), cost(), decisionLog(), slots(), overload(), coverage()}
+	return []experiment{tail(), tailWithout(), tailStragglers(), cost(), decisionLog(), slots(), overload(), coverage(), spreading(), control()}
 }
 
 // List prints the experiments.
@@ -42,22 +43,22 @@
 	fs := flag.NewFlagSet("run", flag.ContinueOnError)
 	fs.SetOutput(errOut)
 	fs.Uint64Var(&s.seed, "seed", 1, "seed of arrivals, service times and choices")
-	fs.IntVar(&rounds, "rounds", 0, "rounds; 0 means 3, or 1 with -quick")
+	fs.IntVar(&rounds, "rounds", 0, "rounds; 0 means 3, or 1 with -quick and for slots, spread and control")
 	fs.BoolVar(&s.quick, "quick", false, "shorter run with fewer operating points")
 	fs.StringVar(&resultPath, "out", "", "file of the result instead of standard output")
 	fs.StringVar(&logPath, "log", "", "file of the hosts' decision log, as JSON lines")
 	if fs.Parse(args[1:]) != nil || fs.NArg() > 0 || rounds < 0 {
 		return 2
 	}
-	if rounds == 0 {
-		rounds = pick(s, 1, defaultRounds)
-	}
 	all := experiments()
 	i := slices.IndexFunc(all, func(e experiment) bool { return e.name == args[0] })
 	if i < 0 {
 		_, _ = fmt.Fprintf(errOut, "bench run: no experiment %q; see bench list\n", args[0])
 		return 2
 	}
+	if rounds == 0 {
+		rounds = pick(s, 1, cmp.Or(all[i].rounds, defaultRounds))
+	}
 	err := withLog(&s, logPath, func() error {
 		r, err := all[i].run(ctx, s, rounds, errOut)
 		if err != nil {
--- a/io/memnet/memnet.go
+++ b/io/memnet/memnet.go
@@ -21,9 +21,11 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"oriolebarrow/core"
 	"oriolebarrow/core/config"
@@ -38,9 +40,12 @@
 const inboxLength = 256
 
 // Cluster is a set of hosts and their network. It is safe for concurrent use;
-// its one lock covers all fields but Platform.
+// its one lock covers all fields but Platform
+// and the two below it, which are set before hosts start.
 type Cluster struct {
 	Platform *Platform
+	Placer   core.Placer // of hosts started later
+	Prepare  func(*Host) // called before a host runs; may be nil
 	log      *slog.Logger
 	latency  time.Duration
 
@@ -54,6 +59,7 @@
 func New(log *slog.Logger, latency time.Duration) *Cluster {
 	return &Cluster{
 		Platform: NewPlatform(),
+		Placer:   place.New(place.DefaultSetSize),
 		log:      log,
 		latency:  latency,
 		hosts:    make(map[string]*Host),
@@ -69,6 +75,7 @@
 	Agent    *gossip.Agent
 
 	cluster *Cluster
+	pulled  atomic.Uint64
 	packer  *wire.Packer
 	inbox   chan []byte
 	closed  chan struct{}
@@ -101,11 +108,14 @@
 	log := c.log.With("host", id)
 	h.Agent, err = gossip.New(gossip.Parts{
 		Self: h.Self, Detector: h.Detector, Ledger: h.Ledger, Platform: c.Platform,
-		Placer: place.New(place.DefaultSetSize), Exchange: exchange{h}, Log: log,
+		Placer: c.Placer, Exchange: exchange{h}, Log: log,
 	})
 	if err != nil {
 		return nil, err
 	}
+	if c.Prepare != nil {
+		c.Prepare(h)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	c.mu.Lock()
@@ -124,6 +134,16 @@
 	<-h.done
 }
 
+// PulledBytes returns the encoded size of the exchanges that this host asked
+// for, both directions, without the framing of drpc and TCP.
+func (h *Host) PulledBytes() uint64 { return h.pulled.Load() }
+
+func (h *Host) countPull(messages ...proto.Message) {
+	for _, m := range messages {
+		h.pulled.Add(uint64(proto.Size(m)))
+	}
+}
+
 // Entries returns the running hosts as a host list.
 func (c *Cluster) Entries() []core.HostEntry {
 	c.mu.Lock()
@@ -221,11 +241,14 @@
 	if err != nil {
 		return news, err
 	}
-	replies, err := to.Agent.SectionsReplies(&wire.SectionsGet{Buckets: buckets})
+	get := &wire.SectionsGet{Buckets: buckets}
+	replies, err := to.Agent.SectionsReplies(get)
 	if err != nil {
 		return news, err
 	}
+	e.host.countPull(get)
 	for _, r := range replies {
+		e.host.countPull(r)
 		texts, err := peer.SectionsFromWire(e.host.packer, r)
 		if err != nil {
 			return news, err
@@ -242,9 +265,11 @@
 	if err != nil {
 		return core.HostsNews{}, err
 	}
-	r, err := to.Agent.HostsReply(&wire.HostsGet{Buckets: buckets})
+	get := &wire.HostsGet{Buckets: buckets}
+	r, err := to.Agent.HostsReply(get)
 	if err != nil {
 		return core.HostsNews{}, err
 	}
+	e.host.countPull(get, r)
 	return peer.HostsFromWire(e.host.packer, r)
 }
--- a/io/memnet/platform.go
+++ b/io/memnet/platform.go
@@ -26,6 +26,7 @@
 	staleAt core.Revision // 0 when the service is up to date
 	changed chan struct{}
 	reads   int
+	bytes   uint64
 }
 
 var _ core.Platform = (*Platform)(nil)
@@ -62,6 +63,21 @@
 	return p.reads
 }
 
+// Bytes returns the size of the documents that the service sent.
+func (p *Platform) Bytes() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bytes
+}
+
+// send counts a document that a call returns.
+func (p *Platform) send(doc core.Document) core.Document {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bytes += uint64(len(doc.Text))
+	return doc
+}
+
 // Document implements core.Platform.
 func (p *Platform) Document(ctx context.Context, after core.Revision) (core.Document, error) {
 	t := time.NewTimer(watchWait)
@@ -75,12 +91,12 @@
 			return core.Document{}, ErrDown
 		}
 		if after == 0 || doc.Revision > after {
-			return doc, nil
+			return p.send(doc), nil
 		}
 		select {
 		case <-changed:
 		case <-t.C:
-			return doc, nil
+			return p.send(doc), nil
 		case <-ctx.Done():
 			return core.Document{}, ctx.Err()
 		}
