feat(bench): split the cost of a query and measure links and the log

cost could only tell the tier from the backend calls. The variants one_host and thin_owner take out the links and the scheduler, so that entry, owner, links and backend calls come out as differences.

--- a/bench/expt/cost.go
+++ b/bench/expt/cost.go
@@ -12,9 +12,11 @@
 
 	"github.com/pkg/errors"
 
+	"oriolebarrow/bench/base"
 	"oriolebarrow/bench/load"
 	"oriolebarrow/core"
 	"oriolebarrow/io/remote"
+	"oriolebarrow/io/telem"
 	"oriolebarrow/standin/server"
 )
 
@@ -28,8 +30,12 @@
 )
 
 // cost counts the whole process: load generator, hosts and stand-in servers.
-// The direct variant makes the same shard calls without hosts between, so the
-// difference is the cost of the tier.
+// The variants take parts out: one_host has no links between hosts, thin_owner
+// is one host with a baseline owner in place of queue, hedges and health, and
+// direct makes the same shard calls without a host. So design - one_host is the
+// cost of the links, one_host - thin_owner that of the scheduler, thin_owner -
+// direct that of the entry, and direct that of the backend calls. The first and
+// the last include the stand-in servers, and all but direct the load generator.
 func cost() experiment {
 	return experiment{
 		name:  "cost",
@@ -39,6 +45,12 @@
 				{name: string(design), run: func(ctx context.Context, s settings) (Points, error) {
 					return costPoints(s, func(l layout) (Figures, error) { return costOfDesign(ctx, l, s) })
 				}},
+				{name: "one_host", run: func(ctx context.Context, s settings) (Points, error) {
+					return costPoints(s, func(l layout) (Figures, error) { return costOnOneHost(ctx, l, s, design) })
+				}},
+				{name: "thin_owner", run: func(ctx context.Context, s settings) (Points, error) {
+					return costPoints(s, func(l layout) (Figures, error) { return costOnOneHost(ctx, l, s, base.Random) })
+				}},
 				{name: "direct", run: func(ctx context.Context, s settings) (Points, error) {
 					return costPoints(s, func(l layout) (Figures, error) { return costOfDirect(ctx, l, s) })
 				}},
@@ -53,20 +65,19 @@
 	}
 }
 
-// decisionLog compares the decision log as JSON with no log.
+// decisionLog compares the handler of the program, as JSON, with no log. A
+// dropped line costs less than a written one, so drops are reported.
 func decisionLog() experiment {
 	return experiment{
 		name:  "log",
 		about: "cost of the decision log",
 		variants: func(settings) []variant {
-			logger := slog.New(slog.NewJSONHandler(io.Discard, nil))
-			run := func(log *slog.Logger) func(context.Context, settings) (Points, error) {
+			run := func(logs bool) func(context.Context, settings) (Points, error) {
 				return func(ctx context.Context, s settings) (Points, error) {
 					out := make(Points)
 					for _, shards := range pick(s, []int{20}, []int{20, 130}) {
 						l := costLayout(shards, costHosts, s.seed)
-						l.log = log
-						figures, err := costOfDesign(ctx, l, s)
+						figures, err := costWithLog(ctx, l, s, logs)
 						if err != nil {
 							return nil, err
 						}
@@ -75,11 +86,28 @@
 					return out, nil
 				}
 			}
-			return []variant{{name: string(design), run: run(logger)}, {name: "no_log", run: run(nil)}}
+			return []variant{{name: string(design), run: run(true)}, {name: "no_log", run: run(false)}}
 		},
 	}
 }
 
+func costWithLog(ctx context.Context, l layout, s settings, logs bool) (Figures, error) {
+	if !logs {
+		return costOfDesign(ctx, l, s)
+	}
+	handler := telem.NewHandler(io.Discard, telem.Options{Format: "json", Level: slog.LevelInfo, Metrics: telem.NewRegistry()})
+	l.log = slog.New(handler)
+	figures, err := costOfDesign(ctx, l, s)
+	if err != nil {
+		return nil, err
+	}
+	if err := handler.Close(ctx); err != nil {
+		return nil, err
+	}
+	figures["log_lines_dropped"] = float64(handler.Dropped())
+	return figures, nil
+}
+
 func pointName(shards, hosts int) string { return fmt.Sprintf("shards_%d_hosts_%d", shards, hosts) }
 
 func costLayout(shards, hosts int, seed uint64) layout {
@@ -112,8 +140,17 @@
 	return out, nil
 }
 
+func costOnOneHost(ctx context.Context, l layout, s settings, p base.Policy) (Figures, error) {
+	l.hosts = 1
+	return costOf(ctx, l, s, p)
+}
+
 func costOfDesign(ctx context.Context, l layout, s settings) (Figures, error) {
-	c, err := startCluster(ctx, l, design)
+	return costOf(ctx, l, s, design)
+}
+
+func costOf(ctx context.Context, l layout, s settings, p base.Policy) (Figures, error) {
+	c, err := startCluster(ctx, l, p)
 	if err != nil {
 		return nil, err
 	}
--- a/bench/expt/expt_test.go
+++ b/bench/expt/expt_test.go
@@ -73,3 +73,15 @@
 		}
 	}
 }
+
+// Guards against links that can't be opened to one listener, so that fewer
+// links than reported are measured.
+func TestLinkPointMeasuresEveryLink(t *testing.T) {
+	f, err := linkPoint(t.Context(), 40)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f["links"] != 40 {
+		t.Errorf("%v links were accepted, want 40", f["links"])
+	}
+}
--- a/bench/expt/main.go
+++ b/bench/expt/main.go
@@ -18,7 +18,7 @@
 )
 
 func experiments() []experiment {
-	return []experiment{tail(), tailWithout(), tailStragglers(), cost(), decisionLog(), slots(), overload(), coverage(), spreading(), control()}
+	return []experiment{tail(), tailWithout(), tailStragglers(), cost(), decisionLog(), links(), slots(), overload(), coverage(), spreading(), control()}
 }
 
 // List prints the experiments.
