feat(telem): count what the io packages do and report replicas and budgets

Cause: /v1/budgets answered 501, /v1/replicas knew no state, and the metrics said nothing about queues, hedges, links, gossip or connections. The first version of this work hung: Client.Bound and Client.Close close idle connections under Client.mu, and the counted connection took the same lock. Ruled out: a hang in the owner or the links; with the old lock put back only the connection count blocks (TestOpenConnections then times out). Before: tests of this work hung. After: go test ./... passes; the table of open connections has its own lock; a replica without a known owner counts for no host. Conclusion: counters and reports are in place.

--- a/core/admin.go
+++ b/core/admin.go
@@ -73,6 +73,7 @@
 	Available float64 // calls that the budget allows now
 	Used      uint64
 	Denied    uint64
+	Delay     time.Duration // hedge delay; zero for retries
 }
 
 // BudgetSource tells how much of each budget of this host is left.
@@ -80,6 +81,11 @@
 	BudgetReports(now time.Time) []BudgetReport
 }
 
+// PauseSource counts the pauses of the process that this host has noticed.
+type PauseSource interface {
+	Pauses() uint64
+}
+
 // Readiness tells whether a host may get requests and, if not, why.
 type Readiness interface {
 	Readiness() (ready bool, reasons []string)
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -80,6 +80,7 @@
 	Replicas  core.ReplicaSource
 	Tokens    core.TokenSource
 	Budgets   core.BudgetSource
+	Pauses    core.PauseSource
 	Levels    core.Levels
 	Drain     func() // starts the graceful shutdown; may be called again
 	Metrics   http.Handler
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -42,10 +42,18 @@
 }
 func (f *fake) RefusedSections() []core.RefusedSection { return nil }
 
+func (f *fake) ReplicaReports(time.Time) []core.ReplicaReport {
+	return []core.ReplicaReport{
+		{Service: "s", Group: 0, Owner: "host-1"}, {Service: "s", Group: 0, Owner: "host-1"},
+		{Service: "s", Group: 1, Owner: "host-2"}, {Service: "t", Group: 0}, // no owner known
+	}
+}
+func (f *fake) Pauses() uint64 { return 4 }
+
 func newHandler(t *testing.T, o admin.Options, f *fake, drained *int) *admin.Handler {
 	t.Helper()
 	h, err := admin.New(o, admin.Parts{
-		Self: core.NewHost("host-1", "mixco", "127.0.0.1:1"), Readiness: f, Levels: f, Sections: f,
+		Self: core.NewHost("host-1", "mixco", "127.0.0.1:1"), Readiness: f, Levels: f, Sections: f, Replicas: f, Pauses: f,
 		Drain: func() { *drained++ }, Log: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
@@ -93,6 +101,7 @@
 		{"bare token", "POST", "/v1/drain", "", remote, map[string]string{"Authorization": token}, 401, `"unauthorized"`},
 		{"token", "POST", "/v1/drain", "", remote, map[string]string{"Authorization": "Bearer " + token}, 202, `"draining":true`},
 		{"status", "GET", "/v1/status", "", local, nil, 200, `"sections":1`},
+		{"owned groups", "GET", "/v1/status", "", local, nil, 200, `"owned_groups":1,"pauses":4`},
 		{"sections", "GET", "/v1/sections", "", local, nil, 200, `"hash":"00000000000000ff","removed":false,"since":"2026-01-02T03:04:05Z","source":"host-2"`},
 		{"refused", "GET", "/v1/refused", "", local, nil, 200, `{"refused":[]}`},
 		{"missing source", "GET", "/v1/budgets", "", local, nil, 501, `"not_available"`},
--- a/io/admin/read.go
+++ b/io/admin/read.go
@@ -24,6 +24,8 @@
 	View            []string `json:"view"`
 	ViewVersion     uint64   `json:"view_version"`
 	Services        int      `json:"services"`
+	OwnedGroups     int      `json:"owned_groups"`
+	Pauses          uint64   `json:"pauses"`
 }
 
 func (h *Handler) status(w http.ResponseWriter, _ *http.Request) {
@@ -40,6 +42,12 @@
 		out.Revision = uint64(h.Settings.Revision())
 		out.Services = len(h.Settings.Services())
 	}
+	if h.Replicas != nil {
+		out.OwnedGroups = ownedGroups(h.Replicas.ReplicaReports(h.now()), h.Self.ID())
+	}
+	if h.Pauses != nil {
+		out.Pauses = h.Pauses.Pauses()
+	}
 	if h.Sections != nil {
 		all := h.Sections.SectionStatuses()
 		out.Sections = len(all)
@@ -66,6 +74,21 @@
 	return fmt.Sprintf("%016x", sum.Sum64())
 }
 
+// ownedGroups counts the replica groups that a host owns.
+func ownedGroups(all []core.ReplicaReport, host core.HostID) int {
+	type group struct {
+		service core.ServiceName
+		id      core.GroupID
+	}
+	owned := make(map[group]bool)
+	for _, r := range all {
+		if r.Owner == host {
+			owned[group{r.Service, r.Group}] = true
+		}
+	}
+	return len(owned)
+}
+
 type hostOut struct {
 	Host       string `json:"host"`
 	DataCentre string `json:"data_centre"`
@@ -213,6 +236,7 @@
 	Available float64 `json:"available"`
 	Used      uint64  `json:"used"`
 	Denied    uint64  `json:"denied"`
+	DelayUS   int64   `json:"hedge_delay_us,omitempty"`
 }
 
 func (h *Handler) budgets(w http.ResponseWriter, _ *http.Request) {
@@ -224,7 +248,7 @@
 	for _, b := range h.Budgets.BudgetReports(h.now()) {
 		out = append(out, budgetOut{
 			Service: string(b.Service), Kind: b.Kind, Share: b.Share,
-			Available: b.Available, Used: b.Used, Denied: b.Denied,
+			Available: b.Available, Used: b.Used, Denied: b.Denied, DelayUS: b.Delay.Microseconds(),
 		})
 	}
 	write(w, http.StatusOK, map[string]any{"budgets": out})
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -52,6 +52,7 @@
 	Local       core.GroupOwner
 	Tokens      *order.Table
 	Log         *slog.Logger
+	Meter       core.Meter // may be nil
 }
 
 // Entry serves caller requests. It is safe for concurrent use.
@@ -65,6 +66,7 @@
 
 // New returns an entry over its parts.
 func New(p Parts) *Entry {
+	p.Meter = core.MeterOr(p.Meter)
 	return &Entry{Parts: p, silent: make(map[core.HostID]time.Time)}
 }
 
@@ -73,12 +75,13 @@
 func (e *Entry) Rejected() uint64 { return e.rejected.Load() }
 
 // Query answers one query before its deadline.
-func (e *Entry) Query(ctx context.Context, q core.Query) core.Answer {
+func (e *Entry) Query(ctx context.Context, q core.Query) (answer core.Answer) {
+	// Between tries, answer is the one with the best coverage so far.
+	defer func() { e.Meter.Count("entry_queries_"+string(answer.Outcome), 1) }()
 	end := q.Deadline.Add(-sendReserve)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	started := time.Now()
-	var answer core.Answer // the one with the best coverage so far
 	var last core.SnapshotID
 	for try := 0; ; try++ {
 		pin, ok := e.pin(ctx, q.Service)
@@ -99,6 +102,7 @@
 		if try >= maxRestarts || !lostSnapshot(got) || left < time.Since(started)/restartShare {
 			return answer
 		}
+		e.Meter.Count("entry_restarts", 1)
 		e.refreshWithin(ctx, q.Service, left/refreshShare)
 	}
 }
@@ -195,6 +199,7 @@
 		if asked[r.Shard] {
 			v = m.Add(r)
 		}
+		e.Meter.Count("entry_shards_"+string(v), 1)
 		if v == merge.WrongSnapshot || v == merge.WrongShard || v == merge.NoRows && r.Missing == "" {
 			e.rejected.Add(1)
 			e.Log.Warn("entry: shard result rejected", "request_id", q.ID, "shard", r.Shard, "verdict", v)
@@ -249,6 +254,7 @@
 		return err
 	}
 	if err != nil {
+		e.Meter.Count("entry_owners_lost", 1)
 		e.Log.Warn("entry: owner lost", "request_id", q.ID, "owner", id, "err", err)
 	}
 	if now := time.Now(); e.down(now, id, err) {
--- a/io/gossip/config.go
+++ b/io/gossip/config.go
@@ -87,6 +87,7 @@
 		a.Log.Info("config: section in force", "section", key.String(), "revision", doc.Revision, "from", "platform")
 	}
 	if a.Ledger.Digest() != digest {
+		a.origins.note(time.Now(), "platform", a.Ledger.Versions())
 		a.announce()
 	}
 	return doc, nil
@@ -114,6 +115,7 @@
 		a.Ledger.NoteDocument()
 	}
 	if a.Ledger.Digest() != digest {
+		a.origins.note(time.Now(), string(from.ID()), a.Ledger.Versions())
 		a.announce()
 	}
 	return news, err
@@ -144,6 +146,7 @@
 		if err != nil {
 			return nil, err
 		}
+		a.Meter.Count("gossip_exchange_sent_bytes", int64(len(raw)))
 		out = append(out, &wire.SectionsReply{Compressed: raw, Ready: ready, HasDocument: document})
 	}
 	return out, nil
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -52,6 +52,7 @@
 	Placer   core.Placer
 	Exchange core.Exchange
 	Log      *slog.Logger
+	Meter    core.Meter // may be nil
 }
 
 // Stats counts what an agent did.
@@ -68,9 +69,10 @@
 // while one of them is held.
 type Agent struct {
 	Parts
-	packer *wire.Packer
-	pulls  chan pull
-	conn   atomic.Pointer[net.PacketConn] // nil before Run
+	packer  *wire.Packer
+	origins origins
+	pulls   chan pull
+	conn    atomic.Pointer[net.PacketConn] // nil before Run
 
 	mu        sync.Mutex
 	hosts     *member.HostList
@@ -98,6 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.Meter = core.MeterOr(p.Meter)
 	return &Agent{
 		Parts:     p,
 		packer:    packer,
--- a/io/gossip/hosts.go
+++ b/io/gossip/hosts.go
@@ -101,6 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
+	a.Meter.Count("gossip_exchange_sent_bytes", int64(len(raw)))
 	return &wire.HostsReply{Version: version, Compressed: raw}, nil
 }
 
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"oriolebarrow/core"
-	"oriolebarrow/core/config"
 	"oriolebarrow/core/order"
 	"oriolebarrow/io/admin"
 	"oriolebarrow/io/caller"
@@ -55,8 +54,10 @@
 		Views:     n.roster,
 		Readiness: n,
 		Hosts:     hostSource{n},
-		Sections:  sectionSource{n.ledger},
+		Sections:  sectionSource{n},
 		Replicas:  replicaSource{n},
+		Budgets:   n.owner,
+		Pauses:    n,
 		Tokens:    tokenSource{n.tokens},
 		Levels:    o.Levels,
 		Drain:     o.Drain,
@@ -77,6 +78,20 @@
 	m.Gauge("config_sections", func() int64 { return int64(len(n.ledger.Versions())) })
 	m.Gauge("config_sections_refused", func() int64 { return int64(len(n.ledger.Refused())) })
 	m.Gauge("member_hosts_in_view", func() int64 { return int64(len(n.roster.View(time.Now()).Hosts())) })
+	m.Gauge("owner_groups_in_use", func() int64 { return int64(n.owner.Load().Groups) })
+	m.Gauge("owner_queue_length", func() int64 { return int64(n.owner.Load().Waiting) })
+	m.Gauge("owner_slots_in_use", func() int64 { return int64(n.owner.Load().Running) })
+	m.Gauge("peer_links_open", func() int64 {
+		return m.Counter("peer_links_opened").Count() - m.Counter("peer_links_closed").Count()
+	})
+	m.CounterFunc("node_pauses", func() int64 { return int64(n.Pauses()) })
+	m.CounterFunc("gossip_packets_sent", func() int64 { return int64(n.agent.Stats().Sent) })
+	m.CounterFunc("gossip_sent_bytes", func() int64 { return int64(n.agent.Stats().SentBytes) })
+	m.CounterFunc("gossip_packets_received", func() int64 { return int64(n.agent.Stats().Received) })
+	m.CounterFunc("gossip_packets_malformed", func() int64 { return int64(n.agent.Stats().Malformed) })
+	m.CounterFunc("gossip_pulls", func() int64 { return int64(n.agent.Stats().Pulls) })
+	m.CounterFunc("gossip_pulls_failed", func() int64 { return int64(n.agent.Stats().PullErrors) })
+	m.CounterFunc("gossip_sections_refused", func() int64 { return int64(n.agent.Stats().RefusedSections) })
 	m.Gauge("node_ready", func() int64 {
 		if n.Ready() {
 			return 1
@@ -98,6 +113,19 @@
 	}
 }
 
+// meterOf keeps a nil registry from becoming a meter that is not nil.
+func meterOf(m *telem.Registry) core.Meter {
+	if m == nil {
+		return core.NoMeter{}
+	}
+	return m
+}
+
+func (n *Node) meter() core.Meter { return meterOf(n.opts.Admin.Metrics) }
+
+// Pauses implements core.PauseSource.
+func (n *Node) Pauses() uint64 { return n.gate.gaps.Load() }
+
 // Readiness implements core.Readiness.
 func (n *Node) Readiness() (bool, []string) {
 	var reasons []string
@@ -128,12 +156,13 @@
 	return out
 }
 
-type sectionSource struct{ ledger *config.Ledger }
+type sectionSource struct{ node *Node }
 
 func (s sectionSource) SectionStatuses() []core.SectionStatus {
 	var out []core.SectionStatus
-	for _, v := range s.ledger.Versions() {
+	for _, v := range s.node.ledger.Versions() {
 		section := v.Section()
+		since, source := s.node.agent.Origin(section.Key())
 		out = append(out, core.SectionStatus{
 			Kind:     string(section.Key().Kind),
 			Name:     section.Key().Name,
@@ -142,6 +171,8 @@
 			Revision: v.Revision(),
 			Hash:     section.Hash(),
 			Removed:  section.Removed(),
+			Since:    since,
+			Source:   source,
 		})
 	}
 	return out
@@ -149,7 +180,7 @@
 
 func (s sectionSource) RefusedSections() []core.RefusedSection {
 	var out []core.RefusedSection
-	for _, r := range s.ledger.Refused() {
+	for _, r := range s.node.ledger.Refused() {
 		out = append(out, core.RefusedSection{Section: r.Key, Revision: r.Revision, Reason: r.Reason})
 	}
 	return out
@@ -157,11 +188,19 @@
 
 type replicaSource struct{ node *Node }
 
-// ReplicaReports lists configured replicas with their owner. The state and the
-// slots in use come from the owner's own reports where it gives them.
+// replicaKey names a replica of a group.
+type replicaKey struct {
+	service core.ServiceName
+	group   core.GroupID
+	address string
+}
+
+// ReplicaReports lists configured replicas with their owner. State, slots and
+// connections are those of this host, for the groups that it uses.
 func (s replicaSource) ReplicaReports(now time.Time) []core.ReplicaReport {
-	if source, ok := any(s.node.owner).(core.ReplicaSource); ok {
-		return source.ReplicaReports(now)
+	used := make(map[replicaKey]core.ReplicaReport)
+	for _, r := range s.node.owner.ReplicaReports(now) {
+		used[replicaKey{r.Service, r.Group, r.Address}] = r
 	}
 	view := s.node.roster.View(now)
 	var out []core.ReplicaReport
@@ -169,10 +208,15 @@
 		for i, group := range service.Groups() {
 			owner, _ := s.node.entry.Placer.Owner(view, service.Name(), core.GroupID(i))
 			for _, r := range group {
-				out = append(out, core.ReplicaReport{
-					Service: service.Name(), Group: core.GroupID(i), Address: r.Address(), DataCentre: r.DataCentre(),
-					Owner: owner, Slots: service.Limits().Slots, State: "unknown", Reason: "not_reported",
-				})
+				report, ok := used[replicaKey{service.Name(), core.GroupID(i), r.Address()}]
+				if !ok {
+					report = core.ReplicaReport{
+						Service: service.Name(), Group: core.GroupID(i), Address: r.Address(), DataCentre: r.DataCentre(),
+						State: "unknown", Reason: "group not in use on this host",
+					}
+				}
+				report.Owner, report.Connections = owner, s.node.backend.OpenConnections(r.Address())
+				out = append(out, report)
 			}
 		}
 	}
--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -128,6 +128,7 @@
 	if err != nil {
 		return err
 	}
+	server.SetMeter(n.meter())
 	h := caller.NewServer(n.front)
 	// The parts outlive ctx: they serve until the drain has ended.
 	group, work, stop := newGroup()
--- a/io/node/hosts.go
+++ b/io/node/hosts.go
@@ -18,6 +18,7 @@
 		Placer:   place.New(place.DefaultSetSize),
 		Exchange: n.peers,
 		Log:      n.log,
+		Meter:    n.meter(),
 	})
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -100,13 +100,15 @@
 		self:     core.NewHost(o.ID, o.DataCentre, o.PeerAddress),
 		ledger:   config.NewLedger(),
 		platform: plat.New(o.Platform, &http.Client{}),
-		backend:  remote.New(remote.Options{Connections: o.Connections, Dial: o.Dial}),
+		backend:  remote.New(remote.Options{Connections: o.Connections, Dial: o.Dial, Meter: meterOf(o.Admin.Metrics)}),
 	}
 	n.gate = newGate(clocks(), log)
 	n.roster = member.New(n.self, inc, mrand.New(mrand.NewPCG(uint64(inc), mrand.Uint64())))
 	n.peers = peer.NewClient(o.ID, inc, o.Dial)
 	n.owner = owner.NewWithOptions(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger,
 		gatedBackend{n.backend, n.gate}, log, o.Owner)
+	n.peers.SetMeter(n.meter())
+	n.owner.SetMeter(n.meter())
 	agent, err := n.newAgent()
 	if err != nil {
 		return nil, err
@@ -127,6 +129,7 @@
 		Local:       n.owner,
 		Tokens:      n.tokens,
 		Log:         log,
+		Meter:       n.meter(),
 	})
 	n.handler = caller.New(caller.Parts{
 		Requests: trackedRequests{n.entry, &n.running},
--- a/io/owner/group.go
+++ b/io/owner/group.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"oriolebarrow/core"
-	"oriolebarrow/core/budget"
 	"oriolebarrow/core/eject"
 	"oriolebarrow/core/queue"
 )
@@ -23,6 +22,8 @@
 	read    func(core.ShardResult)
 	ordered func(core.OrderResult)
 	tries   int
+	added   time.Time
+	hedge   uint64 // attempt that is a hedge, or zero
 }
 
 // group runs one scheduler. Its lock guards all fields below it; actions are
@@ -40,6 +41,7 @@
 	mu       sync.Mutex
 	sched    *queue.Scheduler
 	health   *eject.Group
+	states   []eject.State // as last counted
 	jobs     map[uint64]*job
 	calls    map[uint64]*job // by attempt, until the call returns
 	next     uint64
@@ -48,7 +50,7 @@
 	payloads map[uint64][]byte // rows by attempt, until the scheduler decides
 }
 
-func newGroup(o *Owner, serial uint64, s core.Service, id core.GroupID, b *budget.Budget) *group {
+func newGroup(o *Owner, serial uint64, s core.Service, id core.GroupID, b core.Budget) *group {
 	replicas := s.Group(id)
 	health := o.opts.Eject
 	health.Replicas, health.Slots, health.StaleAfter = len(replicas), s.Limits().CallSlots(), staleAfter
@@ -60,6 +62,7 @@
 		replicas: replicas,
 		polling:  make([]atomic.Bool, len(replicas)),
 		health:   eject.New(health),
+		states:   readyStates(len(replicas)),
 		jobs:     make(map[uint64]*job),
 		calls:    make(map[uint64]*job),
 		used:     time.Now(),
@@ -117,6 +120,7 @@
 		g.next++
 		t.ID = g.next
 		g.jobs[t.ID] = j
+		j.added = now
 		g.used = now
 		for i := range g.replicas {
 			stale = stale || g.health.Stale(now, i)
@@ -136,8 +140,10 @@
 	actions := event(now)
 	work := make([]func(), 0, len(actions))
 	for _, a := range actions {
+		g.count(now, a)
 		work = append(work, g.prepare(a))
 	}
+	g.noteStates()
 	g.arm(now)
 	g.mu.Unlock()
 	for _, f := range work {
--- /dev/null
+++ b/io/owner/meter.go
@@ -0,0 +1,167 @@
+package owner
+
+import (
+	"sync/atomic"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/budget"
+	"oriolebarrow/core/eject"
+	"oriolebarrow/core/queue"
+)
+
+// SetMeter makes the owner report to m. It must be called before the first
+// request.
+func (o *Owner) SetMeter(m core.Meter) { o.meter = core.MeterOr(m) }
+
+// meteredBudget counts what a service takes from its budget.
+type meteredBudget struct {
+	*budget.Budget
+	hedges, retries use
+}
+
+// use counts the requests to one budget.
+type use struct{ taken, denied atomic.Uint64 }
+
+func (u *use) count(ok bool) bool {
+	if ok {
+		u.taken.Add(1)
+	} else {
+		u.denied.Add(1)
+	}
+	return ok
+}
+
+// TakeHedge implements core.Budget.
+func (b *meteredBudget) TakeHedge() bool { return b.hedges.count(b.Budget.TakeHedge()) }
+
+// TakeRetry implements core.Budget.
+func (b *meteredBudget) TakeRetry() bool { return b.retries.count(b.Budget.TakeRetry()) }
+
+// count reports an action before it is carried out. The caller holds group.mu.
+func (g *group) count(now time.Time, a queue.Action) {
+	m := g.owner.meter
+	j := g.jobs[a.Task]
+	switch a.Kind {
+	case queue.Start:
+		m.Count("owner_calls_"+string(a.Choice), 1)
+		if a.Choice == queue.First {
+			m.Observe("owner_queue_wait_us", now.Sub(j.added).Microseconds())
+		}
+		if a.Choice == queue.Hedge {
+			j.hedge = a.Attempt
+		}
+	case queue.Finish:
+		m.Count("owner_tasks_complete", 1)
+		if j.hedge == 0 {
+			return
+		}
+		if j.hedge == a.Attempt {
+			m.Count("owner_hedges_won", 1)
+		} else {
+			m.Count("owner_hedges_lost", 1)
+		}
+	case queue.Fail:
+		if a.NotRun {
+			m.Count("owner_tasks_refused_"+string(a.Reason), 1)
+		} else {
+			m.Count("owner_tasks_failed_"+string(a.Reason), 1)
+		}
+	case queue.Cancel:
+		m.Count("owner_cancels_"+string(a.Choice), 1)
+	}
+}
+
+// noteStates counts the changes of health since the last call. The caller holds
+// group.mu.
+func (g *group) noteStates() {
+	for i, old := range g.states {
+		state := g.health.State(i)
+		if state != old {
+			g.states[i] = state
+			g.owner.meter.Count("owner_replicas_became_"+string(state), 1)
+		}
+	}
+}
+
+func readyStates(n int) []eject.State {
+	out := make([]eject.State, n)
+	for i := range out {
+		out[i] = eject.Ready
+	}
+	return out
+}
+
+// Load is how much work the groups of a host hold.
+type Load struct {
+	Groups  int // in use
+	Waiting int // tasks without a first attempt
+	Running int // slots in use
+}
+
+// Load returns the present load.
+func (o *Owner) Load() Load {
+	groups := o.all()
+	l := Load{Groups: len(groups)}
+	for _, g := range groups {
+		g.mu.Lock()
+		l.Waiting += g.sched.Waiting()
+		for i := range g.replicas {
+			l.Running += g.sched.InUse(i)
+		}
+		g.mu.Unlock()
+	}
+	return l
+}
+
+var (
+	_ core.ReplicaSource = (*Owner)(nil)
+	_ core.BudgetSource  = (*Owner)(nil)
+)
+
+// ReplicaReports lists the replicas of the groups in use on this host.
+func (o *Owner) ReplicaReports(now time.Time) []core.ReplicaReport {
+	var out []core.ReplicaReport
+	for _, g := range o.all() {
+		out = append(out, g.report(now)...)
+	}
+	return out
+}
+
+func (g *group) report(now time.Time) []core.ReplicaReport {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]core.ReplicaReport, 0, len(g.replicas))
+	for i, r := range g.replicas {
+		out = append(out, core.ReplicaReport{
+			Service: g.service.Name(), Group: g.id, Address: r.Address(), DataCentre: r.DataCentre(),
+			SlotsInUse: g.sched.InUse(i), Slots: g.health.Slots(now, i),
+			State: string(g.health.State(i)), Reason: g.health.Why(now, i),
+		})
+	}
+	return out
+}
+
+// BudgetReports lists the budgets of the services in use on this host.
+func (o *Owner) BudgetReports(time.Time) []core.BudgetReport {
+	o.mu.Lock()
+	budgets := make(map[core.ServiceName]*meteredBudget, len(o.budgets))
+	for name, b := range o.budgets {
+		budgets[name] = b
+	}
+	o.mu.Unlock()
+	var out []core.BudgetReport
+	for name, b := range budgets {
+		r := b.Report()
+		out = append(out,
+			core.BudgetReport{
+				Service: name, Kind: "hedge", Share: r.HedgeShare, Available: r.Hedges,
+				Used: b.hedges.taken.Load(), Denied: b.hedges.denied.Load(), Delay: b.HedgeDelay(),
+			},
+			core.BudgetReport{
+				Service: name, Kind: "retry", Share: r.RetryShare, Available: r.Retries,
+				Used: b.retries.taken.Load(), Denied: b.retries.denied.Load(),
+			})
+	}
+	return out
+}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -61,12 +61,13 @@
 	settings core.Settings
 	backend  core.Backend
 	log      *slog.Logger
+	meter    core.Meter
 	seen     *order.Seen
 	opts     Options
 
 	mu      sync.Mutex
 	groups  map[groupKey]*group
-	budgets map[core.ServiceName]*budget.Budget
+	budgets map[core.ServiceName]*meteredBudget
 	made    uint64 // groups created so far
 }
 
@@ -84,8 +85,9 @@
 		settings: settings,
 		backend:  backend,
 		log:      log,
+		meter:    core.NoMeter{},
 		groups:   make(map[groupKey]*group),
-		budgets:  make(map[core.ServiceName]*budget.Budget),
+		budgets:  make(map[core.ServiceName]*meteredBudget),
 		seen:     order.NewSeen(seenMax, seenKeep),
 	}
 }
@@ -148,10 +150,10 @@
 
 // budget returns the budget of a service, which its groups share. The caller
 // holds Owner.mu.
-func (o *Owner) budget(s core.Service) *budget.Budget {
+func (o *Owner) budget(s core.Service) *meteredBudget {
 	b := o.budgets[s.Name()]
 	if b == nil {
-		b = budget.New(s.Limits())
+		b = &meteredBudget{Budget: budget.New(s.Limits())}
 		o.budgets[s.Name()] = b
 	}
 	b.SetLimits(s.Limits())
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -28,6 +28,7 @@
 	hello  *wire.Hello
 	dial   Dial
 	packer func() (*wire.Packer, error) // made at first use
+	meter  core.Meter
 
 	mu    sync.Mutex
 	links map[core.HostID]*slot
@@ -61,11 +62,16 @@
 	return &Client{
 		hello:  &wire.Hello{Host: string(host), Incarnation: uint64(inc)},
 		dial:   dial,
+		meter:  core.NoMeter{},
 		packer: sync.OnceValues(wire.NewPacker),
 		links:  make(map[core.HostID]*slot),
 	}
 }
 
+// SetMeter makes the client report to m. It must be called before the first
+// request.
+func (c *Client) SetMeter(m core.Meter) { c.meter = core.MeterOr(m) }
+
 // Close ends all links.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -102,7 +108,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer: dial %s", h.ID())
 	}
-	s.link, err = openLink(conn, c.hello)
+	s.link, err = openLink(conn, c.hello, c.meter)
 	return s.link, err
 }
 
--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -29,6 +29,7 @@
 		if !ok {
 			return errors.Errorf("unexpected reply %T", f.Body)
 		}
+		c.meter.Count("gossip_exchange_received_bytes", int64(len(body.SectionsReply.Compressed)))
 		texts, err := SectionsFromWire(packer, body.SectionsReply)
 		if err != nil {
 			return err
@@ -53,6 +54,7 @@
 		if !ok {
 			return errors.Errorf("unexpected reply %T", f.Body)
 		}
+		c.meter.Count("gossip_exchange_received_bytes", int64(len(body.HostsReply.Compressed)))
 		var err error
 		news, err = HostsFromWire(packer, body.HostsReply)
 		return err
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcconn"
 
+	"oriolebarrow/core"
 	"oriolebarrow/core/pause"
 	"oriolebarrow/io/wire"
 )
@@ -89,13 +90,14 @@
 // outbox batches frames that wait together into one message.
 type outbox struct {
 	frames chan *outgoing
+	meter  core.Meter
 	late   func(id uint64) // called for a frame whose deadline passed in the queue
 	done   chan struct{}
 	once   sync.Once
 }
 
-func newOutbox(late func(id uint64)) *outbox {
-	return &outbox{frames: make(chan *outgoing, sendQueueLength), late: late, done: make(chan struct{})}
+func newOutbox(meter core.Meter, late func(id uint64)) *outbox {
+	return &outbox{meter: meter, frames: make(chan *outgoing, sendQueueLength), late: late, done: make(chan struct{})}
 }
 
 func (o *outbox) put(ctx context.Context, f *outgoing) error {
@@ -140,6 +142,8 @@
 				if err := s.Send(batch); err != nil {
 					return errors.Wrap(err, "peer: send")
 				}
+				o.meter.Count("peer_batches_sent", 1)
+				o.meter.Count("peer_frames_sent", int64(len(batch.Frames)))
 			}
 			for _, m := range markers {
 				close(m)
@@ -205,7 +209,7 @@
 	err       error
 }
 
-func openLink(raw net.Conn, hello *wire.Hello) (*link, error) {
+func openLink(raw net.Conn, hello *wire.Hello, meter core.Meter) (*link, error) {
 	conn := drpcconn.New(raw)
 	ctx, cancel := context.WithCancel(context.Background())
 	stream, err := wire.NewDRPCPeerClient(conn).Link(ctx)
@@ -215,7 +219,8 @@
 		return nil, errors.Wrap(err, "peer: open stream")
 	}
 	l := &link{conn: conn, exchanges: make(map[uint64]exchange)}
-	l.out = newOutbox(l.expire)
+	l.out = newOutbox(meter, l.expire)
+	meter.Count("peer_links_opened", 1)
 	l.out.frames <- &outgoing{frame: &wire.Frame{Body: &wire.Frame_Hello{Hello: hello}}}
 	go func() { l.fail(l.out.run(stream)) }()
 	go func() {
@@ -323,6 +328,7 @@
 	l.exchanges = make(map[uint64]exchange)
 	l.mu.Unlock()
 	l.out.close()
+	l.out.meter.Count("peer_links_closed", 1)
 	_ = l.conn.Close()
 	for _, x := range open {
 		x.closed(err)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"oriolebarrow/core"
 	"oriolebarrow/io/wire"
 )
 
@@ -24,6 +25,7 @@
 // Server accepts links from other hosts.
 type Server struct {
 	handler Handler
+	meter   core.Meter
 	drpc    *drpcserver.Server
 
 	mu     sync.Mutex // guards the fields below
@@ -33,7 +35,7 @@
 
 // NewServer returns a server for handler.
 func NewServer(handler Handler) (*Server, error) {
-	s := &Server{handler: handler}
+	s := &Server{handler: handler, meter: core.NoMeter{}}
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterPeer(mux, s); err != nil {
 		return nil, errors.Wrap(err, "peer: register")
@@ -42,6 +44,9 @@
 	return s, nil
 }
 
+// SetMeter makes the server report to m. It must be called before Serve.
+func (s *Server) SetMeter(m core.Meter) { s.meter = core.MeterOr(m) }
+
 // Serve accepts links until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	return s.drpc.Serve(ctx, l)
@@ -90,7 +95,7 @@
 func (s *Server) Link(stream wire.DRPCPeer_LinkStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	in := &inbound{server: s, ctx: ctx, out: newOutbox(nil), cancels: make(map[uint64]*context.CancelFunc)}
+	in := &inbound{server: s, ctx: ctx, out: newOutbox(s.meter, nil), cancels: make(map[uint64]*context.CancelFunc)}
 	defer in.out.close()
 	go func() {
 		_ = in.out.run(stream)
--- /dev/null
+++ b/io/remote/conns_test.go
@@ -0,0 +1,69 @@
+package remote_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/io/remote"
+)
+
+// keepAlive serves every request of an in-memory connection until it is closed.
+func keepAlive(answer string) func(context.Context, string, string) (net.Conn, error) {
+	return func(context.Context, string, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() {
+			in := bufio.NewReader(server)
+			for {
+				req, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(server, answer)
+			}
+		}()
+		return client, nil
+	}
+}
+
+// Guards against a count of open connections that drifts, and against a lock
+// held while idle connections are closed, which blocked Bound and Close.
+func TestOpenConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answer := strings.Replace(wrong(`{"snapshot":41,"shard":3,"rows":[]}`), "Connection: close\r\n", "", 1)
+		client := remote.New(remote.Options{Connections: 1, Dial: keepAlive(answer)})
+		want := func(n int) {
+			t.Helper()
+			synctest.Wait()
+			if got := client.OpenConnections("b:1"); got != n {
+				t.Errorf("%d open connections, want %d", got, n)
+			}
+		}
+		for _, end := range []func(){func() { client.Bound("b:1", 2) }, client.Close} {
+			for range 2 { // the second call uses the open connection
+				if _, err := client.Read(t.Context(), "b:1", core.ReadCall{Snapshot: 41, Shard: 3, Deadline: time.Now().Add(time.Second)}); err != nil {
+					t.Fatal(err)
+				}
+				want(1)
+			}
+			end()
+			want(0)
+		}
+		failing := remote.New(remote.Options{Connections: 1, Dial: func(context.Context, string, string) (net.Conn, error) {
+			return nil, errors.New("refused")
+		}})
+		_, _ = failing.Status(t.Context(), "b:1")
+		if n := failing.OpenConnections("b:1"); n != 0 {
+			t.Errorf("%d open connections after a failed dial", n)
+		}
+	})
+}
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -42,7 +42,8 @@
 
 // Options configures a client.
 type Options struct {
-	Connections int // open connections to a replica that Bound does not name
+	Connections int        // open connections to a replica that Bound does not name
+	Meter       core.Meter // may be nil
 	// Dial opens connections; net.Dialer when nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -56,10 +57,13 @@
 // Client calls backend servers. It is safe for concurrent use; its lock guards
 // only the table of transports.
 type Client struct {
-	opts Options
+	opts  Options
+	meter core.Meter
 
 	mu      sync.Mutex
 	clients map[string]bounded
+
+	open openTable
 }
 
 var (
@@ -69,7 +73,7 @@
 
 // New returns a client without open connections.
 func New(opts Options) *Client {
-	return &Client{opts: opts, clients: make(map[string]bounded)}
+	return &Client{opts: opts, meter: core.MeterOr(opts.Meter), clients: make(map[string]bounded)}
 }
 
 // Bound sets the connection limit of one replica. If the limit changes, calls
@@ -115,10 +119,12 @@
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	if c.opts.Dial != nil {
-		return c.opts.Dial(ctx, network, address)
+	dial := c.opts.Dial
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
 	}
-	return new(net.Dialer).DialContext(ctx, network, address)
+	conn, err := dial(ctx, network, address)
+	return c.counted(address, conn, err)
 }
 
 // Close closes idle connections.
@@ -197,6 +203,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.countWrong(call, rows)
 	if rows.Snapshot != uint64(call.Snapshot) || rows.Shard != int32(call.Shard) || !isArray(rows.Rows) {
 		return nil, &core.CallError{
 			Op: "read", Target: address, Reason: core.ReasonWrongAnswer,
@@ -277,6 +284,7 @@
 var (
 	errPastDeadline = errors.New("remote: deadline passed before sending")
 	errWithdrawn    = errors.New("remote: request was given up")
+	errChecksum     = errors.New("checksum differs")
 )
 
 // oneShot is a request body that net/http can read once and can't rewind. The
@@ -357,7 +365,7 @@
 	if res.StatusCode != http.StatusOK {
 		return refusal(r, res)
 	}
-	return decode(ctx, r, res)
+	return c.countChecksum(decode(ctx, r, res))
 }
 
 func reasonOf(ctx context.Context) core.Reason {
@@ -400,7 +408,7 @@
 		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonTooLarge, Cause: errors.Errorf("more than %d bytes", limit)}
 	}
 	if r.checksum && res.Header.Get(ChecksumHeader) != Checksum(raw) {
-		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonWrongAnswer, Cause: errors.New("checksum differs")}
+		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonWrongAnswer, Cause: errChecksum}
 	}
 	if r.out == nil {
 		return nil
--- a/io/telem/telem.go
+++ b/io/telem/telem.go
@@ -21,6 +21,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	metrics "github.com/rcrowley/go-metrics"
+
+	"oriolebarrow/core"
 )
 
 const (
@@ -40,6 +42,8 @@
 	inner metrics.Registry
 }
 
+var _ core.Meter = (*Registry)(nil)
+
 // NewRegistry returns a registry without metrics.
 func NewRegistry() *Registry { return &Registry{inner: metrics.NewRegistry()} }
 
@@ -61,6 +65,39 @@
 	return h
 }
 
+// Count adds n to the counter of a name.
+func (r *Registry) Count(name string, n int64) { r.Counter(name).Inc(n) }
+
+// Observe adds a value to the histogram of a name.
+func (r *Registry) Observe(name string, value int64) { r.Histogram(name).Update(value) }
+
+// CounterFunc registers a counter that is kept elsewhere and read when the
+// metrics are read. A later one of the same name replaces it.
+func (r *Registry) CounterFunc(name string, read func() int64) {
+	r.inner.Unregister(snake(name))
+	_ = r.inner.Register(snake(name), counterFunc(read))
+}
+
+// counterFunc is a counter that is kept elsewhere.
+type counterFunc func() int64
+
+var _ metrics.Counter = counterFunc(nil)
+
+// Count implements metrics.Counter.
+func (f counterFunc) Count() int64 { return f() }
+
+// Snapshot implements metrics.Counter.
+func (f counterFunc) Snapshot() metrics.Counter { return f }
+
+// Clear implements metrics.Counter; it has no effect.
+func (counterFunc) Clear() {}
+
+// Inc implements metrics.Counter; it has no effect.
+func (counterFunc) Inc(int64) {}
+
+// Dec implements metrics.Counter; it has no effect.
+func (counterFunc) Dec(int64) {}
+
 // Gauge registers a gauge that reads its value when the metrics are read. A
 // later gauge of the same name replaces it.
 func (r *Registry) Gauge(name string, read func() int64) {
