feat(cmd): order gets its token and status shows groups and pauses

Cause: order without a token only got one in a refusal, so every order took two commands, and status did not show who owns how many groups. Ruled out: asking for the token inside the order request, since a lost answer would lose the token; it is named before the order is sent. Before: exit 1 and a token. After: one command; TestOrderToken and TestStatus cover both. The two order cases of TestQueryAndOrder now give -key and -token, since without them the command would ask for a token first; what they check is unchanged.

--- a/cmd/client.go
+++ b/cmd/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -85,27 +86,78 @@
 	fs := flag.NewFlagSet("order", flag.ContinueOnError)
 	f.register(fs)
 	key := fs.String("key", "", "key of the order; it chooses the replica group")
-	token := fs.String("token", "", "token; empty to ask for one (the order does not run)")
+	token := fs.String("token", "", "token; empty to get one first")
+	tokenOnly := fs.Bool("token-only", false, "only get a token; the order does not run")
 	if code, ok := parse(e, fs, args); !ok {
 		return code
 	}
 	if fault := f.check(); fault != "" {
 		return reject(e, fs, "%s", fault)
 	}
-	if *token != "" && *key == "" {
+	if *tokenOnly && *token != "" {
+		return reject(e, fs, "-token-only and -token: want one of them")
+	}
+	if !*tokenOnly && *key == "" {
 		return reject(e, fs, "-key: want the key of the order")
 	}
+	if *token == "" {
+		got, code := f.newToken(ctx, e, *tokenOnly)
+		if code != ExitOK || *tokenOnly {
+			return code
+		}
+		*token = got
+	}
 	return f.post(ctx, e, "/v1/orders", map[string]any{
 		"caller": f.caller, "service": f.service, "key": *key, "token": *token,
 		"body": json.RawMessage(f.body), "deadline_ms": f.deadline.Milliseconds(),
 	})
 }
 
+// newToken gets a token. It names the token before the order is sent: if the
+// answer to the order is lost, only a repeat with that token is safe.
+func (f *clientFlags) newToken(ctx context.Context, e env, only bool) (string, int) {
+	a, err := f.send(ctx, "/v1/tokens", nil)
+	if err != nil {
+		return "", failed(e, err)
+	}
+	if a.status == http.StatusOK && a.Token == "" {
+		return "", failed(e, errors.New("the host issued no token"))
+	}
+	if a.status != http.StatusOK || only {
+		return a.Token, f.show(e, a)
+	}
+	_, _ = fmt.Fprintf(e.err, "oriolebarrow order: got token %s; repeat an unknown outcome with -token and this token\n", a.Token)
+	return a.Token, ExitOK
+}
+
+// post sends a request and prints its answer.
 func (f *clientFlags) post(ctx context.Context, e env, path string, in any) int {
-	raw, err := json.Marshal(in)
+	a, err := f.send(ctx, path, in)
 	if err != nil {
 		return failed(e, err)
 	}
+	return f.show(e, a)
+}
+
+// show prints an answer and returns the exit code.
+func (f *clientFlags) show(e env, a *reply) int {
+	if f.json {
+		_, _ = e.out.Write(a.raw)
+	} else {
+		a.print(e.out)
+	}
+	if a.status != http.StatusOK || a.Coverage != nil && a.Coverage.BelowMinimum {
+		return ExitFault
+	}
+	return ExitOK
+}
+
+// send sends one request and reads its answer, whatever its status.
+func (f *clientFlags) send(ctx context.Context, path string, in any) (*reply, error) {
+	raw, err := json.Marshal(in)
+	if err != nil {
+		return nil, err
+	}
 	wait := sectionSlack
 	if f.deadline > 0 {
 		wait = f.deadline
@@ -114,31 +166,22 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.host+path, bytes.NewReader(raw))
 	if err != nil {
-		return failed(e, err)
+		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return failed(e, err)
+		return nil, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	raw, err = io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
-	if err != nil {
-		return failed(e, err)
+	a := &reply{status: res.StatusCode}
+	if a.raw, err = io.ReadAll(io.LimitReader(res.Body, maxReplyBytes)); err != nil {
+		return nil, err
 	}
-	var a reply
-	if err := json.Unmarshal(raw, &a); err != nil {
-		return failed(e, fmt.Errorf("the answer (status %d) is not the expected JSON: %w", res.StatusCode, err))
+	if err := json.Unmarshal(a.raw, a); err != nil {
+		return nil, fmt.Errorf("the answer (status %d) is not the expected JSON: %w", res.StatusCode, err)
 	}
-	if f.json {
-		_, _ = e.out.Write(raw)
-	} else {
-		a.print(e.out)
-	}
-	if res.StatusCode != http.StatusOK || a.Coverage != nil && a.Coverage.BelowMinimum {
-		return ExitFault
-	}
-	return ExitOK
+	return a, nil
 }
 
 func failed(e env, err error) int {
@@ -148,6 +191,9 @@
 
 // reply holds what a host answers to a query, an order or a faulty request.
 type reply struct {
+	status int
+	raw    []byte
+
 	RequestID      string `json:"request_id"`
 	Outcome        string `json:"outcome"`
 	Reason         string `json:"reason"`
@@ -158,6 +204,7 @@
 	DeadlineMS     int64  `json:"deadline_ms"`
 	DeadlineCapped bool   `json:"deadline_capped"`
 	Token          string `json:"token"`
+	ExpiresInMS    int64  `json:"expires_in_ms"`
 	Coverage       *struct {
 		Answered     int  `json:"answered"`
 		Total        int  `json:"total"`
@@ -176,14 +223,17 @@
 	line := func(name, format string, args ...any) {
 		_, _ = fmt.Fprintf(w, "%-10s %s\n", name, fmt.Sprintf(format, args...))
 	}
-	line("outcome", "%s", a.Outcome)
 	for _, f := range []struct{ name, value string }{
+		{"outcome", a.Outcome},
 		{"reason", a.Reason}, {"error", a.Error}, {"request", a.RequestID}, {"token", a.Token},
 	} {
 		if f.value != "" {
 			line(f.name, "%s", f.value)
 		}
 	}
+	if a.ExpiresInMS > 0 {
+		line("expires", "in %d ms", a.ExpiresInMS)
+	}
 	if c := a.Coverage; c != nil {
 		line("coverage", "%d of %d shards", c.Answered, c.Total)
 		if c.BelowMinimum {
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -152,7 +153,7 @@
 // Guards against a fleet that disagrees without anybody seeing it.
 func TestStatus(t *testing.T) {
 	host := func(name, digest string) string {
-		return serveJSON(t, 200, `{"host":"`+name+`","ready":true,"revision":7,"sections":2,"sections_digest":"`+digest+`","view":["a","b"]}`)
+		return serveJSON(t, 200, `{"host":"`+name+`","ready":true,"revision":7,"sections":2,"sections_digest":"`+digest+`","view":["a","b"],"owned_groups":5,"pauses":3}`)
 	}
 	a, b, c := host("a", "aaaaaaaaaa"), host("b", "aaaaaaaaaa"), host("c", "cccccccccc")
 	denied := serveJSON(t, 401, `{}`)
@@ -164,6 +165,7 @@
 		want  string
 	}{
 		{"alike", []string{a, b}, "", cmd.ExitOK, "2 aaaaaaaa "},
+		{"groups and pauses", []string{a}, "", cmd.ExitOK, "2 hosts  5             3"},
 		{"one differs", []string{a, b, c}, "", cmd.ExitFault, "2 cccccccc*"},
 		{"named", []string{a, b, c}, "", cmd.ExitFault, "disagreement on sections (marked *):\n  aaaaaaaaaa: " + a + " " + b},
 		{"no majority", []string{a, c}, "", cmd.ExitFault, "2 aaaaaaaa*"},
@@ -192,16 +194,59 @@
 	}{
 		{"complete", "query", `{"outcome":"complete","coverage":{"answered":2,"total":2},"rows":[[1],[]]}`, 200, cmd.ExitOK, "-json=false", "coverage   2 of 2 shards"},
 		{"below minimum", "query", `{"outcome":"partial","coverage":{"answered":1,"total":2,"below_minimum":true,"missing":[{"shard":1,"reason":"deadline"}]},"rows":[]}`, 200, cmd.ExitFault, "-json=false", "missing    shard 1: deadline"},
-		{"refused", "order", `{"outcome":"not_run","reason":"no_token","token":"h~1~2"}`, 428, cmd.ExitFault, "-json=false", "token      h~1~2"},
-		{"raw", "order", `{"outcome":"unknown"}`, 504, cmd.ExitFault, "-json", `{"outcome":"unknown"}`},
+		{"refused", "order", `{"outcome":"not_run","reason":"no_token","token":"h~1~2"}`, 428, cmd.ExitFault, "-key=k -token=h~1~3", "token      h~1~2"},
+		{"raw", "order", `{"outcome":"unknown"}`, 504, cmd.ExitFault, "-json -key=k -token=h~1~3", `{"outcome":"unknown"}`},
 		{"no json", "query", `<html>`, 502, cmd.ExitFault, "-json=false", "status 502"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			at := serveJSON(t, c.status, c.body)
-			code, out, errOut := run(c.command, "-host", at, "-caller", "c", "-service", "s", c.more)
+			code, out, errOut := run(append([]string{c.command, "-host", at, "-caller", "c", "-service", "s"}, strings.Fields(c.more)...)...)
 			if code != c.code || !strings.Contains(out+errOut, c.want) {
 				t.Errorf("exit %d, want %d; no %q in\n%s%s", code, c.code, c.want, out, errOut)
 			}
 		})
 	}
 }
+
+// Guards against an order sent without a token, one that runs although only a
+// token is wanted, and a token that is not told before its order is sent.
+func TestOrderToken(t *testing.T) {
+	for _, c := range []struct {
+		name, issued string
+		status, code int
+		args         []string
+		orders       string // tokens of the orders sent
+		want         string
+	}{
+		{"none given", `{"token":"h~1~2"}`, 200, cmd.ExitOK, []string{"-key", "k"}, "h~1~2;", "got token h~1~2;"},
+		{"only a token", `{"token":"h~1~2","expires_in_ms":9}`, 200, cmd.ExitOK, []string{"-token-only"}, "", "expires    in 9 ms"},
+		{"given", `{}`, 200, cmd.ExitOK, []string{"-key", "k", "-token", "h~1~3"}, "h~1~3;", "outcome    complete"},
+		{"none issued", `{"outcome":"not_run","reason":"table_full"}`, 503, cmd.ExitFault, []string{"-key", "k"}, "", "table_full"},
+		{"refused with one", `{"outcome":"not_run","token":"h~1~2"}`, 503, cmd.ExitFault, []string{"-key", "k"}, "", "not_run"},
+		{"empty", `{}`, 200, cmd.ExitFault, []string{"-key", "k"}, "", "issued no token"},
+		{"no key", `{"token":"h~1~2"}`, 200, cmd.ExitUsage, nil, "", "-key: want the key"},
+		{"both", `{}`, 200, cmd.ExitUsage, []string{"-token-only", "-token", "h~1~2"}, "", "want one of them"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			orders := ""
+			mux := http.NewServeMux()
+			mux.HandleFunc("/v1/tokens", func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.issued))
+			})
+			mux.HandleFunc("/v1/orders", func(w http.ResponseWriter, r *http.Request) {
+				var in struct{ Token string }
+				_ = json.NewDecoder(r.Body).Decode(&in)
+				orders += in.Token + ";"
+				_, _ = w.Write([]byte(`{"outcome":"complete"}`))
+			})
+			s := httptest.NewServer(mux)
+			defer s.Close()
+			at := strings.TrimPrefix(s.URL, "http://")
+			code, out, errOut := run(append([]string{"order", "-host", at, "-caller", "c", "-service", "s"}, c.args...)...)
+			if code != c.code || orders != c.orders || !strings.Contains(out+errOut, c.want) {
+				t.Errorf("exit %d, want %d; orders %q, want %q; no %q in\n%s%s", code, c.code, orders, c.orders, c.want, out, errOut)
+			}
+		})
+	}
+}
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -202,19 +202,20 @@
 
 func printFleet(w io.Writer, all []hostStatus, differ []disagreement) {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "ADDRESS\tHOST\tDATA CENTRE\tREADY\tREVISION\tSECTIONS\tREFUSED\tVIEW\tREASONS")
+	_, _ = fmt.Fprintln(table, "ADDRESS\tHOST\tDATA CENTRE\tREADY\tREVISION\tSECTIONS\tREFUSED\tVIEW\tOWNED GROUPS\tPAUSES\tREASONS")
 	for _, h := range all {
 		s := h.Status
 		if s == nil {
-			_, _ = fmt.Fprintf(table, "%s\t-\t-\t-\t-\t-\t-\t-\t%s\n", h.Address, h.Error)
+			_, _ = fmt.Fprintf(table, "%s\t-\t-\t-\t-\t-\t-\t-\t-\t-\t%s\n", h.Address, h.Error)
 			continue
 		}
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%d%s\t%d %s%s\t%d\t%d hosts%s\t%s\n",
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%d%s\t%d %s%s\t%d\t%d hosts%s\t%d\t%d\t%s\n",
 			h.Address, s.Host, s.DataCentre, s.Ready,
 			s.Revision, mark(differ, "revision", h.Address),
 			s.Sections, short(s.SectionsDigest), mark(differ, "sections", h.Address),
 			s.RefusedSections,
 			len(s.View), mark(differ, "view", h.Address),
+			s.OwnedGroups, s.Pauses,
 			strings.Join(s.Reasons, ","))
 	}
 	_ = table.Flush()
