refactor(admin,caller,cmd): one list writer, one admission, short functions

Ruled out: a generic handler with the source check in it, since a nil source in an interface can't be told apart there. After: writeList, exchange.admit and printCoverage. A min_coverage out of range is now refused before the caller is looked up, so an unknown caller with such a value gets bad_request instead of unknown_caller; both are not_run.

--- a/cmd/client.go
+++ b/cmd/client.go
@@ -220,43 +220,49 @@
 
 // print writes one line for each thing that the answer says.
 func (a *reply) print(w io.Writer) {
-	line := func(name, format string, args ...any) {
-		_, _ = fmt.Fprintf(w, "%-10s %s\n", name, fmt.Sprintf(format, args...))
-	}
 	for _, f := range []struct{ name, value string }{
-		{"outcome", a.Outcome},
-		{"reason", a.Reason}, {"error", a.Error}, {"request", a.RequestID}, {"token", a.Token},
+		{"outcome", a.Outcome}, {"reason", a.Reason}, {"error", a.Error}, {"request", a.RequestID}, {"token", a.Token},
 	} {
 		if f.value != "" {
-			line(f.name, "%s", f.value)
+			printLine(w, f.name, "%s", f.value)
 		}
 	}
 	if a.ExpiresInMS > 0 {
-		line("expires", "in %d ms", a.ExpiresInMS)
-	}
-	if c := a.Coverage; c != nil {
-		line("coverage", "%d of %d shards", c.Answered, c.Total)
-		if c.BelowMinimum {
-			line("warning", "coverage is below the minimum")
-		}
-		for _, m := range c.Missing {
-			line("missing", "shard %d: %s", m.Shard, m.Reason)
-		}
-		line("snapshot", "%d", a.Snapshot)
+		printLine(w, "expires", "in %d ms", a.ExpiresInMS)
 	}
+	a.printCoverage(w)
 	if a.ConfigRevision > 0 {
-		line("revision", "%d", a.ConfigRevision)
+		printLine(w, "revision", "%d", a.ConfigRevision)
 	}
 	if a.RetryAfterMS > 0 {
-		line("retry", "after %d ms", a.RetryAfterMS)
+		printLine(w, "retry", "after %d ms", a.RetryAfterMS)
 	}
 	if a.DeadlineCapped {
-		line("deadline", "%d ms, capped by the caller's section", a.DeadlineMS)
+		printLine(w, "deadline", "%d ms, capped by the caller's section", a.DeadlineMS)
 	}
 	for _, r := range a.Rows {
-		line("rows", "%s", r)
+		printLine(w, "rows", "%s", r)
 	}
 	if len(a.Result) > 0 {
-		line("result", "%s", a.Result)
+		printLine(w, "result", "%s", a.Result)
 	}
 }
+
+func (a *reply) printCoverage(w io.Writer) {
+	c := a.Coverage
+	if c == nil {
+		return
+	}
+	printLine(w, "coverage", "%d of %d shards", c.Answered, c.Total)
+	if c.BelowMinimum {
+		printLine(w, "warning", "coverage is below the minimum")
+	}
+	for _, m := range c.Missing {
+		printLine(w, "missing", "shard %d: %s", m.Shard, m.Reason)
+	}
+	printLine(w, "snapshot", "%d", a.Snapshot)
+}
+
+func printLine(w io.Writer, name, format string, args ...any) {
+	_, _ = fmt.Fprintf(w, "%-10s %s\n", name, fmt.Sprintf(format, args...))
+}
--- a/io/admin/read.go
+++ b/io/admin/read.go
@@ -89,6 +89,15 @@
 	return len(owned)
 }
 
+// writeList answers an object that holds one list, never null.
+func writeList[T, O any](w http.ResponseWriter, name string, items []T, convert func(T) O) {
+	out := make([]O, 0, len(items))
+	for _, item := range items {
+		out = append(out, convert(item))
+	}
+	write(w, http.StatusOK, map[string]any{name: out})
+}
+
 type hostOut struct {
 	Host       string `json:"host"`
 	DataCentre string `json:"data_centre"`
@@ -102,17 +111,15 @@
 		unavailable(w, "hosts")
 		return
 	}
-	out := []hostOut{}
-	for _, s := range h.Hosts.HostStatuses(h.now()) {
-		out = append(out, hostOut{
+	writeList(w, "hosts", h.Hosts.HostStatuses(h.now()), func(s core.HostStatus) hostOut {
+		return hostOut{
 			Host:       string(s.Host.ID()),
 			DataCentre: string(s.Host.DataCentre()),
 			Address:    s.Host.Address(),
 			State:      s.State.String(),
 			Self:       s.Self,
-		})
-	}
-	write(w, http.StatusOK, map[string]any{"hosts": out})
+		}
+	})
 }
 
 type sectionOut struct {
@@ -132,8 +139,7 @@
 		unavailable(w, "sections")
 		return
 	}
-	out := []sectionOut{}
-	for _, s := range h.Sections.SectionStatuses() {
+	writeList(w, "sections", h.Sections.SectionStatuses(), func(s core.SectionStatus) sectionOut {
 		o := sectionOut{
 			Kind: s.Kind, Name: s.Name, Team: s.Team, Edition: uint64(s.Edition), Revision: uint64(s.Revision),
 			Hash: fmt.Sprintf("%016x", s.Hash), Removed: s.Removed, Source: s.Source,
@@ -141,9 +147,8 @@
 		if !s.Since.IsZero() {
 			o.Since = s.Since.UTC().Format(time.RFC3339Nano)
 		}
-		out = append(out, o)
-	}
-	write(w, http.StatusOK, map[string]any{"sections": out})
+		return o
+	})
 }
 
 type refusedOut struct {
@@ -157,11 +162,9 @@
 		unavailable(w, "sections")
 		return
 	}
-	out := []refusedOut{}
-	for _, r := range h.Sections.RefusedSections() {
-		out = append(out, refusedOut{Section: r.Section, Revision: uint64(r.Revision), Reason: r.Reason})
-	}
-	write(w, http.StatusOK, map[string]any{"refused": out})
+	writeList(w, "refused", h.Sections.RefusedSections(), func(r core.RefusedSection) refusedOut {
+		return refusedOut{Section: r.Section, Revision: uint64(r.Revision), Reason: r.Reason}
+	})
 }
 
 type serviceOut struct {
@@ -178,8 +181,7 @@
 		unavailable(w, "services")
 		return
 	}
-	out := []serviceOut{}
-	for _, s := range h.Settings.Services() {
+	writeList(w, "services", h.Settings.Services(), func(s core.Service) serviceOut {
 		o := serviceOut{
 			Service: string(s.Name()), Groups: len(s.Groups()), Slots: s.Limits().Slots,
 			Connections: s.Limits().Connections, QueueLength: s.Limits().QueueLength,
@@ -187,9 +189,8 @@
 		for _, g := range s.Groups() {
 			o.Replicas += len(g)
 		}
-		out = append(out, o)
-	}
-	write(w, http.StatusOK, map[string]any{"services": out})
+		return o
+	})
 }
 
 type replicaOut struct {
@@ -210,15 +211,13 @@
 		unavailable(w, "replicas")
 		return
 	}
-	out := []replicaOut{}
-	for _, r := range h.Replicas.ReplicaReports(h.now()) {
-		out = append(out, replicaOut{
+	writeList(w, "replicas", h.Replicas.ReplicaReports(h.now()), func(r core.ReplicaReport) replicaOut {
+		return replicaOut{
 			Service: string(r.Service), Group: int32(r.Group), Address: r.Address, DataCentre: string(r.DataCentre),
 			Owner: string(r.Owner), SlotsInUse: r.SlotsInUse, Slots: r.Slots, Connections: r.Connections,
 			State: r.State, Reason: r.Reason,
-		})
-	}
-	write(w, http.StatusOK, map[string]any{"replicas": out})
+		}
+	})
 }
 
 func (h *Handler) tokens(w http.ResponseWriter, _ *http.Request) {
@@ -244,12 +243,10 @@
 		unavailable(w, "budgets")
 		return
 	}
-	out := []budgetOut{}
-	for _, b := range h.Budgets.BudgetReports(h.now()) {
-		out = append(out, budgetOut{
+	writeList(w, "budgets", h.Budgets.BudgetReports(h.now()), func(b core.BudgetReport) budgetOut {
+		return budgetOut{
 			Service: string(b.Service), Kind: b.Kind, Share: b.Share,
 			Available: b.Available, Used: b.Used, Denied: b.Denied, DelayUS: b.Delay.Microseconds(),
-		})
-	}
-	write(w, http.StatusOK, map[string]any{"budgets": out})
+		}
+	})
 }
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -159,6 +159,32 @@
 	return l, true
 }
 
+// admission is a request that may run until its limit.
+type admission struct {
+	section core.Caller
+	limit   limit
+	release func() // ends the request's share of the concurrency
+}
+
+// admit finds section and deadline and asks the admitter. It answers the
+// request itself when it returns false.
+func (x *exchange) admit(caller, service string, deadlineMS int64) (admission, bool) {
+	section, ok := x.section(caller, service)
+	if !ok {
+		return admission{}, false
+	}
+	l, ok := x.limit(section, deadlineMS)
+	if !ok {
+		return admission{}, false
+	}
+	release, refused := x.h.Admitter.Admit(time.Now(), section)
+	if refused != nil {
+		x.refuse(*refused)
+		return admission{}, false
+	}
+	return admission{section: section, limit: l, release: release}, true
+}
+
 type queryIn struct {
 	Caller      string          `json:"caller"`
 	Service     string          `json:"service"`
@@ -176,40 +202,32 @@
 		x.fail(*f)
 		return
 	}
-	section, ok := x.section(in.Caller, in.Service)
-	if !ok {
+	if c := in.MinCoverage; c != nil && !(*c >= 0 && *c <= 1) {
+		x.fail(fault{http.StatusBadRequest, reasonBadRequest, "min_coverage: want 0 to 1"})
 		return
 	}
-	l, ok := x.limit(section, in.DeadlineMS)
+	run, ok := x.admit(in.Caller, in.Service, in.DeadlineMS)
 	if !ok {
 		return
 	}
-	coverage := section.Policy().MinCoverage
+	defer run.release()
+	policy := run.section.Policy()
+	coverage := policy.MinCoverage
 	if in.MinCoverage != nil {
 		coverage = *in.MinCoverage
 	}
-	if coverage < 0 || coverage > 1 {
-		x.fail(fault{http.StatusBadRequest, reasonBadRequest, "min_coverage: want 0 to 1"})
-		return
-	}
-	release, refused := h.Admitter.Admit(time.Now(), section)
-	if refused != nil {
-		x.refuse(*refused)
-		return
-	}
-	defer release()
 	q := core.Query{
 		ID:          newRequestID(),
-		Caller:      section.Name(),
+		Caller:      run.section.Name(),
 		Service:     core.ServiceName(in.Service),
 		Body:        in.Body,
-		Deadline:    l.deadline,
+		Deadline:    run.limit.deadline,
 		MinCoverage: coverage,
-		Priority:    section.Policy().Priority,
-		Repeatable:  section.Policy().Repeatable,
+		Priority:    policy.Priority,
+		Repeatable:  policy.Repeatable,
 	}
 	a := h.Requests.Query(x.r.Context(), q)
-	status, body := h.queryAnswer(q, l, a)
+	status, body := h.queryAnswer(q, run.limit, a)
 	x.answer(a.Outcome, status, body)
 }
 
@@ -252,28 +270,19 @@
 	if !x.ready() {
 		return
 	}
-	section, ok := x.section(in.Caller, in.Service)
+	run, ok := x.admit(in.Caller, in.Service, in.DeadlineMS)
 	if !ok {
 		return
 	}
-	l, ok := x.limit(section, in.DeadlineMS)
-	if !ok {
-		return
-	}
-	release, refused := h.Admitter.Admit(time.Now(), section)
-	if refused != nil {
-		x.refuse(*refused)
-		return
-	}
-	defer release()
+	defer run.release()
 	id := newRequestID()
 	result := h.Requests.Order(x.r.Context(), in.Token, id, core.Order{
-		Caller:  section.Name(),
+		Caller:  run.section.Name(),
 		Service: core.ServiceName(in.Service),
 		Key:     in.Key,
 		Body:    in.Body,
-	}, l.deadline)
-	status, body := orderAnswer(id, l, result)
+	}, run.limit.deadline)
+	status, body := orderAnswer(id, run.limit, result)
 	x.answer(result.Outcome, status, body)
 }
 
