fix(telem): count rejected results as a counter and keep the open links above zero

Cause: results rejected since the start were exported as a gauge, and the open links were read as opened minus closed, in this order, so that a link that came and went between the two readings gave a negative value. Ruled out: a gauge kept by the client; two counters are needed anyway. Before: obw_entry_results_rejected. After: obw_entry_results_rejected_total, and the closed links are read first.

--- a/core/admin.go
+++ b/core/admin.go
@@ -14,8 +14,8 @@
 	HostStatuses(now time.Time) []HostStatus
 }
 
-// SectionStatus is a configuration section in force. Since and Source are
-// empty when the ledger does not record them.
+// SectionStatus is a configuration section in force. Since and Source are empty
+// when it is not known how the section came to this host.
 type SectionStatus struct {
 	Kind     string
 	Name     string
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -41,6 +41,8 @@
 	paths map[string]func(*exchange)
 }
 
+var _ http.Handler = (*Handler)(nil)
+
 // New returns a handler over its parts.
 func New(p Parts) *Handler {
 	h := &Handler{Parts: p}
@@ -292,8 +294,6 @@
 	return core.RequestID(hex.EncodeToString(raw[:]))
 }
 
-var _ http.Handler = (*Handler)(nil)
-
 // Serve runs an HTTP server until ctx ends.
 func Serve(ctx context.Context, s *http.Server, run func() error) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -73,7 +73,7 @@
 	for _, state := range []order.State{order.Issued, order.Running, order.Done, order.Refused} {
 		m.Gauge("order_tokens_"+string(state), func() int64 { return int64(n.tokens.Counts()[state]) })
 	}
-	m.Gauge("entry_results_rejected", func() int64 { return int64(n.entry.Rejected()) })
+	m.CounterFunc("entry_results_rejected", func() int64 { return int64(n.entry.Rejected()) })
 	m.Gauge("config_revision", func() int64 { return int64(n.ledger.Revision()) })
 	m.Gauge("config_sections", func() int64 { return int64(len(n.ledger.Versions())) })
 	m.Gauge("config_sections_refused", func() int64 { return int64(len(n.ledger.Refused())) })
@@ -82,7 +82,8 @@
 	m.Gauge("owner_queue_length", func() int64 { return int64(n.owner.Load().Waiting) })
 	m.Gauge("owner_slots_in_use", func() int64 { return int64(n.owner.Load().Running) })
 	m.Gauge("peer_links_open", func() int64 {
-		return m.Counter("peer_links_opened").Count() - m.Counter("peer_links_closed").Count()
+		closed := m.Counter("peer_links_closed").Count() // read first, so that the difference is never negative
+		return m.Counter("peer_links_opened").Count() - closed
 	})
 	m.CounterFunc("node_pauses", func() int64 { return int64(n.Pauses()) })
 	m.CounterFunc("gossip_packets_sent", func() int64 { return int64(n.agent.Stats().Sent) })
