test(cmd): compare the flags of serve with their page

Cause: a new flag could be missing in docs/OPERATIONS.md unnoticed. Ruled out: nothing; all flags of today are on the page. Before: no check. After: TestFlagsPage.

--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -250,3 +251,21 @@
 		})
 	}
 }
+
+// Guards against a flag of serve that docs/OPERATIONS.md does not describe.
+func TestFlagsPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, help, _ := run("help", "serve")
+	flags := regexp.MustCompile(`(?m)^  -([a-z-]+)`).FindAllStringSubmatch(help, -1)
+	for _, f := range flags {
+		if !bytes.Contains(page, []byte("`-"+f[1]+"`")) {
+			t.Errorf("-%s is not on the page", f[1])
+		}
+	}
+	if len(flags) < 14 {
+		t.Errorf("only %d flags found in\n%s", len(flags), help)
+	}
+}
