test(node): show missing shards when the rolling restart fails

Cause: a flaky failure under the race detector printed only partial. Change: the failure text holds the coverage with its reasons. The cause is looked for next.

--- a/io/node/rolling_test.go
+++ b/io/node/rolling_test.go
@@ -211,6 +211,8 @@
 	Outcome string `json:"outcome"`
 	Reason  string `json:"reason"`
 	Token   string `json:"token"`
+	// Coverage tells in a failure which shards were missing and why.
+	Coverage json.RawMessage `json:"coverage"`
 }
 
 func (f *fleet) post(c *http.Client, path string, body map[string]any) (reply, error) {
@@ -236,7 +238,7 @@
 	for i := 0; !stop.Load(); i++ {
 		r, err := f.post(c, "/v1/query", map[string]any{"caller": "dispatch", "service": "kiln"})
 		if err != nil || r.Outcome != "complete" {
-			failed("query: %+v %v", r, err)
+			failed("query: %s %s %s %v", r.Outcome, r.Reason, r.Coverage, err)
 		}
 		token, err := f.post(c, "/v1/tokens", nil)
 		if err != nil || token.Token == "" {
