fix: apply the connection limits of sections on a running host

Cause: gatedBackend embedded only core.Backend, so the owner's check for core.Bounder failed and every replica got the limit of -connections (5), which doesn't fit services with 6 slots. A fault in the owner or in io/remote was ruled out: both pass with the client used directly.

Before: 1 connection at once to a replica of a section with 6 slots and 100 connections (-connections 1). Replicas that no section names keep the limit of -connections.

Also, the addresses of the rolling restart test are held until all are chosen; a closed one could be given out again ("listed twice").

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -55,7 +55,7 @@
 	fs.StringVar(&f.platform, "platform", "", "base URL of the platform's services")
 	fs.DurationVar(&f.tokenLifetime, "token-lifetime", time.Minute, "how long an order token is kept")
 	fs.IntVar(&f.tokenMax, "token-max", 100_000, "order tokens kept at most")
-	fs.IntVar(&f.connections, "connections", 5, "connections to one backend server at most")
+	fs.IntVar(&f.connections, "connections", 5, "connections to a replica that no section names, at most")
 	fs.DurationVar(&f.lbLag, "lb-lag", 3*time.Second, "how long the load balancer may send requests to a host that is not ready")
 	fs.DurationVar(&f.shutdownBound, "shutdown-bound", 0, "largest duration of a shutdown; 0 derives it: the largest deadline of the caller sections in force plus -lb-lag")
 	fs.StringVar(&f.logFormat, "log-format", "text", "text or json")
--- a/io/node/export_test.go
+++ b/io/node/export_test.go
@@ -25,7 +25,16 @@
 func (g Gate) Open() bool { return g.open() }
 
 // Backend wraps a backend with the gate.
-func (g Gate) Backend(b core.Backend) core.Backend { return gatedBackend{b, g.gate} }
+func (g Gate) Backend(b core.Backend) core.Backend { return gatedBackend{Backend: b, gate: g.gate} }
 
 // Peers wraps peers with the gate.
 func (g Gate) Peers(p core.Peers) core.Peers { return gatedPeers{p, g.gate} }
+
+// Apply puts a document in force.
+func (n *Node) Apply(d core.Document) error {
+	_, err := n.ledger.Apply(d)
+	return err
+}
+
+// Owner returns the owner and the client that it calls replicas with.
+func (n *Node) Owner() (core.GroupOwner, core.Backend) { return n.owner, n.backend }
--- a/io/node/gate.go
+++ b/io/node/gate.go
@@ -101,12 +101,20 @@
 	return &core.CallError{Op: op, Target: target, Reason: reason, NotRun: true}
 }
 
-// gatedBackend sends calls to backend servers while the gate is open.
+// gatedBackend sends calls to backend servers while the gate is open. It passes
+// on the connection limits, which the owner sets if its backend takes them.
 type gatedBackend struct {
 	core.Backend
+	core.Bounder
 	gate *gate
 }
 
+var (
+	_ core.Backend = gatedBackend{}
+	_ core.Bounder = gatedBackend{}
+	_ core.Peers   = gatedPeers{}
+)
+
 // Read implements core.Backend.
 func (b gatedBackend) Read(ctx context.Context, address string, c core.ReadCall) ([]byte, error) {
 	if !b.gate.open() {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -44,7 +44,7 @@
 	Platform      string // base URL of the platform's services
 	TokenLifetime time.Duration
 	TokenMax      int
-	Connections   int // to one replica
+	Connections   int // to a replica that no section names
 	// LBLag is how long the load balancer may send requests to a host that is
 	// no longer ready. It must cover the time until other hosts see it leave.
 	LBLag time.Duration
@@ -106,7 +106,7 @@
 	n.roster = member.New(n.self, inc, mrand.New(mrand.NewPCG(uint64(inc), mrand.Uint64())))
 	n.peers = peer.NewClient(o.ID, inc, o.Dial)
 	n.owner = owner.NewWithOptions(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger,
-		gatedBackend{n.backend, n.gate}, log, o.Owner)
+		gatedBackend{n.backend, n.backend, n.gate}, log, o.Owner)
 	agent, err := n.newAgent()
 	if err != nil {
 		return nil, err
--- a/io/node/rolling_test.go
+++ b/io/node/rolling_test.go
@@ -97,20 +97,29 @@
 	turn  int
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", loopback+":0")
-	if err != nil {
-		t.Fatal(err)
+// freeAddresses holds every address until the last one is chosen, since the
+// system may give out an address again as soon as its listener is closed.
+func freeAddresses(t *testing.T, n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		l, err := net.Listen("tcp", loopback+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		out[i] = l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return out
 }
 
 func newFleet(t *testing.T, hosts int) (*fleet, *server.Fleet) {
+	const groups, replicas = 4, 2
+	free := freeAddresses(t, groups*replicas+2*hosts)
 	var doc strings.Builder
 	doc.WriteString("kind: backend\nname: kiln\nteam: a\nedition: 1\nslots: 64\nconnections: 200\ngroups:\n")
-	for range 4 {
-		fmt.Fprintf(&doc, "  - - {address: %q, data_centre: mixco}\n    - {address: %q, data_centre: mixco}\n", freeAddress(t), freeAddress(t))
+	for range groups {
+		fmt.Fprintf(&doc, "  - - {address: %q, data_centre: mixco}\n    - {address: %q, data_centre: mixco}\n", free[0], free[1])
+		free = free[replicas:]
 	}
 	fmt.Fprintf(&doc, "---\nkind: caller\nname: dispatch\nteam: b\nedition: 1\ndeadline: %s\nmin_coverage: 1\npriority: 7\nservices: [kiln]\n---\nkind: end\n", sectionDeadline)
 	ledger := config.NewLedger()
@@ -131,10 +140,7 @@
 	t.Cleanup(web.Close)
 	t.Cleanup(servers.Close)
 	f.url = web.URL
-	for range hosts {
-		f.peers = append(f.peers, freeAddress(t))
-		f.callers = append(f.callers, freeAddress(t))
-	}
+	f.peers, f.callers = free[:hosts], free[hosts:]
 	f.nodes = make([]*node.Node, hostCount)
 	f.stops = make([]func() error, hostCount)
 	f.list()
