test: check a graceful stop request by request in the demo

Cause: the demo sent requests to all hosts in turn and allowed lost connections throughout, so a request that the graceful stop of host-2 broke could not be told from one that SIGKILL broke.

Between two SIGHUP of the script, a lost connection, unknown, or not_run for not_ready fails the demo.

--- a/bench/demo/demo.go
+++ b/bench/demo/demo.go
@@ -34,46 +34,61 @@
 
 type settings struct {
 	hosts    []string
+	probe    []string
 	control  string
 	caller   string
 	service  string
 	rate     float64
 	duration time.Duration
 	deadline time.Duration
-	paused   string
 }
 
 // Main runs the demo load and returns the exit code: 0 when no rule was broken.
 func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
 	var s settings
-	var hosts string
+	var hosts, probe, paused string
 	fs := flag.NewFlagSet("demo", flag.ContinueOnError)
 	fs.SetOutput(errOut)
 	fs.StringVar(&hosts, "hosts", "", "caller addresses of the hosts, separated by commas")
+	fs.StringVar(&probe, "ready-hosts", "", "administration addresses of the same hosts, asked whether they are ready")
 	fs.StringVar(&s.control, "control", "127.0.0.1:20001", "control address of the stand-ins")
 	fs.StringVar(&s.caller, "caller", "", "caller section")
 	fs.StringVar(&s.service, "service", "", "service")
 	fs.Float64Var(&s.rate, "rate", 20, "queries a second")
 	fs.DurationVar(&s.duration, "duration", 6*time.Second, "length of the load")
 	fs.DurationVar(&s.deadline, "deadline", 500*time.Millisecond, "deadline of each request")
-	fs.StringVar(&s.paused, "paused-host", "", "host whose answers are not timed from SIGUSR1 until SIGUSR2, while it is paused")
+	fs.StringVar(&paused, "paused-host", "", "host whose answers are not timed from SIGUSR1 until SIGUSR2, while it is paused")
 	if fs.Parse(args) != nil || hosts == "" || s.caller == "" || s.service == "" || s.rate <= 0 {
 		_, _ = fmt.Fprintln(errOut, "bench demo: want -hosts, -caller, -service and a rate above 0")
 		return 2
 	}
 	s.hosts = strings.Split(hosts, ",")
-	d := &driver{settings: s, out: out, http: &http.Client{}}
-	defer d.pause.watch()()
+	if probe != "" {
+		s.probe = strings.Split(probe, ",")
+	}
+	if len(s.probe) > 0 && len(s.probe) != len(s.hosts) {
+		_, _ = fmt.Fprintln(errOut, "bench demo: -ready-hosts: want one address for each of -hosts")
+		return 2
+	}
+	d := &driver{settings: s, out: out, http: &http.Client{}, balancer: newBalancer(s.hosts, s.probe)}
+	d.pause.host = paused
+	defer watch(d.note)()
+	return d.report(ctx, errOut)
+}
+
+// report runs the load, prints the results and returns the exit code.
+func (d *driver) report(ctx context.Context, errOut io.Writer) int {
 	report, err := d.run(ctx)
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "bench demo:", err)
 		return 1
 	}
-	if s.paused != "" {
-		_, _ = fmt.Fprintf(out, "demo: %d answers of the paused host not timed\n", d.pause.untimed.Load())
+	if d.pause.host != "" {
+		_, _ = fmt.Fprintf(d.out, "demo: %d answers of the paused host not timed\n", d.pause.untimed.Load())
 	}
-	_ = json.NewEncoder(out).Encode(report)
-	if !report.OK() {
+	_, _ = fmt.Fprintf(d.out, "demo: %d requests during the graceful stop, %d failed because of it\n", d.graceful.sent, d.graceful.failed)
+	_ = json.NewEncoder(d.out).Encode(report)
+	if !report.OK() || !d.graceful.ok() {
 		return 1
 	}
 	return 0
@@ -85,12 +100,18 @@
 	http  *http.Client
 	pause pause
 
+	balancer *balancer
+	graceful graceful
+
 	mu      sync.Mutex // guards the fields below and out
 	queries []verify.Query
 	orders  []verify.Order
 }
 
 func (d *driver) run(ctx context.Context) (*verify.Report, error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	d.balancer.run(ctx, d.http)
 	if err := d.waitReady(ctx); err != nil {
 		return nil, err
 	}
@@ -142,8 +163,7 @@
 		case <-ctx.Done():
 			return
 		}
-		host := d.hosts[i%len(d.hosts)]
-		wait.Go(func() { d.keepQuery(d.query(ctx, host)) })
+		wait.Go(func() { d.keepQuery(d.query(ctx, d.balancer.pick(time.Now()))) })
 		if i%orderEvery == 0 {
 			wait.Go(func() { d.keepOrder(d.order(ctx, i)) })
 		}
@@ -180,6 +200,7 @@
 type queryReply struct {
 	RequestID string `json:"request_id"`
 	Outcome   string `json:"outcome"`
+	Reason    string `json:"reason"`
 	Snapshot  uint64 `json:"snapshot"`
 	Coverage  struct {
 		Answered int `json:"answered"`
@@ -197,7 +218,9 @@
 	err := d.post(ctx, host, "/v1/query", map[string]any{
 		"caller": d.caller, "service": d.service, "deadline_ms": d.deadline.Milliseconds(), "body": map[string]string{"plate": "P-123"},
 	}, &reply)
-	q := verify.Query{Took: d.took(host, started), Deadline: d.deadline}
+	ended := time.Now()
+	d.graceful.check(started, ended, err != nil, reply.Outcome, reply.Reason)
+	q := verify.Query{Took: d.pause.took(host, started, ended), Deadline: d.deadline}
 	if err != nil {
 		return q
 	}
@@ -214,27 +237,34 @@
 func (d *driver) order(ctx context.Context, i int) verify.Order {
 	o := verify.Order{Deadline: d.deadline}
 	var token struct {
-		Token string `json:"token"`
+		Token  string `json:"token"`
+		Reason string `json:"reason"`
 	}
-	if err := d.post(ctx, d.hosts[i%len(d.hosts)], "/v1/tokens", map[string]any{}, &token); err != nil || token.Token == "" {
+	started := time.Now()
+	err := d.post(ctx, d.balancer.pick(started), "/v1/tokens", map[string]any{}, &token)
+	d.graceful.check(started, time.Now(), err != nil || token.Token == "", "", token.Reason)
+	if err != nil || token.Token == "" {
 		return o
 	}
 	o.Token = token.Token
-	for try := range maxTries {
+	for range maxTries {
 		var reply struct {
 			Outcome string `json:"outcome"`
+			Reason  string `json:"reason"`
 		}
 		started := time.Now()
-		host := d.hosts[(i+1+try)%len(d.hosts)]
+		host := d.balancer.pick(started)
 		err := d.post(ctx, host, "/v1/orders", map[string]any{
 			"caller": d.caller, "service": d.service, "key": fmt.Sprint(i), "token": o.Token,
 			"deadline_ms": d.deadline.Milliseconds(), "body": map[string]int{"number": i},
 		}, &reply)
+		ended := time.Now()
 		if err != nil {
 			reply.Outcome = ""
 		}
+		d.graceful.check(started, ended, err != nil, reply.Outcome, reply.Reason)
 		o.Outcomes = append(o.Outcomes, reply.Outcome)
-		o.Took = append(o.Took, d.took(host, started))
+		o.Took = append(o.Took, d.pause.took(host, started, ended))
 		if reply.Outcome == "complete" || reply.Outcome == "not_run" {
 			break
 		}
