--- a/io/entry/history_test.go
+++ b/io/entry/history_test.go
@@ -16,9 +16,11 @@
 
 	"oriolebarrow/core"
 	"oriolebarrow/core/order"
+	"oriolebarrow/core/pause"
 	"oriolebarrow/core/place"
 	"oriolebarrow/core/snaps"
 	"oriolebarrow/io/entry"
+	"oriolebarrow/io/gate"
 	"oriolebarrow/io/owner"
 )
 
@@ -42,9 +44,14 @@
 	pauseLong // beyond the deadline and the token's life
 	killSender
 	killReceiver
+	stopSender   // SIGSTOP of the host that sends, until it wakes
+	stopReceiver // SIGSTOP of the host that receives
 	lastFault
 )
 
+// stopTime is longer than the limit above which a gap counts as a pause.
+const stopTime = 2 * pause.DefaultLimit
+
 // world runs three hosts over a fake network and fake backend servers.
 type world struct {
 	faults map[int64]fault // by message, in sending order
@@ -52,6 +59,9 @@
 	view   core.View
 	points atomic.Int64
 	clock  atomic.Int64 // orders the events of the history
+	start  time.Time
+	// outdated counts messages that a host sent after it woke and before its refresh.
+	outdated atomic.Int64
 
 	mu      sync.Mutex
 	history []porcupine.Operation
@@ -65,19 +75,22 @@
 	entry *entry.Entry
 	owner *owner.Owner
 	links *links // nil: messages are function calls
+	gate  *gate.Gate
+	wake  atomic.Int64 // unix nanoseconds; 0 once refreshed
 }
 
 func newWorld(faults map[int64]fault) *world {
-	w := &world{faults: faults, hosts: map[core.HostID]*host{}, runs: map[string]int{}}
+	w := &world{faults: faults, hosts: map[core.HostID]*host{}, runs: map[string]int{}, start: time.Now()}
 	var all []core.Host
 	for i, id := range []core.HostID{"h1", "h2", "h3"} {
 		all = append(all, core.NewHost(id, "mixco", string(id)))
 		h := &host{world: w, id: id}
 		inc := core.Incarnation(i + 1)
-		h.owner = owner.New(string(id), h, servers{h}, slog.New(slog.DiscardHandler))
+		h.gate = gate.New(h.clocks, slog.New(slog.DiscardHandler))
+		h.owner = owner.New(string(id), h, h.gate.Backend(servers{h}, servers{h}), slog.New(slog.DiscardHandler))
 		h.entry = entry.New(entry.Parts{
 			Self: id, Incarnation: inc, Settings: h, Placer: place.New(3), Table: snaps.New(),
-			Views: w, Peers: h, Local: h.owner, Log: slog.New(slog.DiscardHandler),
+			Views: w, Peers: h.gate.Peers(h), Local: h.owner, Log: slog.New(slog.DiscardHandler),
 			Tokens: order.New(id, inc, order.Options{Max: 8, Lifetime: lifetime}, rand.NewChaCha8([32]byte{byte(i)})),
 		})
 		w.hosts[id] = h
@@ -86,6 +99,40 @@
 	return w
 }
 
+// stop suspends the host: its goroutines halt where they next read the clocks.
+func (h *host) stop() {
+	h.wake.CompareAndSwap(0, time.Now().Add(stopTime).UnixNano())
+	h.clocks()
+}
+
+func (h *host) clocks() pause.Reading {
+	time.Sleep(time.Until(time.Unix(0, h.wake.Load())))
+	now := time.Now()
+	return pause.Reading{Wall: now.Round(0), Monotonic: now.Sub(h.world.start)}
+}
+
+// sends notes a message that leaves the host.
+func (h *host) sends() {
+	if wake := h.wake.Load(); wake != 0 && time.Now().UnixNano() >= wake {
+		h.world.outdated.Add(1)
+	}
+}
+
+// watch runs the gates of all hosts.
+func (w *world) watch() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var watched sync.WaitGroup
+	for _, h := range w.hosts {
+		watched.Go(func() {
+			_ = h.gate.Run(ctx, func(context.Context) error { h.wake.Store(0); return nil })
+		})
+	}
+	return func() {
+		cancel()
+		watched.Wait()
+	}
+}
+
 func (w *world) View(time.Time) core.View        { return w.view }
 func (w *world) MarkDown(time.Time, core.HostID) {}
 
@@ -103,6 +150,12 @@
 		if to != nil {
 			to.dead.Store(true)
 		}
+	case stopSender:
+		from.stop()
+	case stopReceiver:
+		if to != nil {
+			to.stop()
+		}
 	}
 	return f
 }
@@ -143,6 +196,7 @@
 }
 
 func (h *host) Order(ctx context.Context, to core.Host, id string, req core.RequestID, o core.Order, g core.GroupID, by time.Time) (core.OrderResult, error) {
+	h.sends()
 	if h.links != nil {
 		return h.links.client.Order(ctx, to, id, req, o, g, by)
 	}
@@ -153,6 +207,7 @@
 }
 
 func (h *host) Redeem(ctx context.Context, to core.Host, token string, req core.RequestID, o core.Order, by time.Time) (core.OrderResult, error) {
+	h.sends()
 	if h.links != nil {
 		return h.links.client.Redeem(ctx, to, token, req, o, by)
 	}
@@ -163,6 +218,7 @@
 
 // run is one order at a backend server, called by the host.
 func (h *host) run(run core.OrderRun) ([]byte, error) {
+	h.sends()
 	w := h.world
 	f := w.next(h, nil)
 	if f == refuse || h.dead.Load() || !time.Now().Before(run.Deadline) {
@@ -243,6 +299,9 @@
 func (w *world) check(t *testing.T) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if n := w.outdated.Load(); n > 0 {
+		t.Errorf("faults %v: %d messages sent between waking and the refresh", w.faults, n)
+	}
 	for token, n := range w.runs {
 		if n > 1 {
 			t.Errorf("faults %v: %s ran %d times", w.faults, token, n)
@@ -300,6 +359,7 @@
 func runWorld(t *testing.T, faults map[int64]fault, linked bool) (points int64, complete int) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(faults)
+		defer w.watch()()
 		if linked {
 			defer w.connect(t)()
 		}
@@ -372,6 +432,7 @@
 func (s servers) Read(context.Context, string, core.ReadCall) ([]byte, error) {
 	return nil, fmt.Errorf("reads are not part of this test")
 }
+func (s servers) Bound(string, int)                            {}
 func (s servers) Cancel(context.Context, string, string) error { return nil }
 func (s servers) Order(_ context.Context, _ string, run core.OrderRun) ([]byte, error) {
 	return s.host.run(run)
--- a/io/entry/links_test.go
+++ b/io/entry/links_test.go
@@ -86,6 +86,9 @@
 		part = 0
 	case drop:
 		part /= 2
+	case stopSender, stopReceiver:
+		f.from.wake.CompareAndSwap(0, time.Now().Add(stopTime).UnixNano())
+		return f.Conn.Write(p)
 	case killSender:
 		f.from.dead.Store(true)
 	case killReceiver:
@@ -99,6 +102,10 @@
 // Handle answers requests as a host does.
 func (l *links) Handle(ctx context.Context, f *wire.Frame, reply peer.Reply) {
 	h := l.host
+	if !h.gate.Open() {
+		_ = reply(true, &wire.Frame{Body: &wire.Frame_Refusal{Refusal: &wire.Refusal{Reason: string(core.ReasonNotReady)}}})
+		return
+	}
 	var do func() core.OrderResult
 	switch b := f.Body.(type) {
 	case *wire.Frame_OrderCall:
--- a/io/node/gate_test.go
+++ b/io/gate/gate_test.go
@@ -1,21 +1,26 @@
-package node_test
+package gate_test
 
 import (
 	"bytes"
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"oriolebarrow/core"
 	"oriolebarrow/core/pause"
-	"oriolebarrow/io/node"
+	"oriolebarrow/io/gate"
 	"oriolebarrow/io/remote"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // calls counts what passes the gate.
 type calls struct {
 	sent atomic.Int64
@@ -49,15 +54,15 @@
 		ctx, stop := context.WithCancel(context.Background())
 		start := time.Now()
 		var suspended atomic.Int64 // only the wall clock shows it
-		gate := node.NewGate(func() pause.Reading {
+		g := gate.New(func() pause.Reading {
 			now := time.Now()
 			return pause.Reading{Wall: now.Round(0).Add(time.Duration(suspended.Load())), Monotonic: now.Sub(start)}
-		})
+		}, slog.New(slog.DiscardHandler))
 		began, end := make(chan struct{}, 8), make(chan struct{})
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			_ = gate.Run(ctx, func(ctx context.Context) error {
+			_ = g.Run(ctx, func(ctx context.Context) error {
 				began <- struct{}{}
 				<-end
 				return nil
@@ -65,7 +70,7 @@
 		}()
 		time.Sleep(time.Second)
 		counter := new(calls)
-		servers, hosts := gate.Backend(backend{calls: counter}), gate.Peers(peers{calls: counter})
+		servers, hosts := g.Backend(backend{calls: counter}, nil), g.Peers(peers{calls: counter})
 		send := func(by time.Time) error {
 			_, err := servers.Order(ctx, "b1", core.OrderRun{Deadline: by})
 			_, other := hosts.Redeem(ctx, core.Host{}, "t", "r", core.Order{}, by)
@@ -90,10 +95,10 @@
 		}
 		<-began
 		suspended.Store(int64(2 * time.Hour)) // a second pause during the refresh
-		gate.Open()
+		g.Open()
 		end <- struct{}{}
 		synctest.Wait()
-		if gate.Open() || counter.sent.Load() != 2 {
+		if g.Open() || counter.sent.Load() != 2 {
 			t.Errorf("gate opened after a refresh that began before the last pause, %d calls sent", counter.sent.Load())
 		}
 		<-began
@@ -136,10 +141,10 @@
 				time.Sleep(held)
 				return written{near, &body}, nil
 			}})
-			gate := node.NewGate(func() pause.Reading { return pause.Reading{Wall: time.Unix(1000, 0)} }) // sees no gap
+			g := gate.New(func() pause.Reading { return pause.Reading{Wall: time.Unix(1000, 0)} }, slog.New(slog.DiscardHandler)) // sees no gap
 			failed := make(chan error, 1)
 			go func() {
-				_, err := gate.Backend(client).Order(context.Background(), "b1", core.OrderRun{
+				_, err := g.Backend(client, client).Order(context.Background(), "b1", core.OrderRun{
 					OrderID: "t", Body: []byte("{}"), Deadline: time.Now().Add(time.Second),
 				})
 				failed <- err
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -104,7 +104,7 @@
 	if !n.agent.Ready() {
 		reasons = append(reasons, "not_compared")
 	}
-	if !n.gate.open() {
+	if !n.gate.Open() {
 		reasons = append(reasons, "paused")
 	}
 	if n.leaving.Load() {
--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -55,7 +55,7 @@
 func (n *Node) Ready() bool { return n.serving() && !n.leaving.Load() }
 
 // serving reports whether requests are accepted; a leaving host still does.
-func (n *Node) serving() bool { return n.gate.open() && n.agent.Ready() }
+func (n *Node) serving() bool { return n.gate.Open() && n.agent.Ready() }
 
 // drain ends the service without interrupting a request. It returns ErrCut when
 // the bound or abort came first.
@@ -144,7 +144,7 @@
 	group.Go(func() error { return n.owner.Run(work) })
 	group.Go(func() error { return n.entry.Run(work) })
 	group.Go(func() error { return n.runGossip(work) })
-	group.Go(func() error { return n.gate.run(work, n.refresh) })
+	group.Go(func() error { return n.gate.Run(work, n.refresh) })
 	group.Go(func() error {
 		defer stop()
 		defer func() { _ = h.Close() }()
--- a/io/node/handler.go
+++ b/io/node/handler.go
@@ -18,7 +18,7 @@
 
 // Handle implements peer.Handler.
 func (h handler) Handle(ctx context.Context, f *wire.Frame, reply peer.Reply) {
-	if !h.node.gate.open() {
+	if !h.node.gate.Open() {
 		// The message may have waited here while the process was paused.
 		_ = reply(true, &wire.Frame{Body: &wire.Frame_Refusal{Refusal: &wire.Refusal{Reason: string(core.ReasonNotReady)}}})
 		return
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -28,6 +28,7 @@
 	"oriolebarrow/core/snaps"
 	"oriolebarrow/io/caller"
 	"oriolebarrow/io/entry"
+	"oriolebarrow/io/gate"
 	"oriolebarrow/io/gossip"
 	"oriolebarrow/io/owner"
 	"oriolebarrow/io/peer"
@@ -76,7 +77,7 @@
 	handler  *caller.Handler
 	agent    *gossip.Agent
 	tokens   *order.Table
-	gate     *gate
+	gate     *gate.Gate
 	front    *front
 	running  running
 	leaving  atomic.Bool
@@ -102,11 +103,11 @@
 		platform: plat.New(o.Platform, &http.Client{}),
 		backend:  remote.New(remote.Options{Connections: o.Connections, Dial: o.Dial}),
 	}
-	n.gate = newGate(clocks(), log)
+	n.gate = gate.New(gate.Clocks(), log)
 	n.roster = member.New(n.self, inc, mrand.New(mrand.NewPCG(uint64(inc), mrand.Uint64())))
 	n.peers = peer.NewClient(o.ID, inc, o.Dial)
 	n.owner = owner.NewWithOptions(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger,
-		gatedBackend{n.backend, n.backend, n.gate}, log, o.Owner)
+		n.gate.Backend(n.backend, n.backend), log, o.Owner)
 	agent, err := n.newAgent()
 	if err != nil {
 		return nil, err
@@ -123,7 +124,7 @@
 		Placer:      place.New(place.DefaultSetSize),
 		Table:       snaps.New(),
 		Views:       n.roster,
-		Peers:       gatedPeers{n.peers, n.gate},
+		Peers:       n.gate.Peers(n.peers),
 		Local:       n.owner,
 		Tokens:      n.tokens,
 		Log:         log,
