test: tokens and answers last until their expiry

Cause: the property test of the token table accepted NoEntry for a token before its expiry, so it could not see a lost token or a lost answer.

Before: with Finish not extending the expiry (mutation) all tests of the package passed. After: the property test fails on it and passes on the table as it is.

Conclusion: the kept answer of a done order is checked for its lifetime.

--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -19,8 +19,8 @@
 	return order.New("h1", 7, order.Options{Max: limit, Lifetime: lifetime}, rand.NewChaCha8([32]byte{1}))
 }
 
-// Guards against a second start, a start after expiry, a lost running order, a
-// table above its bound, and an answer that differs from the recorded one.
+// Guards against a second start, a start after expiry, a token or an answer that
+// is lost before its expiry, a lost running order, a table above its bound, and an answer that differs from the recorded one.
 func TestTableStartsEachTokenOnceBeforeExpiry(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit = 4
@@ -31,6 +31,7 @@
 		issuedAt := map[string]time.Time{}
 		started := map[string]bool{}
 		ended := map[string]core.OrderResult{}
+		endedAt := map[string]time.Time{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 6).Draw(t, "seconds")) * time.Second)
 			if rapid.Bool().Draw(t, "issue") || len(tokens) == 0 {
@@ -47,6 +48,7 @@
 			if running && rapid.Bool().Draw(t, "finish") {
 				outcome := rapid.SampledFrom([]core.Outcome{core.Complete, core.NotRun, core.Unknown}).Draw(t, "outcome")
 				ended[token] = core.OrderResult{Outcome: outcome, Body: []byte(token)}
+				endedAt[token] = now
 				table.Finish(now, token, ended[token])
 				continue
 			}
@@ -54,6 +56,12 @@
 			if d.Verdict == order.Run && (started[token] || now.Sub(issuedAt[token]) >= lifetime) {
 				t.Fatalf("token starts again or after its expiry")
 			}
+			if !started[token] && now.Sub(issuedAt[token]) < lifetime && d.Verdict != order.Run {
+				t.Fatalf("issued token: verdict %v before its expiry, want Run", d.Verdict)
+			}
+			if at, ok := endedAt[token]; ok && now.Sub(at) < lifetime && d.Verdict != order.Answer {
+				t.Fatalf("ended order: verdict %v before its expiry, want Answer", d.Verdict)
+			}
 			if running && d.Verdict != order.Wait {
 				t.Fatalf("running order: verdict %v, want Wait", d.Verdict)
 			}
