--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -125,7 +125,7 @@
 func (n *Node) meter() core.Meter { return meterOf(n.opts.Admin.Metrics) }
 
 // Pauses implements core.PauseSource.
-func (n *Node) Pauses() uint64 { return n.gate.gaps.Load() }
+func (n *Node) Pauses() uint64 { return n.gate.Pauses() }
 
 // Readiness implements core.Readiness.
 func (n *Node) Readiness() (bool, []string) {
@@ -133,7 +133,7 @@
 	if !n.agent.Ready() {
 		reasons = append(reasons, "not_compared")
 	}
-	if !n.gate.open() {
+	if !n.gate.Open() {
 		reasons = append(reasons, "paused")
 	}
 	if n.leaving.Load() {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -28,6 +28,7 @@
 	"oriolebarrow/core/snaps"
 	"oriolebarrow/io/caller"
 	"oriolebarrow/io/entry"
+	"oriolebarrow/io/gate"
 	"oriolebarrow/io/gossip"
 	"oriolebarrow/io/owner"
 	"oriolebarrow/io/peer"
@@ -44,7 +45,7 @@
 	Platform      string // base URL of the platform's services
 	TokenLifetime time.Duration
 	TokenMax      int
-	Connections   int // to one replica
+	Connections   int // to a replica that no section names
 	// LBLag is how long the load balancer may send requests to a host that is
 	// no longer ready. It must cover the time until other hosts see it leave.
 	LBLag time.Duration
@@ -61,6 +62,19 @@
 	Owner        owner.Options
 }
 
+func (o Options) withDefaults() Options {
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
+	if o.ListenPacket == nil {
+		o.ListenPacket = net.ListenPacket
+	}
+	if o.Dial == nil {
+		o.Dial = new(net.Dialer).DialContext
+	}
+	return o
+}
+
 // Node is one host.
 type Node struct {
 	opts     Options
@@ -76,7 +90,7 @@
 	handler  *caller.Handler
 	agent    *gossip.Agent
 	tokens   *order.Table
-	gate     *gate
+	gate     *gate.Gate
 	front    *front
 	running  running
 	leaving  atomic.Bool
@@ -84,15 +98,7 @@
 
 // New returns a host that is not running yet.
 func New(o Options, log *slog.Logger) (*Node, error) {
-	if o.Listen == nil {
-		o.Listen = net.Listen
-	}
-	if o.ListenPacket == nil {
-		o.ListenPacket = net.ListenPacket
-	}
-	if o.Dial == nil {
-		o.Dial = new(net.Dialer).DialContext
-	}
+	o = o.withDefaults()
 	inc := core.Incarnation(time.Now().UnixNano())
 	n := &Node{
 		opts:     o,
@@ -102,11 +108,11 @@
 		platform: plat.New(o.Platform, &http.Client{}),
 		backend:  remote.New(remote.Options{Connections: o.Connections, Dial: o.Dial, Meter: meterOf(o.Admin.Metrics)}),
 	}
-	n.gate = newGate(clocks(), log)
+	n.gate = gate.New(gate.Clocks(), log)
 	n.roster = member.New(n.self, inc, mrand.New(mrand.NewPCG(uint64(inc), mrand.Uint64())))
 	n.peers = peer.NewClient(o.ID, inc, o.Dial)
 	n.owner = owner.NewWithOptions(string(o.ID)+"."+time.Now().Format("150405.000000"), n.ledger,
-		gatedBackend{n.backend, n.gate}, log, o.Owner)
+		n.gate.Backend(n.backend, n.backend), log, o.Owner)
 	n.peers.SetMeter(n.meter())
 	n.owner.SetMeter(n.meter())
 	agent, err := n.newAgent()
@@ -118,19 +124,7 @@
 		n.opts.Announcer = agentAnnouncer{agent}
 	}
 	n.tokens = order.New(o.ID, inc, order.Options{Max: o.TokenMax, Lifetime: o.TokenLifetime}, rand.Reader)
-	n.entry = entry.New(entry.Parts{
-		Self:        o.ID,
-		Incarnation: inc,
-		Settings:    n.ledger,
-		Placer:      place.New(place.DefaultSetSize),
-		Table:       snaps.New(),
-		Views:       n.roster,
-		Peers:       gatedPeers{n.peers, n.gate},
-		Local:       n.owner,
-		Tokens:      n.tokens,
-		Log:         log,
-		Meter:       n.meter(),
-	})
+	n.entry = n.newEntry(inc)
 	n.handler = caller.New(caller.Parts{
 		Requests: trackedRequests{n.entry, &n.running},
 		Settings: n.ledger,
@@ -143,6 +137,22 @@
 	return n, nil
 }
 
+func (n *Node) newEntry(inc core.Incarnation) *entry.Entry {
+	return entry.New(entry.Parts{
+		Self:        n.opts.ID,
+		Incarnation: inc,
+		Settings:    n.ledger,
+		Placer:      place.New(place.DefaultSetSize),
+		Table:       snaps.New(),
+		Views:       n.roster,
+		Peers:       n.gate.Peers(n.peers),
+		Local:       n.owner,
+		Tokens:      n.tokens,
+		Log:         n.log,
+		Meter:       n.meter(),
+	})
+}
+
 // Run serves until ctx ends, then shuts down gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	peers, err := n.opts.Listen("tcp", n.opts.PeerAddress)
