feat(gossip): spread the reading of documents over a data centre

Cause: the two readers of a data centre were fixed by the view, and the platform serves the document whole. At 1 MB every 12 s a reader took 83 KB/s against a budget of 22 KB/s, and a watch that ended without news took the document again.

The revision in force and a turn of 4 s are now part of the rendezvous hash. A host takes a peer's revision over when both have the same sections, and a watch ends when the revision moves on. A merged section alone no longer raises the ledger's revision, since the rest of its document may be missing. Watches without news and unchanged host lists are answered by 304.

Ruled out: ending watches with their turn. A service that fell back to a lower revision would then never end a watch by itself.

Not proved by a test: that a watch ends when the revision moves on.

--- a/bench/base/host.go
+++ b/bench/base/host.go
@@ -67,7 +67,9 @@
 	return a.id, ""
 }
 
-func (a alone) Readers(core.View, core.DataCentre) []core.HostID { return []core.HostID{a.id} }
+func (a alone) Readers(core.View, core.DataCentre, core.Revision, uint64) []core.HostID {
+	return []core.HostID{a.id}
+}
 
 func (a alone) View(time.Time) core.View {
 	return core.NewView(1, []core.Host{core.NewHost(a.id, "local", "")})
--- a/bench/expt/members.go
+++ b/bench/expt/members.go
@@ -26,7 +26,7 @@
 type everyHostReads struct{ core.Placer }
 
 // Readers implements core.Placer.
-func (everyHostReads) Readers(v core.View, _ core.DataCentre) []core.HostID {
+func (everyHostReads) Readers(v core.View, _ core.DataCentre, _ core.Revision, _ uint64) []core.HostID {
 	var out []core.HostID
 	for _, h := range v.Hosts() {
 		out = append(out, h.ID())
--- a/core/config/ledger.go
+++ b/core/config/ledger.go
@@ -132,12 +132,25 @@
 	}
 }
 
+// Note records that another host has read the document up to revision r and has
+// the sections of the digest in force. If this ledger has the same, the revision
+// is in force here too. It reports whether the revision is higher than before.
+// A merged section alone doesn't show that the rest of its document is here.
+func (l *Ledger) Note(digest uint64, r core.Revision) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r <= l.revision || digest == 0 || digest != combine(l.buckets[:]) {
+		return false
+	}
+	l.revision = r
+	return true
+}
+
 // Merge takes one version, from the platform or from another host. It reports
 // whether the version is now in force and, when it was refused, why.
 func (l *Ledger) Merge(v Version) (bool, string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.revision = max(l.revision, v.revision)
 	old, ok := l.versions[v.section.key]
 	if !ok {
 		l.put(v)
@@ -196,7 +209,7 @@
 	return out
 }
 
-// Revision returns the highest platform revision seen.
+// Revision returns the highest platform revision that is in force as a whole.
 func (l *Ledger) Revision() core.Revision {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
--- a/core/iface.go
+++ b/core/iface.go
@@ -12,7 +12,9 @@
 	// Owner returns the owner and the standby of a group; either may be empty.
 	Owner(v View, s ServiceName, g GroupID) (owner, standby HostID)
 	// Readers returns the hosts of a data centre that watch the platform.
-	Readers(v View, dc DataCentre) []HostID
+	// Readers returns the hosts of a data centre that watch the platform for the
+	// revision after r. The turn moves the duty while no revision comes.
+	Readers(v View, dc DataCentre, r Revision, turn uint64) []HostID
 }
 
 // Selector chooses the snapshot of a query.
@@ -116,12 +118,14 @@
 type Document struct {
 	Revision Revision
 	Text     []byte
+	// Unchanged marks the end of a watch without news; there is no text then.
+	Unchanged bool
 }
 
 // Platform reads what the platform publishes. It writes nothing.
 type Platform interface {
 	// Document waits until the document's revision is above after, or the
-	// service's own wait time ended (then it returns the current one).
+	// service's own wait time ended (then it is unchanged, or the current one).
 	Document(ctx context.Context, after Revision) (Document, error)
 	Hosts(ctx context.Context) ([]HostEntry, error)
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -11,6 +11,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -66,8 +67,11 @@
 	return owner, standby
 }
 
-// Readers returns the hosts of a data centre that watch the platform.
-func (r Rendezvous) Readers(v core.View, dc core.DataCentre) []core.HostID {
+// Readers returns the hosts of a data centre that watch the platform for the
+// revision after rev. Revision and turn are part of the hash, so that the cost
+// of reading whole documents is spread over the hosts.
+func (r Rendezvous) Readers(v core.View, dc core.DataCentre, rev core.Revision, turn uint64) []core.HostID {
+	purpose := "reader" + strconv.FormatUint(turn, 10)
 	var local []core.Host
 	for _, h := range v.Hosts() {
 		if h.DataCentre() == dc {
@@ -75,7 +79,7 @@
 		}
 	}
 	return top(local, readersPerDataCentre, func(id core.HostID) uint64 {
-		return weight("reader", string(dc), 0, id)
+		return weight(purpose, string(dc), uint64(rev), id)
 	})
 }
 
--- a/io/entry/query_test.go
+++ b/io/entry/query_test.go
@@ -377,10 +377,12 @@
 }
 func (c *tier) MarkDown(time.Time, core.HostID)                    { c.downs.Add(1) }
 func (c *tier) OwnerSet(core.View, core.ServiceName) []core.HostID { return nil }
-func (c *tier) Readers(core.View, core.DataCentre) []core.HostID   { return nil }
-func (c *tier) Caller(core.CallerName) (core.Caller, bool)         { return core.Caller{}, false }
-func (c *tier) Services() []core.Service                           { return nil }
-func (c *tier) Revision() core.Revision                            { return 1 }
+func (c *tier) Readers(core.View, core.DataCentre, core.Revision, uint64) []core.HostID {
+	return nil
+}
+func (c *tier) Caller(core.CallerName) (core.Caller, bool) { return core.Caller{}, false }
+func (c *tier) Services() []core.Service                   { return nil }
+func (c *tier) Revision() core.Revision                    { return 1 }
 func (c *tier) Service(s core.ServiceName) (core.Service, bool) {
 	return core.NewService(s, make([][]core.Replica, shards), core.Limits{}), true
 }
--- a/io/gossip/config.go
+++ b/io/gossip/config.go
@@ -19,7 +19,11 @@
 	// maxChunks bounds what one exchange may bring.
 	maxChunks = 64
 
-	readerCheck   = time.Second // how often a host looks whether it is a reader
+	readerCheck = time.Second // how often a host looks whether it is a reader
+	// dutyTurn is how long two readers are on duty while no revision comes. Two
+	// turns pass within 11 s, so that a revision is read in time when the readers
+	// of one turn are dead, paused or cut off from the platform.
+	dutyTurn      = 4 * time.Second
 	startInterval = 200 * time.Millisecond
 	backoffMin    = 200 * time.Millisecond
 	backoffMax    = 5 * time.Second
@@ -31,10 +35,34 @@
 // ErrTooMuch is returned when an exchange brings more than a document can hold.
 var ErrTooMuch = errors.New("gossip: exchange brings too much")
 
+// duty is what decides who reads the platform: the revision in force and the
+// time since it is. moved is closed when the revision moves on.
+type duty struct {
+	revision core.Revision
+	since    time.Time
+	moved    chan struct{}
+}
+
+// onDuty returns the duty for the revision in force.
+func (a *Agent) onDuty() duty {
+	revision := a.Ledger.Revision()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.duty.moved == nil || revision > a.duty.revision {
+		if a.duty.moved != nil {
+			close(a.duty.moved)
+		}
+		a.duty = duty{revision: revision, since: time.Now(), moved: make(chan struct{})}
+	}
+	return a.duty
+}
+
 // reader reports whether this host watches the platform. A host that knows no
 // other host does, so that it learns of them.
 func (a *Agent) reader() bool {
-	for _, id := range a.Placer.Readers(a.Detector.Reachable(time.Now()), a.Self.DataCentre()) {
+	d := a.onDuty()
+	turn := uint64(time.Since(d.since) / dutyTurn)
+	for _, id := range a.Placer.Readers(a.Detector.Reachable(time.Now()), a.Self.DataCentre(), d.revision, turn) {
 		if id == a.Self.ID() {
 			return true
 		}
@@ -43,7 +71,6 @@
 }
 
 func (a *Agent) watchConfig(ctx context.Context) error {
-	after := core.Revision(0)
 	delay := backoffMin
 	for ctx.Err() == nil {
 		if !a.reader() {
@@ -51,7 +78,12 @@
 			continue
 		}
 		started := time.Now()
-		doc, err := a.readDocument(ctx, after)
+		d := a.onDuty()
+		// With the revision in force a watch brings only news.
+		doc, err := a.readDocument(ctx, d)
+		if errors.Is(err, context.Canceled) {
+			continue // the revision moved on, and the duty with it
+		}
 		if err != nil {
 			a.Log.Warn("config: document not taken", "revision", doc.Revision, "err", err)
 			pause(ctx, jitter(delay))
@@ -61,24 +93,32 @@
 		delay = backoffMin
 		// A service that answers a watch at once without news must not be asked
 		// in a loop.
-		if doc.Revision <= after && time.Since(started) < quickWatch {
+		if doc.Revision <= d.revision && time.Since(started) < quickWatch {
 			pause(ctx, jitter(quickWatch))
 		}
-		// The revision may be lower than the last one when the service is stale;
-		// the next watch then returns as soon as it recovers.
-		after = doc.Revision
 	}
 	return nil
 }
 
-func (a *Agent) readDocument(ctx context.Context, after core.Revision) (core.Document, error) {
+// readDocument ends the watch when the revision moves on: other hosts have the
+// duty for the next one, and this one would take a document that it has.
+func (a *Agent) readDocument(ctx context.Context, d duty) (core.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	doc, err := a.Platform.Document(ctx, after)
-	if err != nil {
+	watched := make(chan struct{})
+	defer close(watched)
+	go func() {
+		select {
+		case <-d.moved:
+			cancel()
+		case <-watched:
+		}
+	}()
+	doc, err := a.Platform.Document(ctx, d.revision)
+	if err != nil || doc.Unchanged {
 		return doc, err
 	}
-	digest := a.Ledger.Digest()
+	digest, revision := a.Ledger.Digest(), a.Ledger.Revision()
 	changed, err := a.Ledger.Apply(doc)
 	if err != nil {
 		return doc, err
@@ -86,7 +126,8 @@
 	for _, key := range changed {
 		a.Log.Info("config: section in force", "section", key.String(), "revision", doc.Revision, "from", "platform")
 	}
-	if a.Ledger.Digest() != digest {
+	// A revision that changes no section still moves the duty.
+	if a.Ledger.Digest() != digest || a.Ledger.Revision() != revision {
 		a.announce()
 	}
 	return doc, nil
@@ -175,7 +216,7 @@
 		}
 	}
 	if len(usable) == 0 {
-		_, err := a.readDocument(ctx, 0)
+		_, err := a.readDocument(ctx, duty{})
 		return err
 	}
 	from := usable[pick(len(usable))]
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -75,6 +75,7 @@
 	mu        sync.Mutex
 	hosts     *member.HostList
 	readiness *member.Readiness
+	duty      duty
 
 	ready     atomic.Bool
 	sent      atomic.Uint64
@@ -151,6 +152,7 @@
 }
 
 func (a *Agent) setStatus() {
+	a.onDuty()
 	a.mu.Lock()
 	version := a.hosts.Version()
 	a.mu.Unlock()
@@ -230,6 +232,7 @@
 // compare queues a pull when another host seems to know something else. A full
 // queue drops it; the digests of later packets start it again.
 func (a *Agent) compare(from core.Host, s member.Status) {
+	a.note(s)
 	if from.ID() == a.Self.ID() || !a.sectionsDiffer(s) && !a.hostsDiffer(s) {
 		return
 	}
@@ -242,6 +245,13 @@
 	}
 }
 
+// note takes over the revision of a host with the same sections in force.
+func (a *Agent) note(s member.Status) {
+	if a.Ledger.Note(s.LedgerDigest, s.LedgerRevision) {
+		a.announce()
+	}
+}
+
 func (a *Agent) sectionsDiffer(s member.Status) bool {
 	return s.LedgerDigest != 0 && s.LedgerDigest != a.Ledger.Digest()
 }
@@ -261,6 +271,7 @@
 			// Another pull may have brought the same news meanwhile.
 			if a.sectionsDiffer(p.status) {
 				_, _ = a.pullSections(ctx, p.from)
+				a.note(p.status)
 			}
 			if a.hostsDiffer(p.status) {
 				a.pullHosts(ctx, p.from)
--- a/io/memnet/memnet.go
+++ b/io/memnet/memnet.go
@@ -87,6 +87,10 @@
 	cluster *Cluster
 	pulled  atomic.Uint64
 	packer  *wire.Packer
+
+	noPlatform atomic.Bool
+	documents  atomic.Uint64
+
 	inbox   chan []byte
 	closed  chan struct{}
 	once    sync.Once
@@ -150,6 +154,13 @@
 // for, both directions, without the framing of drpc and TCP.
 func (h *Host) PulledBytes() uint64 { return h.pulled.Load() }
 
+// Documents returns how many whole documents the host took from the platform.
+func (h *Host) Documents() uint64 { return h.documents.Load() }
+
+// CutPlatform makes the host's reads of the platform fail, or work again. Other
+// hosts can't tell.
+func (h *Host) CutPlatform(cut bool) { h.noPlatform.Store(cut) }
+
 func (h *Host) countPull(messages ...proto.Message) {
 	for _, m := range messages {
 		h.pulled.Add(uint64(proto.Size(m)))
--- a/io/memnet/platform.go
+++ b/io/memnet/platform.go
@@ -96,6 +96,9 @@
 		select {
 		case <-changed:
 		case <-t.C:
+			if doc.Revision == after {
+				return core.Document{Revision: after, Unchanged: true}, nil
+			}
 			return p.send(doc), nil
 		case <-ctx.Done():
 			return core.Document{}, ctx.Err()
@@ -136,6 +139,12 @@
 func (p platform) Document(ctx context.Context, after core.Revision) (core.Document, error) {
 	doc, err := p.Platform.Document(ctx, after)
 	p.host.await(nil)
+	if p.host.noPlatform.Load() {
+		return core.Document{}, ErrDown
+	}
+	if err == nil && !doc.Unchanged {
+		p.host.documents.Add(1)
+	}
 	return doc, err
 }
 
@@ -143,5 +152,8 @@
 func (p platform) Hosts(ctx context.Context) ([]core.HostEntry, error) {
 	hosts, err := p.Platform.Hosts(ctx)
 	p.host.await(nil)
+	if p.host.noPlatform.Load() {
+		return nil, ErrDown
+	}
 	return hosts, err
 }
--- a/io/plat/plat.go
+++ b/io/plat/plat.go
@@ -12,7 +12,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -28,10 +30,17 @@
 // ErrUnavailable is returned when the platform gives no usable answer.
 var ErrUnavailable = errors.New("plat: service unavailable")
 
-// Client reads from the platform's services.
+// errUnchanged stands for 304 Not Modified.
+var errUnchanged = errors.New("plat: not modified")
+
+// Client reads from the platform's services. It is safe for concurrent use.
 type Client struct {
 	base string
 	http *http.Client
+
+	mu    sync.Mutex // held during a read of the host list
+	tag   string     // of the last host list, empty without one
+	hosts []core.HostEntry
 }
 
 var _ core.Platform = (*Client)(nil)
@@ -48,7 +57,10 @@
 	if after > 0 {
 		path += "?after=" + strconv.FormatUint(uint64(after), 10)
 	}
-	raw, header, err := c.get(ctx, path)
+	raw, header, err := c.get(ctx, path, "")
+	if errors.Is(err, errUnchanged) && after > 0 {
+		return core.Document{Revision: after, Unchanged: true}, nil
+	}
 	if err != nil {
 		return core.Document{}, err
 	}
@@ -56,12 +68,21 @@
 	if err != nil {
 		return core.Document{}, errors.Wrap(err, "plat: config: revision header")
 	}
+	// A service without this answer sends the whole document.
+	if after > 0 && core.Revision(rev) == after {
+		return core.Document{Revision: after, Unchanged: true}, nil
+	}
 	return core.Document{Revision: core.Revision(rev), Text: raw}, nil
 }
 
-// Hosts returns the published host list.
+// Hosts returns the published host list. An unchanged list is not sent again.
 func (c *Client) Hosts(ctx context.Context) ([]core.HostEntry, error) {
-	raw, _, err := c.get(ctx, "/v1/hosts")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	raw, header, err := c.get(ctx, "/v1/hosts", c.tag)
+	if errors.Is(err, errUnchanged) {
+		return slices.Clone(c.hosts), nil
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -83,19 +104,26 @@
 			Leaving: h.State == "leaving",
 		})
 	}
+	c.tag, c.hosts = header.Get("ETag"), slices.Clone(out)
 	return out, nil
 }
 
-func (c *Client) get(ctx context.Context, path string) ([]byte, http.Header, error) {
+func (c *Client) get(ctx context.Context, path, tag string) ([]byte, http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "plat: get %s", path)
 	}
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
 	res, err := c.http.Do(req)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "plat: get %s", path)
 	}
 	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode == http.StatusNotModified {
+		return nil, nil, errUnchanged
+	}
 	if res.StatusCode != http.StatusOK {
 		return nil, nil, errors.Wrapf(ErrUnavailable, "get %s: status %d", path, res.StatusCode)
 	}
--- a/standin/plat/plat.go
+++ b/standin/plat/plat.go
@@ -9,7 +9,9 @@
 package plat
 
 import (
+	"crypto/sha256"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -112,7 +114,7 @@
 	case r.URL.Path == "/v1/config":
 		p.config(w, r)
 	case r.URL.Path == "/v1/hosts":
-		p.hosts(w)
+		p.hosts(w, r)
 	default:
 		http.NotFound(w, r)
 	}
@@ -149,6 +151,10 @@
 		select {
 		case <-changed:
 		case <-deadline.C:
+			if doc.revision == core.Revision(after) {
+				w.WriteHeader(http.StatusNotModified)
+				return
+			}
 			writeDocument(w, doc)
 			return
 		case <-r.Context().Done():
@@ -201,7 +207,7 @@
 	Hosts []hostOut `json:"hosts"`
 }
 
-func (p *Platform) hosts(w http.ResponseWriter) {
+func (p *Platform) hosts(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	var shown []core.HostEntry
 	now := time.Now()
@@ -221,7 +227,14 @@
 			ID: string(h.Host.ID()), DataCentre: string(h.Host.DataCentre()), Address: h.Host.Address(), State: state,
 		})
 	}
-	_ = json.NewEncoder(w).Encode(out)
+	raw, _ := json.Marshal(out)
+	tag := fmt.Sprintf(`"%x"`, sha256.Sum256(raw))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(raw)
 }
 
 // Stats counts what the service was asked.
--- a/standin/plat/plat_test.go
+++ b/standin/plat/plat_test.go
@@ -1,10 +1,14 @@
 package plat_test
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 
+	"oriolebarrow/core"
+	client "oriolebarrow/io/plat"
 	"oriolebarrow/standin/plat"
 )
 
@@ -34,3 +38,46 @@
 		}
 	}
 }
+
+// bodies serves requests without a socket and sums up the answers' sizes.
+type bodies struct {
+	p    *plat.Platform
+	size int
+}
+
+func (b *bodies) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	b.p.ServeHTTP(w, r)
+	b.size += w.Body.Len()
+	return w.Result(), nil
+}
+
+// Guards against a document or host list that is sent again although it did not
+// change, and against a change that is then taken for unchanged.
+func TestUnchangedIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bodies{p: plat.New(0)}
+		c := client.New("http://10.0.0.1:1", &http.Client{Transport: b})
+		b.p.Publish(2, []byte("text"))
+		doc, err := c.Document(t.Context(), 2)
+		if err != nil || !doc.Unchanged || doc.Revision != 2 || b.size > 0 {
+			t.Errorf("watch without news: %+v, %v, %d bytes", doc, err, b.size)
+		}
+		for n, want := range []int{1, 1, 2, 2} {
+			var entries []core.HostEntry
+			for i := range want {
+				entries = append(entries, core.HostEntry{Host: core.NewHost(core.HostID(fmt.Sprint(i)), "a", "10.0.0.1:1")})
+			}
+			b.p.SetHosts(entries)
+			b.size = 0
+			hosts, err := c.Hosts(t.Context())
+			if err != nil || len(hosts) != want || (b.size > 0) != (n%2 == 0) {
+				t.Errorf("read %d: %d hosts, %v, %d bytes", n, len(hosts), err, b.size)
+			}
+		}
+		b.p.Publish(3, []byte("news"))
+		if doc, err := c.Document(t.Context(), 2); err != nil || doc.Unchanged || string(doc.Text) != "news" {
+			t.Errorf("watch with news: %+v, %v", doc, err)
+		}
+	})
+}
