perf(config): parse each section once and decode replicas from the tree

Cause: the guard and the parser each ran the lexer, the decoder visited the replica lists twice by reflection, and the lines of all nested keys were collected for faults that hardly ever occur.

The parser now takes the guard's tokens, replica lists of the usual form are read from the tree (others are left to the decoder), and nested lines are collected at the first fault. Limits, strictness and lines are unchanged: TestReplicaForms passes before and after, and fails when an unknown key of a replica is passed over.

Ruled out: an own decoder for all keys. The rest of a section is small and its conversions would have to be copied.

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -125,21 +125,19 @@
 	seen := make(map[string]bool)
 	groups := make([][]core.Replica, 0, len(c.in.Groups))
 	for i, replicas := range c.in.Groups {
-		path := fmt.Sprintf("groups[%d]", i)
 		if len(replicas) == 0 {
-			c.fail(path, "group %d has no replica", i)
+			c.fail(fmt.Sprintf("groups[%d]", i), "group %d has no replica", i)
 		}
 		group := make([]core.Replica, 0, len(replicas))
 		for j, r := range replicas {
-			item := fmt.Sprintf("%s[%d]", path, j)
 			if _, err := netip.ParseAddrPort(r.Address); err != nil {
-				c.fail(item+".address", "group %d: want an IP number and port, got %q", i, r.Address)
+				c.fail(replicaPath(i, j)+".address", "group %d: want an IP number and port, got %q", i, r.Address)
 			}
 			if seen[r.Address] {
-				c.fail(item+".address", "group %d: address %s is listed twice", i, r.Address)
+				c.fail(replicaPath(i, j)+".address", "group %d: address %s is listed twice", i, r.Address)
 			}
 			if r.DataCentre == "" {
-				c.fail(item, "group %d: replica %s has no data_centre", i, r.Address)
+				c.fail(replicaPath(i, j), "group %d: replica %s has no data_centre", i, r.Address)
 			}
 			seen[r.Address] = true
 			group = append(group, core.NewReplica(r.Address, core.DataCentre(r.DataCentre)))
@@ -149,6 +147,8 @@
 	return groups
 }
 
+func replicaPath(group, replica int) string { return fmt.Sprintf("groups[%d][%d]", group, replica) }
+
 func (c *checker) caller() core.Caller {
 	f := c.in
 	c.number("min_coverage", *f.MinCoverage, 0, 1)
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -151,3 +151,36 @@
 		})
 	}
 }
+
+// Guards against replicas that are decoded in another way than the YAML decoder
+// does: its conversions and its refusals hold whatever the form of the list.
+func TestReplicaForms(t *testing.T) {
+	head := "kind: backend\nname: b\nteam: clerks\nedition: 1\nslots: 1\nconnections: 2\n"
+	for text, want := range map[string]string{
+		"groups: [[{address: '10.0.0.1:1', data_centre: x}]]":                        "[[{10.0.0.1:1 x}]]",
+		"groups:\n- - address: 10.0.0.1:1\n    data_centre: \"x\"":                   "[[{10.0.0.1:1 x}]]",
+		"groups: [[{address: 10.0.0.1:1, data_centre: 3}]]":                          "[[{10.0.0.1:1 3}]]",
+		"groups: [[{address: 10.0.0.1:1, data_centre: true}]]":                       "[[{10.0.0.1:1 true}]]",
+		"groups: [[{\"address\": 10.0.0.1:1, 'data_centre': x}]]":                    "[[{10.0.0.1:1 x}]]",
+		"\"groups\": [[{address: 10.0.0.1:1, data_centre: x}]]":                      "[[{10.0.0.1:1 x}]]",
+		"groups: [[{address: 10.0.0.1:1, data_centre: null}]]":                       "line 7",
+		"groups: [[{address: 10.0.0.1:1, data_centre: x, \"address\": 10.0.0.2:1}]]": "line 7",
+		"groups: [[{address: 10.0.0.1:1, data_centre: [x]}]]":                        "line 7",
+		"groups: [[{address: 10.0.0.1:1, data_centre: x, slots: 2}]]":                "line 7",
+		"groups: [{address: 10.0.0.1:1, data_centre: x}]":                            "line 7",
+		"groups: [[]]": "line 7",
+		"groups: []":   "line 7",
+		"groups:\n- - address: |\n      10.0.0.1:1\n    data_centre: x": "line 8",
+	} {
+		section, faults := config.Parse(config.NewPart(1, []byte(head+text+"\n")))
+		got := ""
+		if len(faults) > 0 {
+			got = fmt.Sprintf("line %d", faults[0].Line)
+		} else {
+			got = fmt.Sprint(section.Service().Groups())
+		}
+		if got != want {
+			t.Errorf("%s: got %s (%v), want %s", text, got, faults, want)
+		}
+	}
+}
--- a/core/config/guard.go
+++ b/core/config/guard.go
@@ -28,17 +28,20 @@
 
 // guard refuses what a section never needs and what makes parsing it costly.
 // An alias can stand for any number of bytes: 18 KB of aliases allocated 800 MB.
-func guard(p Part) *Fault {
+// It returns the tokens for the parser, since the lexer takes a good part of the
+// time.
+func guard(p Part) (token.Tokens, *Fault) {
 	if len(p.text) > maxSectionBytes {
-		return &Fault{Line: p.line, Rule: fmt.Sprintf("section is larger than %d bytes", maxSectionBytes)}
+		return nil, &Fault{Line: p.line, Rule: fmt.Sprintf("section is larger than %d bytes", maxSectionBytes)}
 	}
 	s := shape{block: make(map[int]int)}
-	for _, t := range lexer.Tokenize(string(p.text)) {
+	tokens := lexer.Tokenize(string(p.text))
+	for _, t := range tokens {
 		if rule := s.add(t); rule != "" {
-			return &Fault{Line: p.line + t.Position.Line - 1, Rule: rule}
+			return nil, &Fault{Line: p.line + t.Position.Line - 1, Rule: rule}
 		}
 	}
-	return nil
+	return tokens, nil
 }
 
 // shape follows the nesting of a section token by token.
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -108,10 +108,11 @@
 // Parse decodes one section strictly, sets defaults and validates it. The
 // section is nil when there are faults.
 func Parse(p Part) (*Section, []Fault) {
-	if f := guard(p); f != nil {
-		return nil, []Fault{*f}
+	tokens, fault := guard(p)
+	if fault != nil {
+		return nil, []Fault{*fault}
 	}
-	tree, err := parser.ParseBytes(p.text, 0)
+	tree, err := parser.Parse(tokens, 0)
 	if err != nil {
 		return nil, []Fault{syntaxFault(p, scanName(p.text), err)}
 	}
@@ -123,10 +124,14 @@
 	if tree.Docs[0].Body == nil {
 		return nil, []Fault{{Line: p.line, Rule: "section is empty"}}
 	}
+	rest, groups := takeGroups(tree.Docs[0].Body)
 	dec := yaml.NewDecoder(bytes.NewReader(nil), yaml.Strict())
-	if err := dec.DecodeFromNode(tree.Docs[0].Body, f); err != nil {
+	if err := dec.DecodeFromNode(rest, f); err != nil {
 		return nil, []Fault{syntaxFault(p, c.name(), err)}
 	}
+	if groups != nil {
+		f.Groups = groups
+	}
 	setDefaults(f)
 	section := c.section()
 	if len(c.faults) > 0 {
@@ -191,20 +196,36 @@
 type checker struct {
 	part   Part
 	in     *file
+	tree   *ast.File
+	deep   bool              // whether lines has the nested paths too
 	lines  map[string]int    // by path, such as groups[0][1].address
 	values map[string]string // top-level scalars
 	faults []Fault
 }
 
 func newChecker(p Part, f *file, tree *ast.File) *checker {
-	c := &checker{part: p, in: f, lines: make(map[string]int), values: make(map[string]string)}
-	for _, doc := range tree.Docs {
+	c := &checker{part: p, in: f, tree: tree, lines: make(map[string]int), values: make(map[string]string)}
+	c.walkAll()
+	return c
+}
+
+func (c *checker) walkAll() {
+	for _, doc := range c.tree.Docs {
 		c.walk("", doc.Body)
 	}
-	return c
 }
 
-// walk records the line of every key and list item.
+// line returns the line of a path in the section, or 0. Nested paths are
+// collected for the first fault only, since they are most of a large section.
+func (c *checker) line(path string) int {
+	if c.lines[path] == 0 && !c.deep {
+		c.deep = true
+		c.walkAll()
+	}
+	return c.lines[path]
+}
+
+// walk records the line of every key and, if deep, of all below them.
 func (c *checker) walk(path string, n ast.Node) {
 	switch n := n.(type) {
 	case *ast.MappingNode:
@@ -220,7 +241,9 @@
 		if scalar, ok := n.Value.(ast.ScalarNode); ok && path == "" {
 			c.values[key] = fmt.Sprint(scalar.GetValue())
 		}
-		c.walk(key, n.Value)
+		if c.deep {
+			c.walk(key, n.Value)
+		}
 	case *ast.SequenceNode:
 		for i, v := range n.Values {
 			item := fmt.Sprintf("%s[%d]", path, i)
@@ -241,7 +264,7 @@
 
 func (c *checker) fail(key, format string, args ...any) {
 	line := c.part.line
-	if l := c.lines[key]; l > 0 {
+	if l := c.line(key); l > 0 {
 		line += l - 1
 	}
 	c.faults = append(c.faults, Fault{
