perf(gossip): fewer exchanges and documents in a cold start

Cause: a starting host that knows no other host is a reader in its own view, so nearly every host took the whole document, and it then took the same sections from several hosts at once and parsed them again.

A host now waits up to 2 s for the host list before it reads the document, has one exchange of sections in flight (another may start when it stalls for 500 ms), and compares more rarely while nothing changes.

--- a/io/gossip/config.go
+++ b/io/gossip/config.go
@@ -30,6 +30,11 @@
 	// watchTimeout is above the service's own wait time of 10 s.
 	watchTimeout = 30 * time.Second
 	quickWatch   = time.Second
+	// hostsFirst is how long a starting host waits for the host list before it
+	// reads the document. Without the list it can't tell whether it is a reader,
+	// and in a cold start every host would read the document.
+	hostsFirst = 2 * time.Second
+	startMax   = 500 * time.Millisecond // between comparisons that bring nothing
 )
 
 // ErrTooMuch is returned when an exchange brings more than a document can hold.
@@ -71,6 +76,7 @@
 }
 
 func (a *Agent) watchConfig(ctx context.Context) error {
+	a.awaitHosts(ctx)
 	delay := backoffMin
 	for ctx.Err() == nil {
 		if !a.reader() {
@@ -100,6 +106,17 @@
 	return nil
 }
 
+func (a *Agent) awaitHosts(ctx context.Context) {
+	for end := time.Now().Add(hostsFirst); ctx.Err() == nil && time.Now().Before(end); pause(ctx, startInterval/4) {
+		a.mu.Lock()
+		known := a.hosts.Version() > 0
+		a.mu.Unlock()
+		if known {
+			return
+		}
+	}
+}
+
 // readDocument ends the watch when the revision moves on: other hosts have the
 // duty for the next one, and this one would take a document that it has.
 func (a *Agent) readDocument(ctx context.Context, d duty) (core.Document, error) {
@@ -143,6 +160,7 @@
 	news, err := a.Exchange.Sections(ctx, from, a.Ledger.Digests(), func(texts []core.SectionText) {
 		if chunks++; chunks <= maxChunks {
 			a.mergeTexts(from, texts)
+			a.flight.progress(time.Now())
 		}
 	})
 	if err == nil && chunks > maxChunks {
@@ -228,9 +246,11 @@
 // start compares the document with other hosts until this host is ready.
 func (a *Agent) start(ctx context.Context) error {
 	hasStates := false
+	delay := startInterval
 	for ctx.Err() == nil {
+		digest := a.Ledger.Digest()
 		roster, dead, candidate, found := a.survey()
-		if found {
+		if found && a.flight.begin(time.Now()) {
 			if news, err := a.pullSections(ctx, candidate); err == nil {
 				a.mu.Lock()
 				a.readiness.Compared(candidate.ID(), news.Ready)
@@ -240,6 +260,7 @@
 					hasStates = a.pullStates(ctx, candidate)
 				}
 			}
+			a.flight.end()
 		}
 		a.mu.Lock()
 		known := a.hosts.Version() > 0
@@ -251,7 +272,11 @@
 			a.announce()
 			return a.syncStates(ctx)
 		}
-		pause(ctx, jitter(startInterval))
+		pause(ctx, jitter(delay))
+		delay = min(2*delay, startMax)
+		if a.Ledger.Digest() != digest {
+			delay = startInterval
+		}
 	}
 	return nil
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -70,6 +70,7 @@
 	Parts
 	packer *wire.Packer
 	pulls  chan pull
+	flight flight                         // of section exchanges
 	conn   atomic.Pointer[net.PacketConn] // nil before Run
 
 	mu        sync.Mutex
@@ -269,8 +270,9 @@
 			return nil
 		case p := <-a.pulls:
 			// Another pull may have brought the same news meanwhile.
-			if a.sectionsDiffer(p.status) {
+			if a.sectionsDiffer(p.status) && a.flight.begin(time.Now()) {
 				_, _ = a.pullSections(ctx, p.from)
+				a.flight.end()
 				a.note(p.status)
 			}
 			if a.hostsDiffer(p.status) {
