fix(member): keep a host that is not ready out of its own view

Cause: the view always held this host.

The view now holds this host from the moment it is ready; the view that decides who reads the platform still always holds it. Status and view change before callers are admitted.

Ruled out: a check in the refresh only.

Before: TestStartingHostKnowsTheLostOnes fails ("a host that isn't ready is in its own view"). After: it passes, go test ./... too. Conclusion: no status request to a backend server before a host is ready.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -187,6 +187,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	became := s.Ready && !d.status.Ready
+	if s.Ready != d.status.Ready {
+		d.dirty = true
+	}
 	d.status = s
 	if became {
 		d.announce()
@@ -259,14 +262,16 @@
 		return
 	}
 	d.dirty = false
-	d.view = d.renew(d.view, (*peer).usable)
-	d.reach = d.renew(d.reach, (*peer).reachable)
+	// A host that isn't ready has no groups: in its first, nearly empty view it
+	// would own all of them and ask every replica for its status.
+	d.view = d.renew(d.view, d.status.Ready, (*peer).usable)
+	d.reach = d.renew(d.reach, true, (*peer).reachable)
 }
 
 // renew returns old if its hosts are those that match.
-func (d *Detector) renew(old core.View, match func(*peer) bool) core.View {
+func (d *Detector) renew(old core.View, self bool, match func(*peer) bool) core.View {
 	hosts := make([]core.Host, 0, len(d.peers)+1)
-	if !d.leaving {
+	if self && !d.leaving {
 		hosts = append(hosts, d.self)
 	}
 	for _, p := range d.peers {
--- a/io/gossip/config.go
+++ b/io/gossip/config.go
@@ -267,6 +267,8 @@
 		rule := a.readiness.Check(a.Ledger.HasDocument(), known, roster, dead)
 		a.mu.Unlock()
 		if rule != member.NotReady {
+			// The view holds this host before callers are admitted.
+			a.setReady(true)
 			a.ready.Store(true)
 			a.Log.Info("node: host is ready", "rule", rule, "revision", a.Ledger.Revision())
 			a.announce()
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -152,13 +152,15 @@
 	}
 }
 
-func (a *Agent) setStatus() {
+func (a *Agent) setStatus() { a.setReady(a.Ready()) }
+
+func (a *Agent) setReady(ready bool) {
 	a.onDuty()
 	a.mu.Lock()
 	version := a.hosts.Version()
 	a.mu.Unlock()
 	a.Detector.SetStatus(member.Status{
-		Ready:          a.Ready(),
+		Ready:          ready,
 		LedgerDigest:   a.Ledger.Digest(),
 		LedgerRevision: a.Ledger.Revision(),
 		HostsVersion:   version,
--- a/io/memnet/spread_test.go
+++ b/io/memnet/spread_test.go
@@ -70,6 +70,10 @@
 		time.Sleep(20 * time.Second)
 		joined := start("h9")
 		for !joined.Agent.Ready() {
+			// It would own every group of a nearly empty view and poll all replicas.
+			if _, own := joined.Detector.View(time.Now()).Lookup("h9"); own {
+				t.Fatal("a host that isn't ready is in its own view")
+			}
 			time.Sleep(10 * time.Millisecond)
 		}
 		lost := 0
