test(gossip): a watch ends when the revision moves on

Cause: no test failed without the end of the watch.

Before: without the cancellation the new test sees the watch end by its own 30 s limit. After: it ends at once. Ruled out: a test over the in-memory network, where all watches end by the change itself.

--- a/io/gossip/pull_test.go
+++ b/io/gossip/pull_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 
 	"github.com/pkg/errors"
 
@@ -48,3 +49,40 @@
 		}
 	}
 }
+
+// silent is a platform without news.
+type silent struct{ core.Platform }
+
+func (silent) Document(ctx context.Context, _ core.Revision) (core.Document, error) {
+	<-ctx.Done()
+	return core.Document{}, ctx.Err()
+}
+
+// Guards against a reader that waits on for a revision that it has from a peer,
+// and then takes the whole document although the duty has moved.
+func TestWatchEndsWhenRevisionMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		self := core.NewHost("a", "x", "10.0.0.1:1")
+		a, err := New(Parts{
+			Self: self, Detector: member.New(self, 1, nil), Ledger: config.NewLedger(),
+			Platform: silent{}, Log: slog.New(slog.DiscardHandler),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan error, 1)
+		d := a.onDuty()
+		go func() {
+			_, err := a.readDocument(t.Context(), d)
+			ended <- err
+		}()
+		synctest.Wait()
+		if _, err := a.Ledger.Apply(core.Document{Revision: 1, Text: []byte("kind: end\n")}); err != nil {
+			t.Fatal(err)
+		}
+		a.setStatus()
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Errorf("watch ended by %v", err)
+		}
+	})
+}
