--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -72,11 +72,13 @@
 	packer  *wire.Packer
 	origins origins
 	pulls   chan pull
+	flight  flight                         // of section exchanges
 	conn    atomic.Pointer[net.PacketConn] // nil before Run
 
 	mu        sync.Mutex
 	hosts     *member.HostList
 	readiness *member.Readiness
+	duty      duty
 
 	ready     atomic.Bool
 	sent      atomic.Uint64
@@ -153,12 +155,15 @@
 	}
 }
 
-func (a *Agent) setStatus() {
+func (a *Agent) setStatus() { a.setReady(a.Ready()) }
+
+func (a *Agent) setReady(ready bool) {
+	a.onDuty()
 	a.mu.Lock()
 	version := a.hosts.Version()
 	a.mu.Unlock()
 	a.Detector.SetStatus(member.Status{
-		Ready:          a.Ready(),
+		Ready:          ready,
 		LedgerDigest:   a.Ledger.Digest(),
 		LedgerRevision: a.Ledger.Revision(),
 		HostsVersion:   version,
@@ -233,6 +238,7 @@
 // compare queues a pull when another host seems to know something else. A full
 // queue drops it; the digests of later packets start it again.
 func (a *Agent) compare(from core.Host, s member.Status) {
+	a.note(s)
 	if from.ID() == a.Self.ID() || !a.sectionsDiffer(s) && !a.hostsDiffer(s) {
 		return
 	}
@@ -245,6 +251,13 @@
 	}
 }
 
+// note takes over the revision of a host with the same sections in force.
+func (a *Agent) note(s member.Status) {
+	if a.Ledger.Note(s.LedgerDigest, s.LedgerRevision) {
+		a.announce()
+	}
+}
+
 func (a *Agent) sectionsDiffer(s member.Status) bool {
 	return s.LedgerDigest != 0 && s.LedgerDigest != a.Ledger.Digest()
 }
@@ -262,8 +275,10 @@
 			return nil
 		case p := <-a.pulls:
 			// Another pull may have brought the same news meanwhile.
-			if a.sectionsDiffer(p.status) {
+			if a.sectionsDiffer(p.status) && a.flight.begin(time.Now()) {
 				_, _ = a.pullSections(ctx, p.from)
+				a.flight.end()
+				a.note(p.status)
 			}
 			if a.hostsDiffer(p.status) {
 				a.pullHosts(ctx, p.from)
