fix(queue): a queue per replica avoids replicas without slots

Cause: with PerReplica a new task went to the line of an ejected replica, which is available but has no slots, and tasks that waited there stayed until their deadline. Ruled out: a fault of ejection itself, since the design with one line serves the same groups.

New tasks go to a line whose replica has slots now, and a line whose replica has none is served by the other replicas.

Design not affected. Conclusion: the baseline no longer loses the tasks of an ejected replica.

--- a/core/queue/bind.go
+++ b/core/queue/bind.go
@@ -61,7 +61,9 @@
 			}
 			if s.opts.PerReplica {
 				replica = s.chooseIn(now, t, i, i+1)
-			} else {
+			}
+			// The tasks of a replica that was ejected go to the others.
+			if !s.opts.PerReplica || (replica < 0 && s.opts.Health.Slots(now, i) == 0) {
 				replica = s.choose(now, t)
 			}
 			return replica >= 0
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -86,7 +86,7 @@
 
 // Add queues a task.
 func (s *Scheduler) Add(now time.Time, t Task) []Action {
-	home := s.home(t)
+	home := s.home(now, t)
 	if reason := s.refuse(now, t, home); reason != "" {
 		return []Action{{Kind: Fail, Task: t.ID, Reason: reason, NotRun: true}}
 	}
@@ -100,18 +100,22 @@
 }
 
 // home returns the line of a new task: with a queue for each replica the
-// shortest one whose replica can run the task.
-func (s *Scheduler) home(t Task) int {
+// shortest one whose replica has slots now and can run the task, or else the
+// shortest one whose replica may get it later.
+func (s *Scheduler) home(now time.Time, t Task) int {
 	if !s.opts.PerReplica {
 		return 0
 	}
-	best, least := 0, -1
+	h := s.opts.Health
+	best, least, serving := 0, -1, false
 	for i, l := range s.lines {
-		if !s.opts.Health.Available(i) || !s.opts.Health.Holds(i, t.Snapshot, t.Shard) {
+		if !h.Available(i) || !h.Holds(i, t.Snapshot, t.Shard) {
 			continue
 		}
-		if n := l.live + s.inUse[i]; least < 0 || n < least {
-			best, least = i, n
+		serves := h.Slots(now, i) > 0 && !(t.Once && h.Trial(now, i))
+		n := l.live + s.inUse[i]
+		if least < 0 || (serves && !serving) || (serves == serving && n < least) {
+			best, least, serving = i, n, serves
 		}
 	}
 	return best
