fix(owner): a call keeps its slot until the server answers past the deadline

Cause: the context of a call ended at its deadline, which closed the connection and freed the slot here while the server still ran the call, so the next call was refused as busy. The context now ends 250 ms later; the task itself still ends at its deadline.

TestCallPastDeadline fails without the change (4 calls on 2 slots).

--- a/io/owner/group.go
+++ b/io/owner/group.go
@@ -257,9 +257,9 @@
 
 func (g *group) send(a queue.Action, j *job, address string) ([]byte, error) {
 	// The call outlives its request's context: a cancelled call keeps its slot
-	// until the server has answered or the deadline has passed.
+	// until the server has answered or answerGrace has passed.
 	deadline := j.deadline()
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(answerGrace))
 	defer cancel()
 	if j.order != nil {
 		return g.owner.backend.Order(ctx, address, *j.order)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -30,6 +30,10 @@
 	// worst, known to fail 1 s later) keep its calls, and leaves time for one
 	// poll within the 3 s after a pause.
 	staleAfter = 2400 * time.Millisecond
+	// answerGrace is how long a call waits beyond its deadline for the server's
+	// own answer. A call given up at the deadline closes its connection and
+	// frees its slot while the server still runs it.
+	answerGrace = 250 * time.Millisecond
 	// groupIdle is how long a group is polled after its last use.
 	groupIdle = time.Minute
 	// orderPriority is the highest of caller sections (0 to 9): an order
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -126,7 +126,7 @@
 	return status, nil
 }
 
-func (f *tier) Read(_ context.Context, address string, _ core.ReadCall) ([]byte, error) {
+func (f *tier) Read(ctx context.Context, address string, _ core.ReadCall) ([]byte, error) {
 	f.change(address, func(s *server) {
 		s.running++
 		s.most = max(s.most, s.running)
@@ -143,8 +143,12 @@
 	gate, wrong := s.gate, s.wrong
 	f.mu.Unlock()
 	if gate != nil {
-		<-gate
-		return nil, &core.CallError{Op: "read", Reason: "cancelled"}
+		select {
+		case <-gate:
+			return nil, &core.CallError{Op: "read", Reason: "cancelled"}
+		case <-ctx.Done():
+			return nil, &core.CallError{Op: "read", Reason: core.ReasonDeadline}
+		}
 	}
 	time.Sleep(work)
 	if wrong {
@@ -327,6 +331,33 @@
 	})
 }
 
+// Guards against a slot that is given away at the deadline of its call, while
+// the server still runs the call, and against one that is never freed.
+func TestCallPastDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTier(small())
+		f.during(t, func() { f.load(t, time.Second) })
+		gate := make(chan struct{})
+		for _, address := range []string{"b0", "b1"} {
+			f.change(address, func(s *server) { s.gate, s.starts = gate, nil })
+		}
+		f.during(t, func() {
+			f.read(t.Context(), 8, time.Second)
+			f.read(t.Context(), 8, 5*work)
+			for address, s := range f.all() {
+				if len(s.starts) != 2 {
+					t.Errorf("%d calls at %s before the first ended, want 2", len(s.starts), address)
+				}
+			}
+			f.change("b0", func(s *server) { s.gate = nil })
+			f.change("b1", func(s *server) { s.gate = nil })
+			if n := answered(f.read(t.Context(), 4, time.Second)); n != 4 {
+				t.Errorf("%d answered after the calls were given up, want 4", n)
+			}
+		})
+	})
+}
+
 // Guards against a new owner that uses all slots at once, while calls of the
 // one before it may still run, and one that never gets beyond one.
 func TestRampUp(t *testing.T) {
