--- a/core/eject/eject.go
+++ b/core/eject/eject.go
@@ -291,6 +291,8 @@
 		r.missed = 0
 		g.busy(now, i, now.Add(-e.Took))
 		return
+	case e.Refused && e.Reason == core.ReasonDeadline:
+		return // never sent, so it says nothing about the replica
 	case e.Refused:
 		r.missed = 0 // shedding says nothing about the service time
 		return
@@ -339,6 +341,9 @@
 func (g *Group) miss(now time.Time, i int) {
 	r := &g.replicas[i]
 	if r.missed++; r.missed == goneAfter {
+		// The last replica of a group stays in use, and by now another host may
+		// own the group and run calls there.
+		g.ramp(i)
 		r.pause = trialMin
 		r.trialAt = now.Add(trialMin)
 	}
--- a/core/eject/eject_test.go
+++ b/core/eject/eject_test.go
@@ -195,3 +195,21 @@
 		}
 	}
 }
+
+// TestCutOff guards against a host that was cut off and, when it returns, uses
+// all slots of a replica that another host owns by then. Calls that are never
+// sent must not count as a sign of life.
+func TestCutOff(t *testing.T) {
+	g := eject.New(eject.Options{Replicas: 1, Slots: 2})
+	for range 4 {
+		call(g, start, 0, time.Millisecond)
+	}
+	for range 3 {
+		g.Unreachable(start, 0)
+		g.Started(start, 0)
+		g.Ended(start, 0, core.CallEnd{Refused: true, Reason: core.ReasonDeadline, Took: time.Second})
+	}
+	if g.State(0) != eject.Gone || g.Slots(start, 0) != 1 {
+		t.Errorf("state %s with %d slots, want gone with 1", g.State(0), g.Slots(start, 0))
+	}
+}
