--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -245,6 +245,33 @@
 	}
 }
 
+// idled is a health whose replica 0 is available but has no slots, as when it
+// is ejected.
+type idled struct{ *ward }
+
+func (h idled) Slots(now time.Time, r int) int {
+	if r == 0 {
+		return 0
+	}
+	return h.ward.Slots(now, r)
+}
+
+// TestPerReplicaEjected guards against tasks that wait in the line of a replica
+// that is ejected.
+func TestPerReplicaEjected(t *testing.T) {
+	o := options(2, 1)
+	o.PerReplica, o.NoHedge = true, true
+	o.Health = idled{newWard(1)}
+	s := queue.New(o)
+	for id := range uint64(4) {
+		running := starts(s.Add(start, task(id+1, "a", time.Second)))
+		if len(running) != 1 || running[0].Replica != 1 {
+			t.Fatalf("task %d: want a start on replica 1, got %+v", id+1, running)
+		}
+		s.Done(start, running[0].Attempt, queue.Result{Status: queue.OK})
+	}
+}
+
 // BenchmarkTick shows the cost of a tick with many tasks whose time has not
 // come.
 func BenchmarkTick(b *testing.B) {
