feat(bench): run all experiments and print their tables with targets

Cause: each experiment had to be run by hand, a result file didn't say how it was measured, and the targets of the design stood only in the design. Before, a result had neither commit nor load average, and a table was written by hand.

Ruled out: targets in the table only, since a result file must stand alone.

--- a/bench/expt/cover.go
+++ b/bench/expt/cover.go
@@ -22,8 +22,12 @@
 // each answer against the journal.
 func coverage() experiment {
 	return experiment{
-		name:  "coverage",
-		about: "reported against real coverage while replicas are lost at random",
+		name:     "coverage",
+		rounds:   2,
+		expected: 30 * time.Second,
+		targets:  coverageTargets(),
+		shown:    []string{"reported_coverage", "actual_coverage", "broken_rules", "late_answers", "journal_dropped"},
+		about:    "reported against real coverage while replicas are lost at random",
 		variants: func(settings) []variant {
 			var out []variant
 			for _, p := range []base.Policy{design, base.Random} {
--- a/bench/expt/expt.go
+++ b/bench/expt/expt.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	code := expt.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+//	code := expt.Run(ctx, []string{"tail", "-seed", "2"}, os.Stdout, os.Stderr)
 package expt
 
 import (
@@ -55,10 +55,14 @@
 type experiment struct {
 	name     string
 	about    string
-	rounds   int // by default; 0 means defaultRounds
+	apart    bool          // not part of bench all
+	rounds   int           // by default; 0 means defaultRounds
+	expected time.Duration // of a full run with the default rounds on an idle machine
 	variants func(s settings) []variant
 	// conclude adds figures over all points, such as fitted slopes.
 	conclude func(r *Result)
+	targets  []target
+	shown    []string // figures in the table of docs/MEASUREMENTS.md
 }
 
 // Spread is the minimum, the median and the maximum over the rounds.
@@ -76,19 +80,22 @@
 	Quick      bool    `json:"quick"`
 	Seconds    float64 `json:"seconds"`
 	Design     string  `json:"design"`
+	Origin     Origin  `json:"origin"`
 	// Figures by variant, operating point and name.
 	Figures map[string]map[string]map[string]Spread `json:"figures"`
 	// Ratios of the design to each other variant, taken round by round.
 	Ratios map[string]map[string]map[string]Spread `json:"ratios"`
 	// Slopes of figures over the points, for experiments that fit them.
 	Slopes map[string]map[string]Spread `json:"slopes,omitempty"`
+	// Verdicts compare the figures with the stated targets.
+	Verdicts []Verdict `json:"verdicts,omitempty"`
 
 	raw map[string][]Points // by variant, one entry a round
 }
 
 // run runs every variant in each round, starting with another one each time.
 func (e *experiment) run(ctx context.Context, s settings, rounds int, progress io.Writer) (*Result, error) {
-	started := time.Now()
+	started, origin := time.Now(), newOrigin()
 	raw := make(map[string][]Points)
 	variants := e.variants(s)
 	for round := range rounds {
@@ -106,10 +113,12 @@
 	}
 	r := newResult(variants[0].name, raw)
 	r.Experiment, r.Seed, r.Rounds, r.Quick = e.name, s.seed, rounds, s.quick
+	r.Origin = origin
 	r.Seconds = time.Since(started).Seconds()
 	if e.conclude != nil {
 		e.conclude(r)
 	}
+	r.Verdicts = verdicts(r, e.targets)
 	return r, nil
 }
 
--- a/bench/expt/expt_test.go
+++ b/bench/expt/expt_test.go
@@ -85,3 +85,23 @@
 		t.Errorf("%v links were accepted, want 40", f["links"])
 	}
 }
+
+// Guards against a verdict that takes the median where every round counts, or
+// a lower bound as an upper one.
+func TestTargetJudgesTheRightBound(t *testing.T) {
+	measured := Spread{Min: 1, Median: 2, Max: 3}
+	for _, c := range []struct {
+		target target
+		met    bool
+	}{
+		{target{limit: 2}, true},
+		{target{limit: 2, always: true}, false},
+		{target{limit: 2, least: true}, true},
+		{target{limit: 2, least: true, always: true}, false},
+		{target{limit: 1.9}, false},
+	} {
+		if v := c.target.judge(measured); v.Met != c.met {
+			t.Errorf("%+v: met %v, want %v", c.target, v.Met, c.met)
+		}
+	}
+}
--- a/bench/expt/links.go
+++ b/bench/expt/links.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,8 +17,10 @@
 // links measures the memory of an idle link between hosts, both ends together.
 func links() experiment {
 	return experiment{
-		name:  "links",
-		about: "memory of a link between hosts, both ends, by number of links",
+		name:     "links",
+		expected: 5 * time.Second,
+		shown:    []string{"memory_bytes"},
+		about:    "memory of a link between hosts, both ends, by number of links",
 		variants: func(settings) []variant {
 			return []variant{{name: string(design), run: func(ctx context.Context, s settings) (Points, error) {
 				out := make(Points)
--- a/bench/expt/overload.go
+++ b/bench/expt/overload.go
@@ -12,8 +12,12 @@
 // section admits the capacity, shared equally by the hosts.
 func overload() experiment {
 	return experiment{
-		name:  "overload",
-		about: "goodput at 1x and 2x of the capacity, with and without admission",
+		name:     "overload",
+		rounds:   2,
+		expected: 30 * time.Second,
+		targets:  overloadTargets(),
+		shown:    []string{"goodput_per_s", "goodput_to_1x", "p99_ms"},
+		about:    "goodput at 1x and 2x of the capacity, with and without admission",
 		variants: func(settings) []variant {
 			return []variant{
 				{name: string(design), run: func(ctx context.Context, s settings) (Points, error) { return overloadPoints(ctx, s, true) }},
--- a/bench/expt/slots.go
+++ b/bench/expt/slots.go
@@ -27,9 +27,12 @@
 // all hosts, also to the one with the fault.
 func slots() experiment {
 	return experiment{
-		name:   "slots",
-		rounds: 1,
-		about:  "calls shed and connections at 90% with 9 hosts, also with a host stopped, paused and cut off",
+		name:     "slots",
+		expected: 80 * time.Second,
+		targets:  slotsTargets(),
+		shown:    []string{"shed_share", "over_connections"},
+		rounds:   1,
+		about:    "calls shed and connections at 90% with 9 hosts, also with a host stopped, paused and cut off",
 		variants: func(settings) []variant {
 			var out []variant
 			for _, p := range []base.Policy{design, base.Random, base.StaticShare} {
--- /dev/null
+++ b/bench/expt/table.go
@@ -0,0 +1,129 @@
+package expt
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Table prints the results in files as Markdown for docs/MEASUREMENTS.md.
+func Table(args []string, out, errOut io.Writer) int {
+	if len(args) == 0 {
+		_, _ = fmt.Fprintln(errOut, "usage: bench table FILE...")
+		return 2
+	}
+	for _, path := range args {
+		var r Result
+		if err := ReadResult(path, &r); err != nil {
+			_, _ = fmt.Fprintln(errOut, "bench table:", err)
+			return 1
+		}
+		_, _ = io.WriteString(out, r.table())
+	}
+	return 0
+}
+
+// table has one row for each point and shown figure, and one column for each
+// variant: median (minimum to maximum), and for baselines the ratio.
+func (r *Result) table() string {
+	var b strings.Builder
+	o := r.Origin
+	fmt.Fprintf(&b, "**%s**: `%s`, seed %d, commit %.12s, %s, %d processors, load average %.1f before, %s, %.0f s\n\n",
+		r.Experiment, o.Command, r.Seed, o.Commit, o.GoVersion, o.Processors, o.LoadAverage,
+		o.Started.Format("2006-01-02 15:04 MST"), r.Seconds)
+	names := r.baselines()
+	fmt.Fprintf(&b, "| point | figure | %s |", r.Design)
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s; design / %s |", name, name)
+	}
+	b.WriteString(" target |\n|" + strings.Repeat(" --- |", len(names)+4) + "\n")
+	for _, figure := range r.shown() {
+		for _, point := range Sorted(r.Figures[r.Design]) {
+			if _, ok := r.Figures[r.Design][point][figure]; ok {
+				r.row(&b, names, point, figure)
+			}
+		}
+	}
+	b.WriteString("\n")
+	return b.String()
+}
+
+// Variants returns the names of the variants, the design first.
+func (r *Result) Variants() []string { return append([]string{r.Design}, r.baselines()...) }
+
+func (r *Result) baselines() []string {
+	names := slices.Sorted(maps.Keys(r.Figures))
+	return slices.DeleteFunc(names, func(name string) bool { return name == r.Design })
+}
+
+func (r *Result) shown() []string {
+	for _, e := range experiments() {
+		if e.name == r.Experiment {
+			return e.shown
+		}
+	}
+	return nil
+}
+
+func (r *Result) row(b *strings.Builder, names []string, point, figure string) {
+	fmt.Fprintf(b, "| %s | %s | %s |", point, figure, r.Figures[r.Design][point][figure])
+	for _, name := range names {
+		cell := "-"
+		if x, ok := r.Figures[name][point][figure]; ok {
+			cell = x.String()
+		}
+		if x, ok := r.Ratios[name][point][figure]; ok {
+			cell += "; " + x.String()
+		}
+		fmt.Fprintf(b, " %s |", cell)
+	}
+	fmt.Fprintf(b, " %s |\n", r.verdict(point, figure))
+}
+
+func (r *Result) verdict(point, figure string) string {
+	for _, v := range r.Verdicts {
+		if v.Point != point || v.Figure != figure {
+			continue
+		}
+		text := v.Target
+		if v.Over != "" {
+			text += " of " + v.Over
+		}
+		if v.Met {
+			return text + ": met"
+		}
+		return text + ": missed"
+	}
+	return "-"
+}
+
+// String is the median, with the minimum and the maximum unless all are equal.
+func (s Spread) String() string {
+	if s.Min == s.Max {
+		return fmt.Sprintf("%.3g", s.Median)
+	}
+	return fmt.Sprintf("%.3g (%.3g to %.3g)", s.Median, s.Min, s.Max)
+}
+
+// Sorted returns the points in the order of the numbers in their names.
+func Sorted[T any](points map[string]T) []string {
+	return slices.SortedFunc(maps.Keys(points), func(a, b string) int {
+		if c := slices.Compare(numbers(a), numbers(b)); c != 0 {
+			return c
+		}
+		return strings.Compare(a, b)
+	})
+}
+
+func numbers(name string) []int {
+	var out []int
+	for part := range strings.SplitSeq(name, "_") {
+		if n, err := strconv.Atoi(part); err == nil {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -18,9 +18,11 @@
   bench demo [flags]                                    load for scripts/demo
   bench list                                            list the experiments
   bench run NAME [-seed N] [-rounds N] [-quick] [-out FILE] [-log FILE]
+  bench all -out DIR [-seed N] [-rounds N] [-only NAME,NAME] [-quick]
+  bench table FILE...                                   results as Markdown
   bench compare A B                                     ratios of two results
   bench load [flags]                                    open-loop load, JSON lines
-  bench report [-out DIR] LINES                         page and plots of a load`
+  bench report [-out DIR] FILE                          page and plots of a load, or a plot of a result`
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -43,6 +45,10 @@
 		return expt.List(os.Stdout)
 	case "run":
 		return expt.Run(ctx, args[1:], os.Stdout, os.Stderr)
+	case "all":
+		return expt.All(ctx, args[1:], os.Stdout, os.Stderr)
+	case "table":
+		return expt.Table(args[1:], os.Stdout, os.Stderr)
 	case "compare":
 		return expt.Compare(args[1:], os.Stdout, os.Stderr)
 	}
--- a/bench/report/report.go
+++ b/bench/report/report.go
@@ -1,4 +1,5 @@
-// Package report turns the JSON lines of a load into a page with plots.
+// Package report turns the JSON lines of a load into a page with plots, and the
+// result of an experiment into a plot.
 //
 // # Usage
 //
@@ -21,6 +22,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
 
+	"oriolebarrow/bench/expt"
 	"oriolebarrow/bench/load"
 )
 
@@ -39,7 +41,7 @@
 	fs.SetOutput(errOut)
 	fs.StringVar(&dir, "out", "report", "directory of the report")
 	if fs.Parse(args) != nil || fs.NArg() != 1 {
-		_, _ = fmt.Fprintln(errOut, "usage: bench report [-out DIR] LINES")
+		_, _ = fmt.Fprintln(errOut, "usage: bench report [-out DIR] FILE")
 		return 2
 	}
 	if err := run(fs.Arg(0), dir); err != nil {
@@ -49,7 +51,13 @@
 	return 0
 }
 
+// run takes a result file of an experiment or the lines of a load. The lines
+// are many JSON values, so they don't decode as one result.
 func run(path, dir string) error {
+	var result expt.Result
+	if err := expt.ReadResult(path, &result); err == nil && result.Experiment != "" {
+		return WriteResult(dir, &result)
+	}
 	f, err := os.Open(path)
 	if err != nil {
 		return errors.Wrap(err, "open lines")
