--- a/bench/expt/spread.go
+++ b/bench/expt/spread.go
@@ -79,29 +79,39 @@
 	}
 	length := time.Since(began).Seconds()
 	reads = c.cluster.Platform.Reads() - reads
+	c.finish(ctx)
+	out := c.figures(first)
+	out["reads_per_s"] = float64(reads) / length
+	out["joins"] = float64(len(c.joins) - joined)
+	if joins := c.joins[joined:]; len(joins) > 0 {
+		out["join_max_ms"] = milliseconds(slices.Max(joins))
+	}
+	return out, nil
+}
+
+// finish waits until the newest edition is in force everywhere, with a bound.
+func (c *changes) finish(ctx context.Context) {
 	for end := time.Now().Add(memberReady); !c.settled() && time.Now().Before(end) && ctx.Err() == nil; {
 		c.watch(ctx, memberPoll)
 	}
 	c.look(time.Now())
+}
+
+// figures summarises the changes from an edition on.
+func (c *changes) figures(first int) Figures {
 	took := slices.Sorted(slices.Values(c.took[first:]))
 	behind := 0
 	for _, h := range c.hosts {
 		behind += c.edition - h.edition
 	}
-	out := Figures{
-		"hosts":            float64(hosts),
+	return Figures{
+		"hosts":            float64(len(c.hosts)),
 		"changes":          float64(len(took)),
 		"last_host_p50_ms": milliseconds(took[len(took)/2]),
 		"last_host_p99_ms": milliseconds(took[(len(took)*99-1)/100]),
 		"last_host_max_ms": milliseconds(took[len(took)-1]),
 		"not_in_force":     float64(behind),
-		"reads_per_s":      float64(reads) / length,
-		"joins":            float64(len(c.joins) - joined),
-	}
-	if joins := c.joins[joined:]; len(joins) > 0 {
-		out["join_max_ms"] = milliseconds(slices.Max(joins))
 	}
-	return out, nil
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
