fix(bench): keep the legend of result plots clear of the lines

Cause: in a rendered plot of tail the legend covered two baselines, and the logarithmic axis had one label. The legend now stands right of the lines and the axis ends at powers of ten. Table figures above 1000 had an exponent; they are now plain.

Ruled out: extra height above the lines, which a logarithmic axis hides.

--- a/bench/expt/table.go
+++ b/bench/expt/table.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -103,9 +104,17 @@
 // String is the median, with the minimum and the maximum unless all are equal.
 func (s Spread) String() string {
 	if s.Min == s.Max {
-		return fmt.Sprintf("%.3g", s.Median)
+		return number(s.Median)
 	}
-	return fmt.Sprintf("%.3g (%.3g to %.3g)", s.Median, s.Min, s.Max)
+	return fmt.Sprintf("%s (%s to %s)", number(s.Median), number(s.Min), number(s.Max))
+}
+
+// number has three significant digits and no exponent for large values.
+func number(x float64) string {
+	if math.Abs(x) >= 1000 {
+		return strconv.FormatFloat(x, 'f', 0, 64)
+	}
+	return strconv.FormatFloat(x, 'g', 3, 64)
 }
 
 // Sorted returns the points in the order of the numbers in their names.
--- a/bench/expt/target.go
+++ b/bench/expt/target.go
@@ -1,7 +1,5 @@
 package expt
 
-import "fmt"
-
 // target is a figure that docs/design.md states.
 type target struct {
 	point  string
@@ -53,7 +51,7 @@
 	if t.always {
 		v.Value = worst
 	}
-	v.Target = fmt.Sprintf("%s %.4g", bound, t.limit)
+	v.Target = bound + " " + number(t.limit)
 	v.Met = v.Value <= t.limit
 	if t.least {
 		v.Met = v.Value >= t.limit
--- a/bench/report/report_test.go
+++ b/bench/report/report_test.go
@@ -7,9 +7,35 @@
 	"strings"
 	"testing"
 
+	"oriolebarrow/bench/expt"
 	"oriolebarrow/bench/report"
 )
 
+// Guards against a plot that leaves out a variant, and against an axis without
+// a finite range when a point failed entirely.
+func TestWriteResultPlotsEveryVariant(t *testing.T) {
+	r := &expt.Result{Experiment: "tail", Design: "design", Figures: map[string]map[string]map[string]expt.Spread{
+		"design": {"utilisation_30": {"p99_ms": {Median: 40}}, "utilisation_90": {"p99_ms": {Median: 120}}},
+		"random": {"utilisation_30": {"p99_ms": {Median: 320}}, "utilisation_90": {"p99_ms": {}}},
+	}}
+	dir := t.TempDir()
+	if err := report.WriteResult(dir, r); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := os.ReadFile(filepath.Join(dir, "tail.svg"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{">design<", ">random<", ">100<"} {
+		if !bytes.Contains(raw, []byte(want)) {
+			t.Errorf("tail.svg lacks %q", want)
+		}
+	}
+	if bytes.Contains(raw, []byte("NaN")) {
+		t.Error("tail.svg holds a coordinate that is no number")
+	}
+}
+
 // Guards against a report that leaves out faults or needs counts that a load
 // without a control address doesn't have.
 func TestWriteReportsFaultsAndPlots(t *testing.T) {
--- a/bench/report/result.go
+++ b/bench/report/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"image/color"
+	"math"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -18,7 +19,7 @@
 
 const (
 	dotRadius   = 3
-	legendSpace = 1.3 // of the highest value, so that the legend covers no line
+	legendSpace = 0.3 // of the width, right of the lines, so that the legend covers none
 )
 
 // axes say what is plotted from the result of an experiment.
@@ -39,7 +40,7 @@
 		"tail_stragglers": tail,
 		"spread": {title: "Time until a change is in force on the last host", x: "hosts", y: "maximum in ms",
 			figure: "last_host_max_ms", size: "hosts"},
-		"cost": {title: "Cost of a query on 3 hosts", x: "shards", y: "processor time in us",
+		"cost": {title: "Cost of a query", x: "shards", y: "processor time in us",
 			figure: "cpu_us_per_query", size: "shards", fixed: "hosts", value: 3, fit: true},
 		"control": {title: "Cost of membership and configuration", x: "hosts", y: "processor time in us for a host and second",
 			figure: "cpu_us_per_host_s", size: "hosts", fit: true},
@@ -68,6 +69,7 @@
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = a.title, a.x, a.y
 	p.Add(plotter.NewGrid())
+	plotted := 0
 	for i, name := range r.Variants() {
 		points := a.points(r.Figures[name])
 		if len(points) == 0 {
@@ -76,14 +78,20 @@
 		if err := a.draw(p, name, points, i); err != nil {
 			return err
 		}
+		plotted++
+	}
+	if plotted == 0 {
+		return errors.Errorf("report: no points of %s in the result of %s", a.figure, r.Experiment)
 	}
 	if a.log {
 		p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
-		p.Y.Max *= legendSpace
+		// Only powers of ten are labelled.
+		p.Y.Min = math.Pow(10, math.Floor(math.Log10(p.Y.Min)))
+		p.Y.Max = math.Pow(10, math.Ceil(math.Log10(p.Y.Max)))
 	} else {
 		p.Y.Min = 0
-		p.Y.Max *= legendSpace
 	}
+	p.X.Max += legendSpace * (p.X.Max - p.X.Min)
 	p.Legend.Top = true
 	path := filepath.Join(dir, r.Experiment+".svg")
 	return errors.Wrap(p.Save(plotWidth, plotHeight, path), "report: save plot")
