test(expt): use an external test package

Cause: the tests of bench/expt were in the package itself, against the house style. The check of one answer in bench/verify is split into two functions, without a change of its rules.

Ruled out: exporting the types of the experiments, which nothing else needs.

--- a/bench/expt/spread_test.go
+++ b/bench/expt/spread_test.go
@@ -1,9 +1,10 @@
-package expt
+package expt_test
 
 import (
 	"testing"
 	"testing/synctest"
 
+	"oriolebarrow/bench/expt"
 	"oriolebarrow/core/place"
 )
 
@@ -13,8 +14,7 @@
 func TestSpreadPoint(t *testing.T) {
 	designed := place.New(place.DefaultSetSize)
 	synctest.Test(t, func(t *testing.T) {
-		s := settings{seed: 1, quick: true}
-		f, err := spreadPoint(t.Context(), s, designed, 12)
+		f, err := expt.SpreadPoint(t.Context(), designed, 12)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -24,7 +24,7 @@
 		if f["last_host_p50_ms"] <= 0 || f["last_host_max_ms"] < f["last_host_p50_ms"] {
 			t.Errorf("p50 %v, max %v", f["last_host_p50_ms"], f["last_host_max_ms"])
 		}
-		every, err := spreadPoint(t.Context(), s, everyHostReads{designed}, 12)
+		every, err := expt.SpreadPoint(t.Context(), expt.EveryHostReads(designed), 12)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/bench/verify/verify.go
+++ b/bench/verify/verify.go
@@ -146,8 +146,24 @@
 		}
 		return 0
 	}
-	actual := 0
-	seen := make(map[int32]bool)
+	seen, actual := r.shards(q, ran)
+	if len(seen) != q.Answered || q.Answered+len(q.Missing) != q.Total {
+		r.fail("query %s: reports %d answered and %d missing of %d, has %d", q.RequestID, q.Answered, len(q.Missing), q.Total, len(seen))
+	}
+	for _, shard := range q.Missing {
+		if seen[shard] {
+			r.fail("query %s: shard %d is both missing and answered", q.RequestID, shard)
+		}
+	}
+	if (q.Outcome == "complete") != (q.Answered == q.Total && q.Total > 0) {
+		r.fail("query %s: outcome %s with %d of %d shards", q.RequestID, q.Outcome, q.Answered, q.Total)
+	}
+	return actual
+}
+
+// shards returns the shards that an answer holds, and how many of them ran.
+func (r *Report) shards(q Query, ran map[execution]bool) (seen map[int32]bool, actual int) {
+	seen = make(map[int32]bool)
 	for _, raw := range q.Rows {
 		shard, ok := r.rows(q, raw)
 		if !ok {
@@ -163,18 +179,7 @@
 		}
 		seen[shard] = true
 	}
-	if len(seen) != q.Answered || q.Answered+len(q.Missing) != q.Total {
-		r.fail("query %s: reports %d answered and %d missing of %d, has %d", q.RequestID, q.Answered, len(q.Missing), q.Total, len(seen))
-	}
-	for _, shard := range q.Missing {
-		if seen[shard] {
-			r.fail("query %s: shard %d is both missing and answered", q.RequestID, shard)
-		}
-	}
-	if (q.Outcome == "complete") != (q.Answered == q.Total && q.Total > 0) {
-		r.fail("query %s: outcome %s with %d of %d shards", q.RequestID, q.Outcome, q.Answered, q.Total)
-	}
-	return actual
+	return seen, actual
 }
 
 // rows checks the rows of one shard and returns the shard.
