fix(expt): let a paused host read nothing from its callers

Cause: in the point host_paused of slots, the paused host still took requests from callers, and its timers expired its batches one after another. A paused process would have read none of this. The gate now stands between a paused host and its callers, too; a host that is cut off still has its callers.

Ruled out: a fault of the failure detector alone, since the owners per group fell back to one within a second of the burst.

--- a/bench/expt/cluster.go
+++ b/bench/expt/cluster.go
@@ -68,6 +68,7 @@
 	service core.Service
 	callers []string // caller address of each host
 	gates   []*gate  // by host
+	fronts  []*gate  // by host, towards callers
 	stop    context.CancelFunc
 	stops   []context.CancelFunc // by host
 	done    sync.WaitGroup
@@ -210,7 +211,7 @@
 	g := newGate()
 	opened := map[string]net.Listener{
 		peers.Addr().String():   gated{Listener: counting{Listener: peers, bytes: &c.peer}, gate: g},
-		callers.Addr().String(): callers,
+		callers.Addr().String(): c.front(callers),
 	}
 	c.gates = append(c.gates, g)
 	c.callers = append(c.callers, callers.Addr().String())
@@ -274,9 +275,10 @@
 		host := base.NewHost(core.HostID(fmt.Sprintf("host-%d", h+1)), ledger, owner)
 		c.gates = append(c.gates, g)
 		c.callers = append(c.callers, l.Addr().String())
+		front := c.front(l)
 		c.run(ctx, func(ctx context.Context) error {
 			defer backend.Close()
-			return host.Run(ctx, l)
+			return host.Run(ctx, front)
 		})
 	}
 	return nil
@@ -319,9 +321,27 @@
 	})
 }
 
+// front puts a gate between callers and the next host.
+func (c *cluster) front(l net.Listener) net.Listener {
+	g := newGate()
+	c.fronts = append(c.fronts, g)
+	return gated{Listener: l, gate: g}
+}
+
+// setMode changes what a host can reach. A host that is cut off still has its
+// callers; a paused one reads nothing from them either, since its timers would
+// otherwise expire requests that a paused process wouldn't have seen.
+func (c *cluster) setMode(host int, m gateMode) {
+	c.gates[host].set(m)
+	if m == cut {
+		m = open
+	}
+	c.fronts[host].set(m)
+}
+
 func (c *cluster) close() {
-	for _, g := range c.gates {
-		g.set(open)
+	for h := range c.gates {
+		c.setMode(h, open)
 	}
 	c.stop()
 	c.done.Wait()
--- a/bench/expt/slots.go
+++ b/bench/expt/slots.go
@@ -84,7 +84,7 @@
 	last := c.hosts - 1
 	mode := func(m gateMode) func(context.Context) error {
 		return func(context.Context) error {
-			c.gates[last].set(m)
+			c.setMode(last, m)
 			return nil
 		}
 	}
