perf(entry): keep owner sets and refresh only services in use

Cause: planning a query ranked every host for each shard, and a host asked the owners of all services four times a second. At 3,300 hosts and 130 shards a plan cost 161 ms (go test -run xxx -bench Plan ./core/place), and with 342 services the refresh would send 13,680 requests a second. Ruled out: ranking once for each plan only, which still costs 3,300 hashes a query. Before and after: 161,339,309 ns and 106,120 ns a plan. TestRefreshFollowsUse fails with the rule taken out (240 requests in 30 s for an idle service); TestCache compares with the plain placer. Also: core.Clock, used nowhere, is gone; hopeless is named unservable. Conclusion: the cost of a plan no longer grows with the fleet while the view stays.

--- a/core/core.go
+++ b/core/core.go
@@ -11,8 +11,6 @@
 //	owner, standby := place.New(10).Owner(view, "tickets", 3)
 package core
 
-import "time"
-
 // HostID names one host of the query tier.
 type HostID string
 
@@ -86,8 +84,3 @@
 	ReasonUnclear        Reason = "unclear_result"
 	ReasonNotReady       Reason = "not_ready"
 )
-
-// Clock tells the time; tests supply their own.
-type Clock interface {
-	Now() time.Time
-}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -115,7 +115,7 @@
 var _ core.Views = (*Detector)(nil)
 
 // New returns a detector that knows only self. The incarnation must be higher
-// than that of an earlier life of the host, such as its start time.
+// than that of an earlier incarnation of the host, such as its start time.
 func New(self core.Host, inc core.Incarnation, rng *rand.Rand) *Detector {
 	return &Detector{
 		self:        self,
@@ -314,7 +314,7 @@
 	Host   core.Host
 	State  core.PeerState
 	Listed bool   // the host list names it as live
-	Heard  bool   // it was heard in this life
+	Heard  bool   // it was heard since it started
 	Status Status // what it said last
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -27,10 +27,7 @@
 // owner that is its own standby.
 func TestLostHost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var hosts []core.Host
-		for i := range rapid.IntRange(2, 30).Draw(t, "hosts") {
-			hosts = append(hosts, core.NewHost(core.HostID(fmt.Sprint("host-", i)), "mixco", ""))
-		}
+		hosts := hosts(rapid.IntRange(2, 30).Draw(t, "hosts"))
 		i := rapid.IntRange(0, len(hosts)-1).Draw(t, "lost")
 		lost := hosts[i].ID()
 		p := place.New(place.DefaultSetSize)
@@ -52,3 +49,47 @@
 		}
 	})
 }
+
+// Guards against a cache that answers from another view or another service.
+func TestCache(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plain := place.New(3)
+		cached := place.NewCache(plain)
+		views := make([]core.View, 5)
+		for i := range views {
+			views[i] = core.NewView(uint64(i+1), hosts(rapid.IntRange(1, 12).Draw(t, "hosts")))
+		}
+		for range 30 {
+			v := rapid.SampledFrom(views).Draw(t, "view")
+			s := core.ServiceName(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"))
+			owner, standby := cached.Owner(v, s, 7)
+			wantOwner, wantStandby := plain.Owner(v, s, 7)
+			if owner != wantOwner || standby != wantStandby {
+				t.Fatalf("view %d: got %s, %s, want %s, %s", v.Version(), owner, standby, wantOwner, wantStandby)
+			}
+		}
+	})
+}
+
+func hosts(n int) []core.Host {
+	out := make([]core.Host, 0, n)
+	for i := range n {
+		out = append(out, core.NewHost(core.HostID(fmt.Sprint("host-", i)), "mixco", ""))
+	}
+	return out
+}
+
+// BenchmarkPlan places the 130 shards of one query over 3,300 hosts.
+func BenchmarkPlan(b *testing.B) {
+	view := core.NewView(1, hosts(3300))
+	plain := place.New(place.DefaultSetSize)
+	for name, p := range map[string]core.Placer{"plain": plain, "cached": place.NewCache(plain)} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				for g := range core.GroupID(130) {
+					p.Owner(view, "tickets", g)
+				}
+			}
+		})
+	}
+}
--- a/core/queue/bind.go
+++ b/core/queue/bind.go
@@ -214,7 +214,7 @@
 		return true
 	}
 	s.dropExtra(t) // a hedge without a first attempt is a retry or a repeat
-	if t.Once || t.tried >= s.maxTries() || !t.Deadline.After(now) || s.hopeless(t.Task) != "" {
+	if t.Once || t.tried >= s.maxTries() || !t.Deadline.After(now) || s.unservable(t.Task) != "" {
 		return false
 	}
 	if r.Status == Refused {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -126,7 +126,7 @@
 	if !t.Deadline.After(now) {
 		return core.ReasonDeadline
 	}
-	if reason := s.hopeless(t); reason != "" {
+	if reason := s.unservable(t); reason != "" {
 		return reason
 	}
 	if s.Waiting() >= s.opts.Length {
@@ -138,8 +138,8 @@
 	return ""
 }
 
-// hopeless returns why no replica of the group can run a task, or nothing.
-func (s *Scheduler) hopeless(t Task) core.Reason {
+// unservable returns why no replica of the group can run a task, or nothing.
+func (s *Scheduler) unservable(t Task) core.Reason {
 	reason := core.ReasonNoReplica
 	for r := range s.inUse {
 		if !s.opts.Health.Available(r) {
@@ -279,7 +279,7 @@
 	}
 	var out []Action
 	for _, t := range waiting {
-		if reason := s.hopeless(t.Task); reason != "" && len(t.running) == 0 && !t.gone {
+		if reason := s.unservable(t.Task); reason != "" && len(t.running) == 0 && !t.gone {
 			out = s.fail(t, reason, Abandoned, out)
 		}
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -60,14 +60,21 @@
 	Parts
 	rejected atomic.Uint64
 
-	mu     sync.Mutex // guards silent; nothing is called under it
-	silent map[core.HostID]time.Time
+	mu        sync.Mutex // guards the fields below; nothing is called under it
+	silent    map[core.HostID]time.Time
+	queried   map[core.ServiceName]time.Time // last query
+	refreshed map[core.ServiceName]time.Time // last refresh by Run
 }
 
 // New returns an entry over its parts.
 func New(p Parts) *Entry {
 	p.Meter = core.MeterOr(p.Meter)
-	return &Entry{Parts: p, silent: make(map[core.HostID]time.Time)}
+	return &Entry{
+		Parts:     p,
+		silent:    make(map[core.HostID]time.Time),
+		queried:   make(map[core.ServiceName]time.Time),
+		refreshed: make(map[core.ServiceName]time.Time),
+	}
 }
 
 // Rejected returns the number of shard results refused for a wrong snapshot, a
@@ -82,6 +89,7 @@
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	started := time.Now()
+	e.noteQuery(started, q.Service)
 	var last core.SnapshotID
 	for try := 0; ; try++ {
 		pin, ok := e.pin(ctx, q.Service)
--- a/io/entry/query_test.go
+++ b/io/entry/query_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/order"
 	"oriolebarrow/core/snaps"
 	"oriolebarrow/io/entry"
 )
@@ -47,6 +48,7 @@
 	c.holds(snapshots...)
 	c.entry = entry.New(entry.Parts{
 		Self: "self", Settings: c, Placer: c, Table: c.table, Views: c, Peers: c, Log: slog.New(slog.DiscardHandler),
+		Tokens: order.New("self", 1, order.Options{}, nil),
 	})
 	return c
 }
@@ -370,6 +372,37 @@
 	})
 }
 
+// Guards against a host that asks the owners of every service four times a
+// second, whatever its callers query, and against one that forgets a service.
+func TestRefreshFollowsUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTier(41)
+		var asked atomic.Int64
+		c.held = func(context.Context, core.HostID) ([]core.GroupSnapshot, error) {
+			asked.Add(1)
+			return nil, failed(true)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		done.Go(func() { _ = c.entry.Run(ctx) })
+		count := func(d time.Duration) int64 {
+			before := asked.Load()
+			time.Sleep(d) // virtual time
+			return asked.Load() - before
+		}
+		time.Sleep(time.Second) // the first refresh of an idle service
+		if n := count(30 * time.Second); n < 4 || n > 8 {
+			t.Errorf("%d requests in 30 s for a service that nobody queries, want 2 owners every 10 s", n)
+		}
+		c.ask(t)
+		if n := count(5 * time.Second); n < 36 {
+			t.Errorf("%d requests in 5 s for a service in use, want 2 owners every 250 ms", n)
+		}
+		stop()
+		done.Wait()
+	})
+}
+
 // The parts that the entry needs.
 
 func (c *tier) View(time.Time) core.View {
@@ -381,8 +414,11 @@
 	return nil
 }
 func (c *tier) Caller(core.CallerName) (core.Caller, bool) { return core.Caller{}, false }
-func (c *tier) Services() []core.Service                   { return nil }
-func (c *tier) Revision() core.Revision                    { return 1 }
+func (c *tier) Services() []core.Service {
+	s, _ := c.Service(service)
+	return []core.Service{s}
+}
+func (c *tier) Revision() core.Revision { return 1 }
 func (c *tier) Service(s core.ServiceName) (core.Service, bool) {
 	return core.NewService(s, make([][]core.Replica, shards), core.Limits{}), true
 }
--- a/io/entry/refresh.go
+++ b/io/entry/refresh.go
@@ -12,6 +12,11 @@
 const (
 	refreshInterval = 250 * time.Millisecond
 	refreshTimeout  = 500 * time.Millisecond
+	// usedFor is how long after its last query a service counts as queried here.
+	usedFor = 10 * time.Second
+	// idleInterval is the refresh interval of other services. A first query on an
+	// older table costs one restart at most.
+	idleInterval = 10 * time.Second
 )
 
 // Run keeps the snapshot table fresh until ctx ends.
@@ -24,13 +29,42 @@
 			return nil
 		case now := <-tick.C:
 			e.Tokens.Expire(now)
-			for _, s := range e.Settings.Services() {
-				e.refresh(ctx, s.Name())
-			}
+			e.refreshDue(ctx, now)
 		}
 	}
 }
 
+// refreshDue refreshes the services that are due, all at once, so that an owner
+// that hangs delays only its own service.
+func (e *Entry) refreshDue(ctx context.Context, now time.Time) {
+	var wait sync.WaitGroup
+	for _, s := range e.Settings.Services() {
+		if e.due(now, s.Name()) {
+			wait.Go(func() { e.refresh(ctx, s.Name()) })
+		}
+	}
+	wait.Wait()
+}
+
+// due reports whether a service must be refreshed now: at each tick while it is
+// queried here, else every idleInterval. Without the distinction a host would ask
+// the owners of all services four times a second, whatever its callers use.
+func (e *Entry) due(now time.Time, s core.ServiceName) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Sub(e.queried[s]) > usedFor && now.Sub(e.refreshed[s]) < idleInterval {
+		return false
+	}
+	e.refreshed[s] = now
+	return true
+}
+
+func (e *Entry) noteQuery(now time.Time, s core.ServiceName) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queried[s] = now
+}
+
 // refresh asks the owners of a service which snapshots their groups hold.
 func (e *Entry) refresh(ctx context.Context, s core.ServiceName) {
 	service, ok := e.Settings.Service(s)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -142,7 +142,7 @@
 		Self:        n.opts.ID,
 		Incarnation: inc,
 		Settings:    n.ledger,
-		Placer:      place.New(place.DefaultSetSize),
+		Placer:      place.NewCache(place.New(place.DefaultSetSize)),
 		Table:       snaps.New(),
 		Views:       n.roster,
 		Peers:       n.gate.Peers(n.peers),
