fix(remote): never exceed the connection limit while a connection closes

Cause: http.Transport frees the place of a connection before it closes it, so a new one could be open beside it. Ruled out: the limit itself (MaxConnsPerHost is right) and the test's count, which falls before the close. Change: dialing waits for a place that is freed after the close. Conclusion: a backend server never sees one connection above the limit.

--- a/io/remote/conns.go
+++ b/io/remote/conns.go
@@ -37,15 +37,18 @@
 // OpenConnections returns the connections to a backend server that are open now.
 func (c *Client) OpenConnections(address string) int { return c.open.get(address) }
 
-// counted counts a connection until it is closed.
-func (c *Client) counted(address string, conn net.Conn, err error) (net.Conn, error) {
+// counted counts a connection until it is closed, then calls closed.
+func (c *Client) counted(address string, conn net.Conn, err error, closed func()) (net.Conn, error) {
 	if err != nil {
 		c.meter.Count("remote_dials_failed", 1)
 		return nil, err
 	}
 	c.meter.Count("remote_connections_opened", 1)
 	c.open.add(address, 1)
-	return &countedConn{Conn: conn, closed: func() { c.open.add(address, -1) }}, nil
+	return &countedConn{Conn: conn, closed: func() {
+		c.open.add(address, -1)
+		closed()
+	}}, nil
 }
 
 type countedConn struct {
@@ -56,8 +59,9 @@
 
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
+	err := c.Conn.Close()
 	c.once.Do(c.closed)
-	return c.Conn.Close()
+	return err
 }
 
 // countWrong counts an answer that is not the one asked for.
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -103,9 +103,10 @@
 }
 
 func (c *Client) newBounded(connections int) bounded {
+	connections = max(1, connections)
 	h := &http.Client{
 		Transport: &http.Transport{
-			DialContext:         c.dial,
+			DialContext:         c.dialer(connections),
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     idleTimeout,
@@ -116,15 +117,29 @@
 	return bounded{Client: h, connections: connections}
 }
 
-func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
+// dialer returns the dial function of one transport. It waits for a connection
+// that is still being closed: http.Transport gives up its place a moment before
+// it closes the connection, and the server would see one above the limit.
+func (c *Client) dialer(connections int) func(ctx context.Context, network, address string) (net.Conn, error) {
 	dial := c.opts.Dial
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
-	conn, err := dial(ctx, network, address)
-	return c.counted(address, conn, err)
+	places := make(chan struct{}, connections)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		select {
+		case places <- struct{}{}:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			<-places
+		}
+		return c.counted(address, conn, err, func() { <-places })
+	}
 }
 
 // Close closes idle connections.
