--- a/bench/demo/demo.go
+++ b/bench/demo/demo.go
@@ -20,6 +20,7 @@
 
 	"github.com/pkg/errors"
 
+	"oriolebarrow/bench/load"
 	"oriolebarrow/bench/verify"
 	"oriolebarrow/standin/server"
 )
@@ -197,23 +198,8 @@
 	return outcome
 }
 
-type queryReply struct {
-	RequestID string `json:"request_id"`
-	Outcome   string `json:"outcome"`
-	Reason    string `json:"reason"`
-	Snapshot  uint64 `json:"snapshot"`
-	Coverage  struct {
-		Answered int `json:"answered"`
-		Total    int `json:"total"`
-		Missing  []struct {
-			Shard int32 `json:"shard"`
-		} `json:"missing"`
-	} `json:"coverage"`
-	Rows []json.RawMessage `json:"rows"`
-}
-
 func (d *driver) query(ctx context.Context, host string) verify.Query {
-	var reply queryReply
+	var reply load.Reply
 	started := time.Now()
 	err := d.post(ctx, host, "/v1/query", map[string]any{
 		"caller": d.caller, "service": d.service, "deadline_ms": d.deadline.Milliseconds(), "body": map[string]string{"plate": "P-123"},
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -243,7 +243,8 @@
 	}
 }
 
-type reply struct {
+// Reply holds the fields of a query answer that load and checks use.
+type Reply struct {
 	RequestID string `json:"request_id"`
 	Outcome   string `json:"outcome"`
 	Reason    string `json:"reason"`
@@ -327,7 +328,7 @@
 		return q, errors.Wrap(err, "load: send")
 	}
 	defer func() { _ = res.Body.Close() }()
-	var r reply
+	var r Reply
 	if err := json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(&r); err != nil {
 		return q, errors.Wrap(err, "load: decode")
 	}
