feat: run on the users' platform as one gateway process a machine

Cause: the product spoke only its own interface; the platform's callers, replicas, store and settings had no counterpart. Ruled out: owner hosts between entry host and replica: at 7 to 9 machines and 26 connections a replica each host can call the replicas itself.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -45,6 +45,7 @@
 func commands() map[string]command {
 	return map[string]command{
 		"serve":   {"run one host", "", serve},
+		"gateway": {"run one host on the platform", "", gateway},
 		"check":   {"validate a configuration document", "FILE", check},
 		"query":   {"send one query", "", query},
 		"order":   {"send one order", "", order},
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -19,10 +19,6 @@
 )
 
 const (
-	// hedgeQuantile of the service times is the hedge delay.
-	hedgeQuantile = 0.95
-	// fastQuantile is a service time that few calls undercut.
-	fastQuantile = 0.1
 	// burst is the number of hedges or retries that may start at once after a
 	// quiet time. More would double the load of a group that turns slow.
 	burst = 5
@@ -40,11 +36,6 @@
 	// the default floor. The ceiling of 200 ms was the latency of the slowest
 	// query of a run, and the budget bounds what a delay too short costs.
 	startFactor = 8
-	// minSamples are needed before the learnt values are used.
-	minSamples = 50
-	// refreshEvery bounds the cost of an observation: quantiles are computed
-	// once in so many.
-	refreshEvery = 16
 )
 
 // Budget serves all replica groups of one service. It is safe for concurrent
@@ -54,13 +45,7 @@
 	limits  core.Limits
 	hedges  float64
 	retries float64
-	times   histogram
-	learnt  int // observations so far, up to minSamples
-	pending int // observations since the quantiles were computed
-	tail    time.Duration
-	middle  time.Duration
-	fast    time.Duration
-	mean    time.Duration
+	times   Times
 }
 
 var _ core.Budget = (*Budget)(nil)
@@ -127,17 +112,7 @@
 func (b *Budget) Observe(d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.times.add(d)
-	b.learnt = min(b.learnt+1, minSamples)
-	b.pending++
-	if b.learnt < minSamples || (b.pending < refreshEvery && b.tail > 0) {
-		return
-	}
-	b.pending = 0
-	b.tail = b.times.quantile(hedgeQuantile)
-	b.middle = b.times.quantile(0.5)
-	b.fast = b.times.quantile(fastQuantile)
-	b.mean = b.times.mean()
+	b.times.Observe(d)
 }
 
 // HedgeDelay returns the time after the start of a call at which its hedge is
@@ -145,8 +120,8 @@
 func (b *Budget) HedgeDelay() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delay := float64(b.tail)
-	if b.learnt < minSamples {
+	delay := float64(b.times.Tail())
+	if !b.times.Known() {
 		delay = startFactor * float64(b.limits.HedgeFloor)
 	}
 	if fill := b.hedges / burst; fill < lowFill {
@@ -160,5 +135,5 @@
 func (b *Budget) Times() (mean, median, fast time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.mean, b.middle, b.fast
+	return b.times.Mean(), b.times.Median(), b.times.Fast()
 }
--- /dev/null
+++ b/core/budget/extra.go
@@ -0,0 +1,138 @@
+package budget
+
+import (
+	"sync"
+	"time"
+
+	"oriolebarrow/core"
+)
+
+const (
+	// slices of a window; one more is kept, so that any window of the full length
+	// lies within the count.
+	slices = 20
+	// headroom of the share is left for calls that this host counts later than
+	// the replica sees them.
+	headroom = 0.9
+)
+
+// ExtraLimits bounds the calls beyond the first of each request: hedges and
+// retries, of all hosts together.
+type ExtraLimits struct {
+	Window  time.Duration
+	Ratio   float64 // of the requests for a service
+	Minimum float64 // extra calls that are always allowed in a window
+}
+
+// Extra limits the extra calls of this host to each service in any window. The
+// hosts share the minimum equally, and each has the ratio of its own requests,
+// so that the sum keeps to the limits without any exchange. It is safe for
+// concurrent use.
+type Extra struct {
+	limits ExtraLimits
+
+	mu       sync.Mutex
+	start    time.Time // slices are counted from here by the steady clock
+	hosts    int
+	services map[core.ServiceName]*usage
+}
+
+type usage struct {
+	requests counter
+	extra    counter
+}
+
+// counter counts events of the last slices.
+type counter struct {
+	counts [slices + 1]int
+	sum    int
+	at     int64 // number of the newest slice
+}
+
+// NewExtra returns the limits of one of a number of hosts.
+func NewExtra(limits ExtraLimits, hosts int) *Extra {
+	return &Extra{limits: limits, hosts: max(1, hosts), services: make(map[core.ServiceName]*usage)}
+}
+
+// SetHosts says how many hosts share the minimum.
+func (e *Extra) SetHosts(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hosts = max(1, n)
+}
+
+// Request notes one request for a service.
+func (e *Extra) Request(now time.Time, s core.ServiceName) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.usage(s).requests.add(e.slice(now))
+}
+
+// Take spends one extra call; false when there is none left.
+func (e *Extra) Take(now time.Time, s core.ServiceName) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	u, at := e.usage(s), e.slice(now)
+	if float64(u.extra.count(at)+1) > e.allowed(u, at) {
+		return false
+	}
+	u.extra.add(at)
+	return true
+}
+
+// Fill returns the part of the extra calls to a service that is left, 0 to 1.
+func (e *Extra) Fill(now time.Time, s core.ServiceName) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	u, at := e.usage(s), e.slice(now)
+	allowed := e.allowed(u, at)
+	if allowed <= 0 {
+		return 0
+	}
+	return max(0, 1-float64(u.extra.count(at))/allowed)
+}
+
+func (e *Extra) allowed(u *usage, at int64) float64 {
+	return headroom * (e.limits.Ratio*float64(u.requests.count(at)) + e.limits.Minimum/float64(e.hosts))
+}
+
+func (e *Extra) usage(s core.ServiceName) *usage {
+	u, ok := e.services[s]
+	if !ok {
+		u = new(usage)
+		e.services[s] = u
+	}
+	return u
+}
+
+func (e *Extra) slice(now time.Time) int64 {
+	if e.start.IsZero() {
+		e.start = now
+	}
+	return int64(now.Sub(e.start) / max(1, e.limits.Window/slices))
+}
+
+func (c *counter) add(at int64) {
+	c.move(at)
+	c.counts[c.at%int64(len(c.counts))]++
+	c.sum++
+}
+
+func (c *counter) count(at int64) int {
+	c.move(at)
+	return c.sum
+}
+
+// move forgets the slices that are too old at a new time.
+func (c *counter) move(at int64) {
+	if at-c.at >= int64(len(c.counts)) {
+		*c = counter{at: at}
+		return
+	}
+	for c.at < at {
+		c.at++
+		i := c.at % int64(len(c.counts))
+		c.sum -= c.counts[i]
+		c.counts[i] = 0
+	}
+}
--- a/core/core.go
+++ b/core/core.go
@@ -83,4 +83,7 @@
 	ReasonConcurrency    Reason = "concurrency"
 	ReasonUnclear        Reason = "unclear_result"
 	ReasonNotReady       Reason = "not_ready"
+	ReasonNoRoute        Reason = "no_route"
+	ReasonBudget         Reason = "retry_budget"
+	ReasonCallerLeft     Reason = "caller_left"
 )
--- a/core/errs.go
+++ b/core/errs.go
@@ -1,6 +1,9 @@
 package core
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // CallError is a failed call to a backend server or another host. NotRun is
 // set only on proof: a failed dial or an explicit refusal before the start.
@@ -26,3 +29,7 @@
 
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Cause }
+
+// ErrHistoryGone says that a directory no longer has the changes after a
+// revision.
+var ErrHistoryGone = errors.New("core: history is gone")
--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,76 @@
+// Package route finds the route of a request and the service of a weighted
+// route. A Table is one version of the routing document and never changes.
+//
+// # Usage
+//
+//	table := route.New(routing)
+//	r, ok := table.Match("tickets.example", "/recent/2f")
+//	service := splitter.Pick(r)
+package route
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"oriolebarrow/core"
+)
+
+// Table is one version of the routing document.
+type Table struct {
+	version   uint64
+	byHost    map[string][]*core.Route // longest prefix first
+	upstreams map[core.ServiceName]core.Upstream
+	limits    core.CallerLimits
+}
+
+// New returns the table of a routing document.
+func New(doc core.Routing) *Table {
+	t := &Table{
+		version:   doc.Version,
+		byHost:    make(map[string][]*core.Route),
+		upstreams: make(map[core.ServiceName]core.Upstream, len(doc.Upstreams)),
+		limits:    doc.Limits,
+	}
+	for i := range doc.Routes {
+		r := doc.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], &r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *core.Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, u := range doc.Upstreams {
+		t.upstreams[u.Name] = u
+	}
+	return t
+}
+
+// Version returns the version of the document.
+func (t *Table) Version() uint64 { return t.version }
+
+// Limits returns the bounds on what callers send.
+func (t *Table) Limits() core.CallerLimits { return t.limits }
+
+// Upstream returns what the document says of a service.
+func (t *Table) Upstream(s core.ServiceName) (core.Upstream, bool) {
+	u, ok := t.upstreams[s]
+	return u, ok
+}
+
+// Match returns the route of the host with the longest prefix of the path.
+func (t *Table) Match(host, path string) (*core.Route, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	routes, ok := t.byHost[host]
+	if !ok {
+		routes = t.byHost[strings.ToLower(host)]
+	}
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/io/edge/edge.go
@@ -0,0 +1,313 @@
+// Package edge assembles and runs one host that passes callers' requests on to
+// replicas: it follows a directory, serves callers and readiness checks, keeps
+// connections warm, probes ejected replicas, and drains on its end.
+//
+// # Usage
+//
+//	e := edge.New(options, directory, log)
+//	err := e.Run(ctx)
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/budget"
+	"oriolebarrow/core/fleet"
+	"oriolebarrow/core/route"
+	"oriolebarrow/io/client"
+	"oriolebarrow/io/front"
+	"oriolebarrow/io/mirror"
+	"oriolebarrow/io/relay"
+)
+
+const (
+	// warmBound ends the wait for connections before readiness: a replica that
+	// does not answer must not keep the host from serving.
+	warmBound = 700 * time.Millisecond
+	// warmAtOnce limits the connections that are opened at the same time.
+	warmAtOnce = 16
+	// tick is the interval of probes and checks.
+	tick = 100 * time.Millisecond
+	// probeTimeout bounds one health check; pauses of a replica are shorter.
+	probeTimeout = 300 * time.Millisecond
+	// notReadyFor is how long a leaving host still takes new connections: the
+	// load balancer takes a host out after two checks, one each second.
+	notReadyFor = 2500 * time.Millisecond
+	// graceMargin before the kill, requests that still run are given up.
+	graceMargin = 700 * time.Millisecond
+)
+
+// Options are the settings of one host.
+type Options struct {
+	Host          core.HostID
+	DataCentre    core.DataCentre
+	CallerAddress string
+	ReadyAddress  string
+	Names         core.HeaderNames
+	Extra         budget.ExtraLimits
+	Grace         time.Duration // from the request to stop until the kill
+	Hosts         int           // that share budget and connections
+	Meter         core.Meter    // may be nil
+	Listen        func(network, address string) (net.Listener, error)
+	Dial          client.Dial // to replicas
+}
+
+// Edge is one host.
+type Edge struct {
+	opts    Options
+	log     *slog.Logger
+	fleet   *fleet.Table
+	client  *client.Client
+	relay   *relay.Relay
+	front   *front.Front
+	mirror  *mirror.Mirror
+	ready   atomic.Bool
+	leaving atomic.Bool
+	warming chan core.Instance
+}
+
+// New returns a host that is not running yet.
+func New(o Options, d core.Directory, log *slog.Logger) *Edge {
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
+	e := &Edge{
+		opts:    o,
+		log:     log,
+		fleet:   fleet.New(o.DataCentre),
+		client:  client.New(client.Options{Names: o.Names, Dial: o.Dial, Meter: o.Meter}),
+		warming: make(chan core.Instance, 1024),
+	}
+	e.relay = relay.New(relay.Parts{
+		Fleet:    e.fleet,
+		Client:   e.client,
+		Extra:    budget.NewExtra(o.Extra, o.Hosts),
+		Splitter: route.NewSplitter(seed(o.Host)),
+		Log:      log,
+		Meter:    o.Meter,
+		Hosts:    func() int { return o.Hosts },
+	})
+	e.front = front.New(front.Parts{Relay: e.relay, Names: o.Names, Limits: e.limits})
+	e.mirror = mirror.New(mirror.Parts{
+		Directory: d,
+		Fleet:     e.fleet,
+		Install:   e.install,
+		Appeared:  e.appeared,
+		Gone:      e.client.Drop,
+		Log:       log,
+		Meter:     o.Meter,
+	})
+	return e
+}
+
+// seed lets hosts begin at different places of a rotation.
+func seed(h core.HostID) uint64 {
+	sum := uint64(14695981039346656037)
+	for _, b := range []byte(h) {
+		sum = (sum ^ uint64(b)) * 1099511628211
+	}
+	return sum
+}
+
+func (e *Edge) limits() core.CallerLimits {
+	if t := e.relay.Table(); t != nil {
+		return t.Limits()
+	}
+	return core.CallerLimits{}
+}
+
+func (e *Edge) install(doc core.Routing) {
+	t := route.New(doc)
+	e.relay.SetTable(t)
+	for _, u := range doc.Upstreams {
+		e.fleet.SetCap(u.Name, e.relay.Connections(t, u.Name))
+	}
+}
+
+// appeared queues a connection to a new replica; if too many are queued, the
+// first call opens it.
+func (e *Edge) appeared(in core.Instance) {
+	select {
+	case e.warming <- in:
+	default:
+	}
+}
+
+// Run serves until ctx ends, then drains.
+func (e *Edge) Run(ctx context.Context) error {
+	callers, err := e.opts.Listen("tcp", e.opts.CallerAddress)
+	if err != nil {
+		return errors.Wrap(err, "edge: listen for callers")
+	}
+	checks, err := e.opts.Listen("tcp", e.opts.ReadyAddress)
+	if err != nil {
+		_ = callers.Close()
+		return errors.Wrap(err, "edge: listen for readiness checks")
+	}
+	e.log.Info("node: host starts", "host", e.opts.Host, "data_centre", e.opts.DataCentre,
+		"callers", callers.Addr().String(), "checks", checks.Addr().String())
+	defer e.client.Close()
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	server, checker := e.front.Server(), &http.Server{Handler: http.HandlerFunc(e.check), ReadHeaderTimeout: time.Second}
+	group.Go(func() error { return serve(server, callers) })
+	group.Go(func() error { return serve(checker, checks) })
+	group.Go(func() error { return e.mirror.Run(work) })
+	group.Go(func() error { return e.becomeReady(work) })
+	group.Go(func() error { return e.warm(work) })
+	group.Go(func() error { return e.probe(work) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+		}
+		e.drain(server)
+		stop()
+		_ = checker.Close()
+		return nil
+	})
+	err = group.Wait()
+	e.log.Info("node: host stopped", "host", e.opts.Host)
+	return err
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "edge: serve")
+	}
+	return nil
+}
+
+// check answers a readiness check.
+func (e *Edge) check(w http.ResponseWriter, _ *http.Request) {
+	if e.ready.Load() && !e.leaving.Load() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// becomeReady waits for the directory and for warm connections.
+func (e *Edge) becomeReady(ctx context.Context) error {
+	ticker := time.NewTicker(tick / 4)
+	defer ticker.Stop()
+	for !e.mirror.Known() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	bounded, cancel := context.WithTimeout(ctx, warmBound)
+	defer cancel()
+	var group errgroup.Group
+	group.SetLimit(warmAtOnce)
+	for _, in := range e.fleet.Instances() {
+		group.Go(func() error {
+			e.warmOne(bounded, in)
+			return nil
+		})
+	}
+	_ = group.Wait() // warming reports no error
+	e.ready.Store(true)
+	e.log.Info("node: host is ready", "host", e.opts.Host, "replicas", e.fleet.Size(), "connections", e.client.Connections())
+	return nil
+}
+
+func (e *Edge) warmOne(ctx context.Context, in core.Instance) {
+	t := e.relay.Table()
+	if t == nil {
+		return
+	}
+	if _, used := t.Upstream(in.Service); !used {
+		return
+	}
+	e.client.Warm(ctx, client.Target{ID: in.ID, Address: in.Address, Connections: e.relay.Connections(t, in.Service)})
+}
+
+// warm opens connections to replicas that appear while the host serves.
+func (e *Edge) warm(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case in := <-e.warming:
+			if e.ready.Load() {
+				e.warmOne(ctx, in)
+			}
+		}
+	}
+}
+
+// probe asks ejected replicas whether they are healthy again.
+func (e *Edge) probe(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, r := range e.fleet.Probes(time.Now()) {
+			running.Go(func() { e.probeOne(ctx, r) })
+		}
+	}
+}
+
+func (e *Edge) probeOne(ctx context.Context, r *fleet.Replica) {
+	in := r.Instance()
+	t := e.relay.Table()
+	path := "/"
+	if u, ok := t.Upstream(in.Service); ok {
+		path = u.HealthPath
+	}
+	result := make(chan client.Result, 1)
+	call := e.client.Send(client.Target{ID: in.ID, Address: in.Address, Connections: e.relay.Connections(t, in.Service)},
+		client.Request{Method: http.MethodGet, URI: path, Host: in.Address},
+		func(res client.Result) { result <- res })
+	timer := time.NewTimer(probeTimeout)
+	defer timer.Stop()
+	healthy := false
+	select {
+	case res := <-result:
+		healthy = res.Err == nil && (res.Reply.Status == http.StatusOK || res.NotRun)
+	case <-timer.C:
+		call.Abandon(0)
+	case <-ctx.Done():
+		call.Abandon(0)
+	}
+	if e.fleet.Probed(time.Now(), r, healthy) {
+		e.log.Info("relay: replica is back", "replica", in.ID, "service", in.Service)
+	}
+}
+
+// drain stops taking callers and lets the requests end that run.
+func (e *Edge) drain(server *http.Server) {
+	begin := time.Now()
+	e.leaving.Store(true)
+	e.front.Leave()
+	e.log.Info("node: host leaves", "host", e.opts.Host)
+	wait := min(notReadyFor, e.opts.Grace/2)
+	timer := time.NewTimer(wait)
+	<-timer.C
+	ctx, cancel := context.WithTimeout(context.Background(), e.opts.Grace-graceMargin-time.Since(begin))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		e.log.Warn("node: requests still run at the end of the drain", "cause", err)
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/io/front/front.go
@@ -0,0 +1,193 @@
+// Package front is the HTTP interface for callers whose requests are passed on
+// to replicas unchanged. It reads a request, hands it to the relay, and writes
+// the answer.
+//
+// # Usage
+//
+//	f := front.New(front.Parts{Relay: r, Names: names})
+//	server := f.Server()
+//	err := server.Serve(listener)
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/io/relay"
+)
+
+const (
+	// defaultBodyBytes and defaultHeaderBytes hold until a routing document
+	// states its limits.
+	defaultBodyBytes   = 1 << 20
+	defaultHeaderBytes = 64 << 10
+	// headerTimeout bounds the reading of a head when the document states
+	// nothing.
+	headerTimeout = 10 * time.Second
+)
+
+// Relayer serves one request.
+type Relayer interface {
+	Do(ctx context.Context, req relay.Request) relay.Reply
+}
+
+// Parts are what a front works with.
+type Parts struct {
+	Relay  Relayer
+	Names  core.HeaderNames
+	Limits func() core.CallerLimits
+}
+
+// Front serves callers.
+type Front struct {
+	parts   Parts
+	leaving atomic.Bool
+}
+
+var _ http.Handler = (*Front)(nil)
+
+// New returns a front.
+func New(p Parts) *Front { return &Front{parts: p} }
+
+// Server returns a server for the front.
+func (f *Front) Server() *http.Server {
+	return &http.Server{
+		Handler:           f,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    defaultHeaderBytes,
+	}
+}
+
+// Leave makes each further answer the last one on its connection.
+func (f *Front) Leave() { f.leaving.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	body, status := f.body(r)
+	if status != 0 {
+		f.write(w, r, relay.Reply{Status: status})
+		return
+	}
+	req := relay.Request{
+		ID:      core.RequestID(r.Header.Get(f.parts.Names.RequestID)),
+		Method:  r.Method,
+		URI:     uri(r),
+		Path:    r.URL.EscapedPath(),
+		Host:    r.Host,
+		Fields:  f.fields(r.Header),
+		Body:    body,
+		Left:    f.left(r.Header),
+		Arrived: arrived,
+	}
+	f.write(w, r, f.parts.Relay.Do(r.Context(), req))
+}
+
+func uri(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func (f *Front) body(r *http.Request) (body []byte, status int) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, 0
+	}
+	limit := f.parts.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	if err != nil {
+		return nil, http.StatusBadRequest
+	}
+	if len(body) > limit {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	return body, 0
+}
+
+func (f *Front) left(h http.Header) time.Duration {
+	ms, err := strconv.ParseInt(h.Get(f.parts.Names.Deadline), 10, 64)
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// fields returns the header fields that are passed on.
+func (f *Front) fields(h http.Header) []core.Field {
+	n := &f.parts.Names
+	fields := make([]core.Field, 0, len(h))
+	for name, values := range h {
+		switch {
+		case ofConnection(name), strings.EqualFold(name, "Content-Length"),
+			strings.EqualFold(name, n.RequestID), strings.EqualFold(name, n.Deadline), strings.EqualFold(name, n.Expect),
+			named(h["Connection"], name):
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, core.Field{Name: name, Value: v})
+		}
+	}
+	return fields
+}
+
+// ofConnection reports whether a field concerns one connection only.
+func ofConnection(name string) bool {
+	switch http.CanonicalHeaderKey(name) {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect":
+		return true
+	}
+	return false
+}
+
+// named reports whether a Connection field lists another field.
+func named(lists []string, name string) bool {
+	for _, list := range lists {
+		for part := range strings.SplitSeq(list, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (f *Front) write(w http.ResponseWriter, r *http.Request, reply relay.Reply) {
+	n := &f.parts.Names
+	h := w.Header()
+	h["Date"] = nil
+	h["Content-Type"] = nil
+	for _, field := range reply.Fields {
+		if ofConnection(field.Name) || strings.EqualFold(field.Name, "Content-Length") || strings.EqualFold(field.Name, n.Load) {
+			continue
+		}
+		key := http.CanonicalHeaderKey(field.Name)
+		h[key] = append(h[key], field.Value)
+	}
+	if reply.Gathered {
+		h.Set(n.Parts, strings.Join(reply.Stamps, ", "))
+		h.Set(n.Missing, strconv.Itoa(reply.Missing))
+	}
+	if reply.RetryAfter > 0 {
+		h.Set(n.RetryAfter, strconv.FormatFloat(reply.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	if f.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(reply.Status)
+	if r.Method != http.MethodHead {
+		// A caller that left gets nothing; its connection says so.
+		_, _ = w.Write(reply.Body)
+	}
+}
--- /dev/null
+++ b/io/relay/gather.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/gather"
+	"oriolebarrow/io/client"
+)
+
+// gather serves a query over many shards.
+func (j *job) gather(ctx context.Context) Reply {
+	j.query = gather.New(len(j.route.Gather), j.route.TopK, j.route.MinRatio)
+	j.setLegs(j.route.Gather)
+	if !j.reachable() {
+		return refuse(core.ReasonNoReplica, retryDark)
+	}
+	defer j.abandon()
+	now := time.Now()
+	for i := range j.legs {
+		l := &j.legs[i]
+		if !j.attempt(now, l) {
+			j.missing(l)
+		}
+	}
+	closeAt := j.closeAt()
+	for {
+		now = time.Now()
+		if j.query.Settled() || !j.query.Possible() || j.query.Enough() && !now.Before(closeAt) || !now.Before(j.deadline.Add(-answerMargin)) {
+			return j.gathered()
+		}
+		last := j.deadline.Add(-answerMargin)
+		if now.Before(closeAt) && closeAt.Before(last) {
+			last = closeAt
+		}
+		e, got, ok := j.wait(ctx, j.wake(last))
+		if !ok {
+			return Reply{Status: http.StatusGatewayTimeout, Reason: core.ReasonCallerLeft}
+		}
+		now = time.Now()
+		if got {
+			j.part(now, e)
+		}
+		j.timeouts(now)
+	}
+}
+
+// reachable reports whether enough shards have a usable replica, so that a
+// query that cannot be answered costs the other shards nothing.
+func (j *job) reachable() bool {
+	for i := range j.legs {
+		if !j.relay.Fleet.Available(j.legs[i].service) {
+			j.missing(&j.legs[i])
+		}
+	}
+	return j.query.Possible()
+}
+
+func (j *job) missing(l *leg) {
+	if l.reason == "" {
+		l.reason = core.ReasonNoReplica
+	}
+	j.settle(l)
+}
+
+// closeAt returns when the query is answered with what is there. Callers whose
+// remaining time shows that they waited already get the same share of it.
+func (j *job) closeAt() time.Time {
+	if j.route.Target <= 0 {
+		return j.deadline
+	}
+	return j.start.Add(max(j.route.Target/2, j.route.Target-closeMargin))
+}
+
+// part handles the end of a shard's call.
+func (j *job) part(now time.Time, e end) {
+	l := e.leg
+	l.running--
+	if l.settled {
+		return
+	}
+	res := e.result
+	if !usablePart(res) {
+		j.failed(now, l, res)
+		return
+	}
+	if !j.query.Add(l.index, res.Reply.Stamp, res.Reply.Body) {
+		l.reason = core.ReasonWrongAnswer
+		j.settle(l)
+		return
+	}
+	l.settled = true
+}
+
+func usablePart(res client.Result) bool {
+	return res.Err == nil && !res.Reply.NotRun && success(res.Reply.Status) && res.Reply.Stamp != "" && !encoded(res.Reply)
+}
+
+func (j *job) gathered() Reply {
+	q := j.query
+	if q.Enough() {
+		return Reply{
+			Status:   http.StatusOK,
+			Gathered: true,
+			Stamps:   q.Stamps(),
+			Missing:  q.Missing(),
+			Body:     q.Body(),
+		}
+	}
+	if !j.mayHaveRun() {
+		return refuse(core.ReasonBusy, retrySoon)
+	}
+	if !time.Now().Before(j.deadline.Add(-answerMargin)) {
+		return Reply{Status: http.StatusGatewayTimeout, Reason: core.ReasonDeadline}
+	}
+	return Reply{Status: http.StatusBadGateway, Reason: core.ReasonBackendError}
+}
+
+// mayHaveRun reports whether any replica may have run the request, or may still.
+func (j *job) mayHaveRun() bool {
+	for i := range j.legs {
+		if j.legs[i].mayRun() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/relay/job.go
@@ -0,0 +1,326 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/fleet"
+	"oriolebarrow/core/gather"
+	"oriolebarrow/core/route"
+	"oriolebarrow/io/client"
+)
+
+const (
+	// unknownUsual and unknownHedge divide a route's target for the usual time
+	// of a call and its hedge delay while nothing is learnt.
+	unknownUsual = 5
+	unknownHedge = 3
+	// hedgeFloor keeps hedges from following the first call at once.
+	hedgeFloor = 3 * time.Millisecond
+	// hedgeFactor times the median, a call is late: service times vary by a
+	// third, so few ordinary calls take so long. The tail alone would learn the
+	// time of slow replicas.
+	hedgeFactor = 2
+	// lowFill of the budget of extra calls stretches the hedge delay, up to
+	// maxStretch times when it is empty.
+	lowFill    = 0.5
+	maxStretch = 3
+	// maxConnections of one host to one replica: a replica runs few calls at
+	// once, and a connection too many costs memory and set-up time.
+	maxConnections = 6
+	// closeMargin before the target a query is answered with what is there: the
+	// way from and to the caller, a few milliseconds each, and the sending.
+	closeMargin = 11 * time.Millisecond
+	// answerMargin before the deadline the final answer is sent.
+	answerMargin = 10 * time.Millisecond
+	// lingerAfter is how long an abandoned call may still bring its connection
+	// back; pauses of a replica are shorter.
+	lingerAfter = 300 * time.Millisecond
+	// busyWait is the delay before a leg that found all connections in use looks
+	// again.
+	busyWait = 4 * time.Millisecond
+	never    = 365 * 24 * time.Hour
+)
+
+// leg is the part of a request that one service answers.
+type leg struct {
+	index    int
+	service  core.ServiceName
+	tried    []*fleet.Replica
+	attempts int
+	running  int
+	hedgeAt  time.Time // zero when no hedge is due
+	retryAt  time.Time // zero unless all connections were in use
+	settled  bool
+	ran      bool // a call ended and may have run
+	last     *client.Reply
+	reason   core.Reason
+}
+
+// mayRun reports whether a replica may have run the request, or may still.
+func (l *leg) mayRun() bool { return l.ran || l.running > 0 }
+
+// end is the end of one call.
+type end struct {
+	leg    *leg
+	result client.Result
+}
+
+// job is one request while it is served, by one goroutine.
+type job struct {
+	relay    *Relay
+	table    *route.Table
+	route    *core.Route
+	req      Request
+	start    time.Time
+	deadline time.Time
+	legs     []leg
+	calls    []*client.Call
+	results  chan end
+	usual    time.Duration
+	hedge    time.Duration
+	sent     int
+	extra    int
+	timer    *time.Timer
+	query    *gather.Query
+}
+
+func newJob(r *Relay, t *route.Table, rt *core.Route, req Request) *job {
+	j := &job{relay: r, table: t, route: rt, req: req, start: req.Arrived}
+	left := rt.Timeout
+	if req.Left > 0 && (left <= 0 || req.Left < left) {
+		left = req.Left
+	}
+	if left <= 0 {
+		left = never
+	}
+	j.deadline = req.Arrived.Add(left)
+	j.usual, j.hedge = r.timesOf(rt)
+	return j
+}
+
+func (j *job) setLegs(services []core.ServiceName) {
+	j.legs = make([]leg, len(services))
+	j.results = make(chan end, len(services)*max(1, j.route.Attempts))
+	for i, s := range services {
+		j.legs[i] = leg{index: i, service: s}
+		j.relay.Extra.Request(j.start, s)
+	}
+}
+
+// attempt sends the leg's next call, if there is a replica for it.
+func (j *job) attempt(now time.Time, l *leg) bool {
+	l.retryAt = time.Time{}
+	replica, busy := j.relay.Fleet.Pick(now, l.service, j.usual, l.tried)
+	if replica == nil {
+		if busy {
+			l.retryAt = now.Add(busyWait)
+		}
+		return busy
+	}
+	if l.attempts > 0 {
+		if !j.relay.Extra.Take(now, l.service) {
+			l.reason = core.ReasonBudget
+			return false
+		}
+		j.extra++
+	}
+	j.send(now, l, replica)
+	return true
+}
+
+func (j *job) send(now time.Time, l *leg, replica *fleet.Replica) {
+	l.attempts++
+	l.running++
+	l.tried = append(l.tried, replica)
+	l.hedgeAt = now.Add(j.hedgeDelay(now, l))
+	j.sent++
+	in := replica.Instance()
+	j.relay.Fleet.Started(now, replica)
+	call := j.relay.Client.Send(client.Target{
+		ID:          in.ID,
+		Address:     in.Address,
+		Connections: j.relay.Connections(j.table, l.service),
+	}, client.Request{
+		ID:     j.req.ID,
+		Method: j.req.Method,
+		URI:    j.req.URI,
+		Host:   j.req.Host,
+		Fields: j.req.Fields,
+		Body:   j.req.Body,
+		Left:   j.deadline.Sub(now),
+		Fresh:  !j.route.Idempotent,
+	}, func(res client.Result) { j.ended(l, replica, res) })
+	j.calls = append(j.calls, call)
+}
+
+// ended notes the end of a call. It runs on the connection's goroutine.
+func (j *job) ended(l *leg, replica *fleet.Replica, res client.Result) {
+	r := j.relay
+	good := res.Err == nil && res.Reply.Status < http.StatusInternalServerError
+	if good {
+		r.observe(j.route, res.Took)
+	}
+	e := fleet.End{
+		Took:     res.Took,
+		Expected: j.usual,
+		Failed:   !good && !res.NotRun,
+		Refused:  res.NotRun,
+		Silent:   res.Silent && res.Err != nil,
+		Load:     res.Reply.Load,
+	}
+	if r.Fleet.Ended(time.Now(), replica, e) {
+		in := replica.Instance()
+		r.Client.Reset(in.ID)
+		r.Log.Warn("relay: replica ejected", "replica", in.ID, "service", in.Service, "request", j.req.ID, "cause", errText(res.Err))
+	}
+	j.results <- end{leg: l, result: res}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// hedgeDelay returns when the next call of a leg may start, and grows while
+// little of the budget is left.
+func (j *job) hedgeDelay(now time.Time, l *leg) time.Duration {
+	d := j.hedge
+	if fill := j.relay.Extra.Fill(now, l.service); fill < lowFill {
+		d = time.Duration(float64(d) * (1 + (maxStretch-1)*(1-fill/lowFill)))
+	}
+	return d
+}
+
+// timeouts starts the retries and hedges that are due.
+func (j *job) timeouts(now time.Time) {
+	for i := range j.legs {
+		l := &j.legs[i]
+		if l.settled {
+			continue
+		}
+		if !l.retryAt.IsZero() && !now.Before(l.retryAt) {
+			if !j.attempt(now, l) && l.running == 0 {
+				j.settle(l)
+			}
+		}
+		if !l.hedgeAt.IsZero() && !now.Before(l.hedgeAt) {
+			l.hedgeAt = time.Time{}
+			if l.running > 0 && j.mayRepeat(l) {
+				j.attempt(now, l)
+				l.retryAt = time.Time{}
+			}
+		}
+	}
+}
+
+func (j *job) mayRepeat(l *leg) bool {
+	return j.route.Idempotent && l.attempts < j.route.Attempts
+}
+
+// settle says that no answer of a leg is awaited any more.
+func (j *job) settle(l *leg) {
+	l.settled = true
+	if j.query != nil {
+		j.query.Lose(l.index)
+	}
+}
+
+// failed handles a call that brought no usable answer: the leg tries another
+// replica, or is settled when none is running.
+func (j *job) failed(now time.Time, l *leg, res client.Result) {
+	l.reason = core.ReasonBackendError
+	if res.NotRun {
+		l.reason = core.ReasonBusy
+	} else {
+		l.ran = true
+	}
+	repeat := l.attempts < j.route.Attempts && (j.route.Idempotent || res.NotRun)
+	if repeat && j.attempt(now, l) {
+		return
+	}
+	if l.running == 0 {
+		j.settle(l)
+	}
+}
+
+// wake returns the earliest time at which something is due.
+func (j *job) wake(last time.Time) time.Time {
+	for i := range j.legs {
+		l := &j.legs[i]
+		if l.settled {
+			continue
+		}
+		if !l.hedgeAt.IsZero() && l.hedgeAt.Before(last) {
+			last = l.hedgeAt
+		}
+		if !l.retryAt.IsZero() && l.retryAt.Before(last) {
+			last = l.retryAt
+		}
+	}
+	return last
+}
+
+// wait waits for the end of a call or the given time. ok is false when the
+// caller left.
+func (j *job) wait(ctx context.Context, until time.Time) (e end, got, ok bool) {
+	select {
+	case e := <-j.results:
+		return e, true, true
+	default:
+	}
+	d := time.Until(until)
+	if d <= 0 {
+		return end{}, false, ctx.Err() == nil
+	}
+	if j.timer == nil {
+		j.timer = time.NewTimer(d)
+	} else {
+		j.timer.Reset(d)
+	}
+	select {
+	case e := <-j.results:
+		return e, true, true
+	case <-j.timer.C:
+		return end{}, false, true
+	case <-ctx.Done():
+		return end{}, false, false
+	}
+}
+
+// abandon leaves the calls that still run.
+func (j *job) abandon() {
+	if j.timer != nil {
+		j.timer.Stop()
+	}
+	for _, c := range j.calls {
+		c.Abandon(lingerAfter)
+	}
+}
+
+// missed names the services that brought no answer, with the reason.
+func (j *job) missed() string {
+	var b strings.Builder
+	for i := range j.legs {
+		l := &j.legs[i]
+		if j.query != nil && j.query.Included(i) || j.query == nil && l.last != nil {
+			continue
+		}
+		if b.Len() > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(string(l.service))
+		if l.reason != "" {
+			b.WriteString("=" + string(l.reason))
+		}
+		for _, r := range l.tried {
+			b.WriteString("/" + string(r.Instance().ID))
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/io/relay/relay.go
@@ -0,0 +1,192 @@
+// Package relay passes callers' requests on to replicas: whole requests to one
+// replica of a service, and queries to one replica of each shard. It decides on
+// repetitions and hedges within the limits of the route and the budget of extra
+// calls, and on when a query is answered without its slowest shards.
+//
+// # Usage
+//
+//	r := relay.New(relay.Parts{Fleet: f, Client: c, Extra: e, Log: log})
+//	r.SetTable(table)
+//	reply := r.Do(ctx, request)
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/budget"
+	"oriolebarrow/core/fleet"
+	"oriolebarrow/core/route"
+	"oriolebarrow/io/client"
+)
+
+const (
+	// retrySoon is the hint to come back when another host, or this one a moment
+	// later, can probably serve.
+	retrySoon = 50 * time.Millisecond
+	// retryDark is the hint when a service has no usable replica: probes of
+	// ejected replicas are that far apart.
+	retryDark = 400 * time.Millisecond
+)
+
+// Request is a caller's request.
+type Request struct {
+	ID      core.RequestID
+	Method  string
+	URI     string // path and query as sent
+	Path    string
+	Host    string
+	Fields  []core.Field
+	Body    []byte
+	Left    time.Duration // how long the caller waits; 0 when not stated
+	Arrived time.Time
+}
+
+// Reply is the answer to a caller.
+type Reply struct {
+	Status     int
+	Fields     []core.Field // of the replica's answer
+	Body       []byte
+	Stamps     []string // of a gathered answer
+	Missing    int      // shards that a gathered answer lacks
+	Gathered   bool
+	RetryAfter time.Duration
+	Reason     core.Reason // why there is no success
+}
+
+// Parts are what a relay works with.
+type Parts struct {
+	Fleet    *fleet.Table
+	Client   *client.Client
+	Extra    *budget.Extra
+	Splitter *route.Splitter
+	Log      *slog.Logger
+	Meter    core.Meter
+	// Hosts returns how many hosts share the connections to a replica.
+	Hosts func() int
+}
+
+// Relay passes requests on. It is safe for concurrent use.
+type Relay struct {
+	Parts
+	table atomic.Pointer[route.Table]
+
+	mu    sync.Mutex
+	times map[string]*budget.Times // by route
+}
+
+// New returns a relay without a routing document.
+func New(p Parts) *Relay {
+	p.Meter = core.MeterOr(p.Meter)
+	return &Relay{Parts: p, times: make(map[string]*budget.Times)}
+}
+
+// SetTable puts a version of the routing document in force.
+func (r *Relay) SetTable(t *route.Table) { r.table.Store(t) }
+
+// Table returns the version in force, or nil.
+func (r *Relay) Table() *route.Table { return r.table.Load() }
+
+// Do passes a request on and returns its answer. An ended ctx means that the
+// caller left.
+func (r *Relay) Do(ctx context.Context, req Request) Reply {
+	table := r.table.Load()
+	if table == nil {
+		return refuse(core.ReasonNotReady, retrySoon)
+	}
+	rt, ok := table.Match(req.Host, req.Path)
+	if !ok {
+		return Reply{Status: http.StatusNotFound, Reason: core.ReasonNoRoute}
+	}
+	j := newJob(r, table, rt, req)
+	var reply Reply
+	if len(rt.Gather) > 0 {
+		reply = j.gather(ctx)
+	} else {
+		reply = j.single(ctx)
+	}
+	r.note(j, reply)
+	return reply
+}
+
+func refuse(reason core.Reason, after time.Duration) Reply {
+	return Reply{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: after}
+}
+
+// note writes the decision line of a request.
+func (r *Relay) note(j *job, reply Reply) {
+	took := time.Since(j.start)
+	r.Meter.Count("relay_answers_"+outcome(reply), 1)
+	r.Meter.Observe("relay_answer_us", took.Microseconds())
+	level := slog.LevelDebug
+	if reply.Status >= http.StatusInternalServerError || reply.Missing > 0 {
+		level = slog.LevelInfo
+	}
+	if !r.Log.Enabled(context.Background(), level) {
+		return
+	}
+	r.Log.LogAttrs(context.Background(), level, "relay: answered",
+		slog.String("request", string(j.req.ID)),
+		slog.String("route", j.route.Name),
+		slog.Uint64("version", j.table.Version()),
+		slog.Int("status", reply.Status),
+		slog.String("reason", string(reply.Reason)),
+		slog.Int("missing", reply.Missing),
+		slog.Int("calls", j.sent),
+		slog.Int("extra", j.extra),
+		slog.Int64("left_ms", j.req.Left.Milliseconds()),
+		slog.Int64("took_us", took.Microseconds()),
+		slog.String("missed", j.missed()),
+	)
+}
+
+func outcome(r Reply) string {
+	switch {
+	case r.Status < http.StatusMultipleChoices && r.Missing > 0:
+		return "partial"
+	case r.Status < http.StatusMultipleChoices:
+		return "success"
+	case r.Reason == "":
+		return "replica_failure"
+	default:
+		return string(r.Reason)
+	}
+}
+
+// timesOf returns what is learnt of a route: the usual time of a call and the
+// delay of its hedge.
+func (r *Relay) timesOf(rt *core.Route) (usual, hedge time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.times[rt.Name]
+	if !ok || !t.Known() {
+		return rt.Target / unknownUsual, rt.Target / unknownHedge
+	}
+	return t.Median(), max(hedgeFloor, min(t.Tail(), hedgeFactor*t.Median()))
+}
+
+func (r *Relay) observe(rt *core.Route, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.times[rt.Name]
+	if !ok {
+		t = new(budget.Times)
+		r.times[rt.Name] = t
+	}
+	t.Observe(took)
+}
+
+// Connections returns how many connections this host may open to a replica: its
+// part of the limit, with one part left free for hosts that join.
+func (r *Relay) Connections(t *route.Table, s core.ServiceName) int {
+	u, ok := t.Upstream(s)
+	if !ok || u.Connections <= 0 {
+		return 1
+	}
+	return max(1, min(maxConnections, u.Connections/(r.Hosts()+1)))
+}
