fix(fleet): leave a replica whose address another instance has

Change: a 421, or an answer that names another instance, ejects the replica; the probe brings it back only if its own instance answers.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"oriolebarrow/io/edge"
@@ -21,6 +23,9 @@
 	keepAliveIdle  = time.Second
 	keepAliveCount = 2
 	storeDial      = 500 * time.Millisecond
+	// fileCheck is how often the settings file is looked at: it may change
+	// without a signal.
+	fileCheck = 2 * time.Second
 )
 
 // gateway runs one host on the platform: it passes callers' requests on to the
@@ -40,6 +45,9 @@
 	if err != nil {
 		return reject(e, fs, "-settings %q: %v", *path, err)
 	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	metrics := telem.NewRegistry()
 	handler := telem.NewHandler(e.out, telem.Options{Format: "json", Level: lowest, Metrics: metrics})
 	defer closeLog(handler)
@@ -56,6 +64,7 @@
 		Hosts:         9,
 		Meter:         metrics,
 	}, store, log)
+	go reloads(ctx, *path, reload, host, log)
 	if err := host.Run(ctx); err != nil {
 		_, _ = fmt.Fprintf(e.err, "oriolebarrow gateway: %v\n", err)
 		return ExitFault
@@ -63,6 +72,42 @@
 	return ExitOK
 }
 
+// reloads applies the settings file again on SIGHUP and when the file changes.
+// Settings that cannot be used change nothing.
+func reloads(ctx context.Context, path string, hup <-chan os.Signal, host *edge.Edge, log *slog.Logger) {
+	ticker := time.NewTicker(fileCheck)
+	defer ticker.Stop()
+	seen := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-ticker.C:
+			if now := modified(path); now.Equal(seen) {
+				continue
+			}
+		}
+		seen = modified(path)
+		settings, err := platform.ReadSettings(path)
+		if err != nil {
+			log.Error("node: settings not reloaded", "path", path, "cause", err)
+			continue
+		}
+		host.Reload(edge.Reloadable{Extra: settings.Extra, Grace: settings.Grace})
+	}
+}
+
+// modified returns when a file changed last, or the zero time when that cannot be
+// read; ReadSettings then reports why.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 func storeClient() *http.Client {
 	dialer := &net.Dialer{
 		Timeout: storeDial,
--- a/core/budget/extra.go
+++ b/core/budget/extra.go
@@ -29,9 +29,8 @@
 // so that the sum keeps to the limits without any exchange. It is safe for
 // concurrent use.
 type Extra struct {
-	limits ExtraLimits
-
 	mu       sync.Mutex
+	limits   ExtraLimits
 	start    time.Time // slices are counted from here by the steady clock
 	hosts    int
 	services map[core.ServiceName]*usage
@@ -54,6 +53,13 @@
 	return &Extra{limits: limits, hosts: max(1, hosts), services: make(map[core.ServiceName]*usage)}
 }
 
+// SetLimits changes the limits and keeps the counts.
+func (e *Extra) SetLimits(limits ExtraLimits) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limits = limits
+}
+
 // SetHosts says how many hosts share the minimum.
 func (e *Extra) SetHosts(n int) {
 	e.mu.Lock()
--- a/core/fleet/replica.go
+++ b/core/fleet/replica.go
@@ -55,6 +55,7 @@
 	Failed   bool // an error of the replica, or a broken answer
 	Refused  bool // the replica did not run the call
 	Silent   bool // no answer at all, or no connection
+	Moved    bool // another instance has the address
 	Left     bool // the caller left; the call says nothing but its age
 	Load     *Load
 }
@@ -176,7 +177,7 @@
 	default:
 		r.silent = 0
 	}
-	if r.ejected || r.silent < ejectSilent {
+	if r.ejected || r.silent < ejectSilent && !e.Moved {
 		return false
 	}
 	r.ejected = true
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -84,7 +84,9 @@
 	Stamp  string
 	Body   []byte
 	NotRun bool
-	Load   *fleet.Load
+	// Moved is set when another instance has the address by now.
+	Moved bool
+	Load  *fleet.Load
 }
 
 // Result is the end of a call.
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -208,7 +208,7 @@
 		call.finish(Result{Err: errors.Wrapf(ErrBroken, "%s: %v", call.target.Address, err)})
 		return false
 	}
-	reply := c.reply(a)
+	reply := c.reply(a, call.target.ID)
 	call.finish(Result{Reply: reply, NotRun: reply.NotRun})
 	return keep
 }
@@ -219,10 +219,12 @@
 	return ok && id != string(call.request.ID)
 }
 
-func (c *conn) reply(a answer) Reply {
+func (c *conn) reply(a answer, target core.InstanceID) Reply {
 	r := Reply{Status: a.status, Fields: a.fields, Body: a.body}
 	r.Stamp, _ = a.get(c.names.Stamp)
 	_, r.NotRun = a.get(c.names.NotRun)
+	id, named := a.get(c.names.Instance)
+	r.Moved = a.status == http.StatusMisdirectedRequest || named && target != "" && id != string(target)
 	r.NotRun = r.NotRun || a.status == http.StatusMisdirectedRequest
 	if text, ok := a.get(c.names.Load); ok {
 		r.Load = parseLoad(text)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -36,6 +36,8 @@
 	warmBound = 700 * time.Millisecond
 	// warmAtOnce limits the connections that are opened at the same time.
 	warmAtOnce = 16
+	// warmQueue holds the replicas of a new set of shards.
+	warmQueue = 1024
 	// tick is the interval of probes and checks.
 	tick = 100 * time.Millisecond
 	// probeTimeout bounds one health check; pauses of a replica are shorter.
@@ -62,9 +64,17 @@
 	Dial          client.Dial // to replicas
 }
 
+// Reloadable are the settings that may change while a host runs.
+type Reloadable struct {
+	Extra budget.ExtraLimits
+	Grace time.Duration
+}
+
 // Edge is one host.
 type Edge struct {
 	opts    Options
+	extra   *budget.Extra
+	grace   atomic.Int64 // nanoseconds
 	log     *slog.Logger
 	fleet   *fleet.Table
 	client  *client.Client
@@ -86,12 +96,14 @@
 		log:     log,
 		fleet:   fleet.New(o.DataCentre),
 		client:  client.New(client.Options{Names: o.Names, Dial: o.Dial, Meter: o.Meter}),
-		warming: make(chan core.Instance, 1024),
+		extra:   budget.NewExtra(o.Extra, o.Hosts),
+		warming: make(chan core.Instance, warmQueue),
 	}
+	e.grace.Store(int64(o.Grace))
 	e.relay = relay.New(relay.Parts{
 		Fleet:    e.fleet,
 		Client:   e.client,
-		Extra:    budget.NewExtra(o.Extra, o.Hosts),
+		Extra:    e.extra,
 		Splitter: route.NewSplitter(seed(o.Host)),
 		Log:      log,
 		Meter:    o.Meter,
@@ -143,6 +155,14 @@
 	}
 }
 
+// Reload applies changed settings.
+func (e *Edge) Reload(s Reloadable) {
+	e.extra.SetLimits(s.Extra)
+	e.grace.Store(int64(s.Grace))
+	e.log.Info("node: settings reloaded", "host", e.opts.Host, "extra_ratio", s.Extra.Ratio,
+		"extra_minimum", s.Extra.Minimum, "grace", s.Grace)
+}
+
 // Run serves until ctx ends, then drains.
 func (e *Edge) Run(ctx context.Context) error {
 	callers, err := e.opts.Listen("tcp", e.opts.CallerAddress)
@@ -284,7 +304,7 @@
 	healthy := false
 	select {
 	case res := <-result:
-		healthy = res.Err == nil && (res.Reply.Status == http.StatusOK || res.NotRun)
+		healthy = res.Err == nil && !res.Reply.Moved && (res.Reply.Status == http.StatusOK || res.NotRun)
 	case <-timer.C:
 		call.Abandon(0)
 	case <-ctx.Done():
@@ -301,10 +321,11 @@
 	e.leaving.Store(true)
 	e.front.Leave()
 	e.log.Info("node: host leaves", "host", e.opts.Host)
-	wait := min(notReadyFor, e.opts.Grace/2)
+	grace := time.Duration(e.grace.Load())
+	wait := min(notReadyFor, grace/2)
 	timer := time.NewTimer(wait)
 	<-timer.C
-	ctx, cancel := context.WithTimeout(context.Background(), e.opts.Grace-graceMargin-time.Since(begin))
+	ctx, cancel := context.WithTimeout(context.Background(), grace-graceMargin-time.Since(begin))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		e.log.Warn("node: requests still run at the end of the drain", "cause", err)
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -170,6 +170,7 @@
 		Failed:   !good && !res.NotRun,
 		Refused:  res.NotRun,
 		Silent:   res.Silent && res.Err != nil,
+		Moved:    res.Reply.Moved,
 		Load:     res.Reply.Load,
 	}
 	if r.Fleet.Ended(time.Now(), replica, e) {
--- a/io/telem/log.go
+++ b/io/telem/log.go
@@ -27,7 +27,7 @@
 
 // Prefixes returns the prefixes of log lines, one for each part of a host.
 func Prefixes() []string {
-	return []string{"admin:", "caller:", "config:", "entry:", "gate:", "gossip:", "member:", "node:", "order:", "owner:", "pause:", "peer:", "plat:", "remote:", "telem:"}
+	return []string{"admin:", "caller:", "config:", "entry:", "gate:", "gossip:", "member:", "mirror:", "node:", "order:", "owner:", "pause:", "peer:", "plat:", "relay:", "remote:", "telem:"}
 }
 
 // Options configures a Handler.
