feat: hosts find each other and learn of the directory from few readers

Change: io/crew keeps the failure detector over UDP from the seeds; io/feed lets hosts follow one reader a data centre over drpc, with the age of what it knows, and falls back to other readers and to the store; core/trail keeps what changed. Budget and connections are shared by the hosts seen. Where hosts exceed a replica's connections, each host uses a subset of the replicas. Ruled out: longer waits of each host's own watch: a silent connection would go unnoticed for longer than a host counts as undisturbed.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -53,7 +53,7 @@
 	defer closeLog(handler)
 	log := slog.New(handler)
 	store := platform.NewStore(settings.StoreAddress, storeClient(), log)
-	host := edge.New(edge.Options{
+	host, err := edge.New(edge.Options{
 		Host:          settings.Host,
 		DataCentre:    settings.DataCentre,
 		CallerAddress: settings.CallerAddress,
@@ -61,9 +61,14 @@
 		Names:         platform.Names(),
 		Extra:         settings.Extra,
 		Grace:         settings.Grace,
-		Hosts:         9,
+		PeerAddress:   settings.PeerAddress,
+		PeerSeeds:     settings.PeerSeeds,
 		Meter:         metrics,
 	}, store, log)
+	if err != nil {
+		_, _ = fmt.Fprintf(e.err, "oriolebarrow gateway: %v\n", err)
+		return ExitFault
+	}
 	go reloads(ctx, *path, reload, host, log)
 	if err := host.Run(ctx); err != nil {
 		_, _ = fmt.Fprintf(e.err, "oriolebarrow gateway: %v\n", err)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	f := fleet.New("mixco")
+//	f := fleet.New("host-1", "mixco")
 //	f.Put(now, instance)
 //	r, _ := f.Pick(now, "tickets", expected, nil)
 //	f.Started(now, r)
@@ -13,10 +13,13 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"oriolebarrow/core"
 )
 
@@ -25,24 +28,44 @@
 // about two seconds of the directory's return.
 const holdMissing = 2 * time.Second
 
+const (
+	// minChosen replicas of a service are used by each host, so that one can
+	// fail or be slow.
+	minChosen = 2
+	// strangerCost keeps a host from replicas that it does not use, unless it has
+	// no other: its connection may be one too many there.
+	strangerCost = float64(time.Hour)
+)
+
 // Table holds the replicas. It is safe for concurrent use; its lock guards the
 // replicas too, and nothing is called while it is held.
 type Table struct {
+	self core.HostID
 	home core.DataCentre
 
 	mu        sync.Mutex
 	byID      map[core.InstanceID]*Replica
 	byService map[core.ServiceName][]*Replica
-	caps      map[core.ServiceName]int // connections of this host to a replica
+	caps      map[core.ServiceName]Cap
+}
+
+// Cap is this host's part of the connections to the replicas of a service.
+type Cap struct {
+	// Calls run at most at once on a replica: each takes a connection.
+	Calls int
+	// Share of the replicas that this host uses, 0 to 1. Below 1, the limit of a
+	// replica is smaller than the number of hosts.
+	Share float64
 }
 
 // New returns an empty table of a host in a data centre.
-func New(home core.DataCentre) *Table {
+func New(self core.HostID, home core.DataCentre) *Table {
 	return &Table{
+		self:      self,
 		home:      home,
 		byID:      make(map[core.InstanceID]*Replica),
 		byService: make(map[core.ServiceName][]*Replica),
-		caps:      make(map[core.ServiceName]int),
+		caps:      make(map[core.ServiceName]Cap),
 	}
 }
 
@@ -60,6 +83,7 @@
 		r = newReplica(now, in)
 		t.byID[in.ID] = r
 		t.byService[in.Service] = append(t.byService[in.Service], r)
+		t.choose(in.Service)
 		return true
 	}
 	changed := r.inst.Draining != in.Draining || !r.missing.IsZero()
@@ -138,24 +162,66 @@
 	t.byService[s] = slices.DeleteFunc(t.byService[s], func(o *Replica) bool { return o == r })
 	if len(t.byService[s]) == 0 {
 		delete(t.byService, s)
+		return
 	}
+	t.choose(s)
 }
 
-// SetCap limits the calls of this host that run at once on a replica of a
-// service: each takes a connection.
-func (t *Table) SetCap(s core.ServiceName, calls int) {
+// SetCap sets this host's part of the connections to a service.
+func (t *Table) SetCap(s core.ServiceName, c Cap) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.caps[s] = calls
+	if t.caps[s] != c {
+		t.caps[s] = c
+		t.choose(s)
+	}
+}
+
+// choose marks the replicas of a service that this host uses. Hosts prefer
+// replicas of their own data centre and choose the others by rendezvous hashing,
+// so that the choices of all hosts are even and a change moves few of them.
+func (t *Table) choose(s core.ServiceName) {
+	replicas := t.byService[s]
+	limit, limited := t.caps[s]
+	n := len(replicas)
+	if limited && limit.Share < 1 {
+		n = min(n, max(minChosen, int(limit.Share*float64(n))))
+	}
+	ranked := slices.Clone(replicas)
+	slices.SortFunc(ranked, func(a, b *Replica) int {
+		return cmp.Or(
+			compareTrue(a.inst.DataCentre == t.home, b.inst.DataCentre == t.home),
+			cmp.Compare(t.weight(b), t.weight(a)),
+		)
+	})
+	for i, r := range ranked {
+		r.chosen = i < n
+	}
+}
+
+func (t *Table) weight(r *Replica) uint64 {
+	return xxhash.Sum64String(string(t.self) + "/" + string(r.fixed.ID))
 }
 
-// Instances returns all instances that may get calls.
+// compareTrue orders true before false.
+func compareTrue(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// Instances returns the instances that this host uses.
 func (t *Table) Instances() []core.Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	all := make([]core.Instance, 0, len(t.byID))
 	for _, r := range t.byID {
-		if !r.inst.Draining {
+		if !r.inst.Draining && r.chosen {
 			all = append(all, r.inst)
 		}
 	}
@@ -180,11 +246,14 @@
 		if !r.usable() || slices.Contains(tried, r) {
 			continue
 		}
-		if limit, ok := t.caps[s]; ok && r.running >= limit {
+		if limit, ok := t.caps[s]; ok && r.running >= limit.Calls {
 			busy = true
 			continue
 		}
 		cost := r.cost(now, expected, t.home)
+		if !r.chosen {
+			cost += strangerCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = r, cost
 		}
--- a/core/fleet/replica.go
+++ b/core/fleet/replica.go
@@ -67,6 +67,7 @@
 	inst    core.Instance
 	missing time.Time // when its entry vanished
 	removed bool
+	chosen  bool      // this host uses it
 	warm    time.Time // end of the slow time after its start
 
 	running int
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -167,3 +167,19 @@
 	d.dirty = true
 	d.news.add(Update{Host: p.host, Incarnation: inc, State: s})
 }
+
+// Greeting returns a ping to an address whose host is not known.
+func (d *Detector) Greeting(address string) Send {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seq++
+	return Send{To: core.NewHost("", "", address), Packet: d.packet(Ping, d.seq, nil)}
+}
+
+// Knows reports whether a packet of this incarnation of a host came before.
+func (d *Detector) Knows(id core.HostID, inc core.Incarnation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.peers[id]
+	return p != nil && p.incarnation >= inc && !p.heard.IsZero()
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -9,6 +9,7 @@
 package route
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -58,6 +59,25 @@
 	return u, ok
 }
 
+// Upstreams returns all services of the document, in no order.
+func (t *Table) Upstreams() []core.Upstream { return slices.Collect(maps.Values(t.upstreams)) }
+
+// Services returns the services that some route names, without order.
+func (t *Table) Services() []core.ServiceName {
+	named := make(map[core.ServiceName]bool)
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			for _, s := range r.Gather {
+				named[s] = true
+			}
+			for _, s := range r.Split {
+				named[s.Service] = true
+			}
+		}
+	}
+	return slices.Collect(maps.Keys(named))
+}
+
 // Match returns the route of the host with the longest prefix of the path.
 func (t *Table) Match(host, path string) (*core.Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/core/routing.go
+++ b/core/routing.go
@@ -69,6 +69,7 @@
 // routing document.
 type DirectoryItem struct {
 	ID       InstanceID // empty for the routing document
+	Revision Revision   // of its last change
 	Instance *Instance  // nil when the entry was removed or names no usable replica
 	Routing  *Routing
 }
@@ -108,3 +109,27 @@
 	Name  string
 	Value string
 }
+
+// FeedNews is what another host knows of the directory.
+type FeedNews struct {
+	News DirectoryNews
+	// Age is the time since that host, or the one it learnt from, read the
+	// directory itself.
+	Age time.Duration
+	// Lapsing is how long a vanished entry may still be one that lapsed while
+	// the directory could not be read.
+	Lapsing time.Duration
+}
+
+// Feeds gives access to the directory as other hosts know it, so that few hosts
+// read the directory itself.
+type Feeds interface {
+	// Leaders returns the hosts to learn from, best first. It is empty for a host
+	// that is to read the directory itself.
+	Leaders(now time.Time) []Host
+	// Follow returns the changes after a revision as Directory.Watch does, and
+	// everything for revision 0.
+	Follow(ctx context.Context, h Host, after Revision, wait time.Duration) (FeedNews, error)
+	// Lost takes a hint that a host could not be reached.
+	Lost(now time.Time, h Host)
+}
--- /dev/null
+++ b/io/crew/crew.go
@@ -0,0 +1,234 @@
+// Package crew finds the other hosts without a host list: a host greets the
+// seeds of its settings, learns of the others from them, and keeps track of them
+// with the failure detector over UDP.
+//
+// # Usage
+//
+//	c := crew.New(crew.Parts{Self: self, Detector: d, Placer: placer, Seeds: seeds, Log: log})
+//	err := c.Run(ctx, conn)
+//	hosts := c.Hosts(now)
+package crew
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/member"
+	"oriolebarrow/io/gossip"
+)
+
+const (
+	// greetSoon and greetLater are the intervals of greetings to the seeds while
+	// no other host is known, and afterwards. Later greetings join the parts of
+	// a fleet whose seeds were down.
+	greetSoon  = 300 * time.Millisecond
+	greetLater = 5 * time.Second
+	// updatesPerPacket keeps a packet below the path's packet size.
+	updatesPerPacket = 15
+	// unknownHosts is assumed while no other host was heard: too many leaves
+	// limits unused, too few exceeds them.
+	unknownHosts = 32
+	// countWindow is how long a host that was lost still counts: what it used
+	// lies within the window of the budget of extra calls.
+	countWindow = 12 * time.Second
+	// aloneAfter is how long a host waits for an answer of a seed before it
+	// believes that it is alone.
+	aloneAfter     = 20 * time.Second
+	datagramBuffer = 2048
+)
+
+// Parts are what a crew works with.
+type Parts struct {
+	Self     core.Host
+	Detector *member.Detector
+	Seeds    []string // addresses
+	Log      *slog.Logger
+	Meter    core.Meter
+}
+
+// Crew keeps track of the other hosts. Its lock covers the count.
+type Crew struct {
+	Parts
+
+	mu     sync.Mutex
+	known  map[core.HostID]bool
+	counts []count
+	begin  time.Time
+}
+
+// count is the number of hosts from a time on.
+type count struct {
+	at    time.Time
+	hosts int
+}
+
+// New returns a crew that is not running yet.
+func New(p Parts) *Crew {
+	p.Meter = core.MeterOr(p.Meter)
+	return &Crew{Parts: p, known: make(map[core.HostID]bool), begin: time.Now()}
+}
+
+// Run works over a UDP connection until ctx ends. It closes the connection.
+func (c *Crew) Run(ctx context.Context, conn net.PacketConn) error {
+	group, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	group.Go(func() error { return c.tick(ctx, conn) })
+	group.Go(func() error { return c.receive(ctx, conn) })
+	return group.Wait()
+}
+
+// Hosts returns how many hosts there are, this one included, as far as limits
+// that they share are concerned.
+func (c *Crew) Hosts(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	most := 0
+	for _, n := range c.counts {
+		most = max(most, n.hosts)
+	}
+	if most > 1 || now.Sub(c.begin) > aloneAfter {
+		return max(1, most)
+	}
+	return unknownHosts
+}
+
+// SetReady tells the others whether this host serves.
+func (c *Crew) SetReady(ready bool) { c.Detector.SetStatus(member.Status{Ready: ready}) }
+
+// Leave tells the others that this host leaves; the next ticks spread it.
+func (c *Crew) Leave() { c.Detector.Leave() }
+
+func (c *Crew) tick(ctx context.Context, conn net.PacketConn) error {
+	ticker := time.NewTicker(member.TickInterval)
+	defer ticker.Stop()
+	var greetAt time.Time
+	for {
+		now := time.Now()
+		c.send(conn, c.Detector.Tick(now))
+		alone := c.observe(now)
+		if !now.Before(greetAt) {
+			c.greet(conn)
+			greetAt = now.Add(greetLater)
+			if alone {
+				greetAt = now.Add(greetSoon)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// observe notes the number of hosts and the ones that came or went.
+func (c *Crew) observe(now time.Time) (alone bool) {
+	view := c.Detector.Reachable(now)
+	hosts := view.Hosts()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := len(hosts)
+	if last := len(c.counts); last == 0 || c.counts[last-1].hosts != n {
+		c.counts = append(c.counts, count{at: now, hosts: n})
+		c.noteHosts(hosts)
+	}
+	// The last count before the window held at its beginning.
+	for len(c.counts) > 1 && now.Sub(c.counts[1].at) > countWindow {
+		c.counts = c.counts[1:]
+	}
+	return n <= 1
+}
+
+// noteHosts logs the hosts that came or went.
+func (c *Crew) noteHosts(hosts []core.Host) {
+	now := make(map[core.HostID]bool, len(hosts))
+	for _, h := range hosts {
+		now[h.ID()] = true
+		if !c.known[h.ID()] {
+			c.Log.Info("member: host found", "peer", h.ID(), "data_centre", h.DataCentre(), "hosts", len(hosts))
+		}
+	}
+	for id := range c.known {
+		if !now[id] {
+			c.Log.Warn("member: host lost", "peer", id, "hosts", len(hosts))
+		}
+	}
+	c.known = now
+}
+
+func (c *Crew) greet(conn net.PacketConn) {
+	for _, address := range c.Seeds {
+		if address != c.Self.Address() {
+			c.send(conn, []member.Send{c.Detector.Greeting(address)})
+		}
+	}
+}
+
+func (c *Crew) send(conn net.PacketConn, sends []member.Send) {
+	for _, s := range sends {
+		to, err := netip.ParseAddrPort(s.To.Address())
+		if err != nil {
+			c.Log.Error("member: address of a host", "peer", s.To.ID(), "cause", err)
+			continue
+		}
+		raw, err := gossip.Encode(s.Packet)
+		if err != nil {
+			c.Log.Error("member: packet", "cause", err)
+			continue
+		}
+		if _, err := conn.WriteTo(raw, net.UDPAddrFromAddrPort(to)); err != nil {
+			c.Meter.Count("crew_send_errors", 1)
+		}
+	}
+}
+
+func (c *Crew) receive(ctx context.Context, conn net.PacketConn) error {
+	buffer := make([]byte, datagramBuffer)
+	for {
+		n, _, err := conn.ReadFrom(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			c.Meter.Count("crew_receive_errors", 1)
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(greetSoon):
+			}
+			continue
+		}
+		packet, err := gossip.Decode(buffer[:n])
+		if err != nil {
+			c.Meter.Count("crew_malformed_packets", 1)
+			continue
+		}
+		now := time.Now()
+		first := !c.Detector.Knows(packet.From.ID(), packet.Incarnation)
+		c.send(conn, c.Detector.Receive(now, packet))
+		if first {
+			c.introduce(conn, packet.From)
+		}
+	}
+}
+
+// introduce tells a host that was unknown of all others.
+func (c *Crew) introduce(conn net.PacketConn, to core.Host) {
+	updates := c.Detector.Updates()
+	for len(updates) > 0 {
+		n := min(len(updates), updatesPerPacket)
+		packet := c.Detector.Greeting(to.Address()).Packet
+		packet.Kind = member.Ack
+		packet.Updates = updates[:n]
+		updates = updates[n:]
+		c.send(conn, []member.Send{{To: to, Packet: packet}})
+	}
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -23,8 +24,12 @@
 	"oriolebarrow/core"
 	"oriolebarrow/core/budget"
 	"oriolebarrow/core/fleet"
+	"oriolebarrow/core/member"
+	"oriolebarrow/core/place"
 	"oriolebarrow/core/route"
 	"oriolebarrow/io/client"
+	"oriolebarrow/io/crew"
+	"oriolebarrow/io/feed"
 	"oriolebarrow/io/front"
 	"oriolebarrow/io/mirror"
 	"oriolebarrow/io/relay"
@@ -34,6 +39,9 @@
 	// warmBound ends the wait for connections before readiness: a replica that
 	// does not answer must not keep the host from serving.
 	warmBound = 700 * time.Millisecond
+	// coverBound ends the wait for replicas of every service before readiness:
+	// the others are served meanwhile.
+	coverBound = 3 * time.Second
 	// warmAtOnce limits the connections that are opened at the same time.
 	warmAtOnce = 16
 	// warmQueue holds the replicas of a new set of shards.
@@ -55,13 +63,28 @@
 	DataCentre    core.DataCentre
 	CallerAddress string
 	ReadyAddress  string
+	PeerAddress   string   // other hosts reach this host here, TCP and UDP
+	PeerSeeds     []string // peer addresses of some hosts
 	Names         core.HeaderNames
 	Extra         budget.ExtraLimits
 	Grace         time.Duration // from the request to stop until the kill
-	Hosts         int           // that share budget and connections
 	Meter         core.Meter    // may be nil
 	Listen        func(network, address string) (net.Listener, error)
-	Dial          client.Dial // to replicas
+	ListenPacket  func(network, address string) (net.PacketConn, error)
+	Dial          client.Dial // to replicas and hosts
+}
+
+func (o Options) withDefaults() Options {
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
+	if o.ListenPacket == nil {
+		o.ListenPacket = net.ListenPacket
+	}
+	if o.Dial == nil {
+		o.Dial = new(net.Dialer).DialContext
+	}
+	return o
 }
 
 // Reloadable are the settings that may change while a host runs.
@@ -75,30 +98,46 @@
 	opts    Options
 	extra   *budget.Extra
 	grace   atomic.Int64 // nanoseconds
+	sharing atomic.Int64 // hosts that share budget and connections
 	log     *slog.Logger
 	fleet   *fleet.Table
 	client  *client.Client
 	relay   *relay.Relay
 	front   *front.Front
 	mirror  *mirror.Mirror
+	crew    *crew.Crew
+	feeds   *feed.Feeds
+	feed    *feed.Server
 	ready   atomic.Bool
 	leaving atomic.Bool
 	warming chan core.Instance
 }
 
 // New returns a host that is not running yet.
-func New(o Options, d core.Directory, log *slog.Logger) *Edge {
-	if o.Listen == nil {
-		o.Listen = net.Listen
+func New(o Options, d core.Directory, log *slog.Logger) (*Edge, error) {
+	o = o.withDefaults()
+	self := core.NewHost(o.Host, o.DataCentre, o.PeerAddress)
+	inc := core.Incarnation(time.Now().UnixNano())
+	detector := member.New(self, inc, rand.New(rand.NewPCG(uint64(inc), seed(o.Host))))
+	feeds, err := feed.New(feed.Parts{
+		Self:   self,
+		Views:  detector,
+		Placer: place.New(place.DefaultSetSize),
+		Dial:   feed.Dial(o.Dial),
+	})
+	if err != nil {
+		return nil, err
 	}
 	e := &Edge{
 		opts:    o,
 		log:     log,
-		fleet:   fleet.New(o.DataCentre),
+		fleet:   fleet.New(o.Host, o.DataCentre),
 		client:  client.New(client.Options{Names: o.Names, Dial: o.Dial, Meter: o.Meter}),
-		extra:   budget.NewExtra(o.Extra, o.Hosts),
+		crew:    crew.New(crew.Parts{Self: self, Detector: detector, Seeds: o.PeerSeeds, Log: log, Meter: o.Meter}),
+		feeds:   feeds,
 		warming: make(chan core.Instance, warmQueue),
 	}
+	e.extra = budget.NewExtra(o.Extra, e.hosts())
 	e.grace.Store(int64(o.Grace))
 	e.relay = relay.New(relay.Parts{
 		Fleet:    e.fleet,
@@ -107,11 +146,12 @@
 		Splitter: route.NewSplitter(seed(o.Host)),
 		Log:      log,
 		Meter:    o.Meter,
-		Hosts:    func() int { return o.Hosts },
+		Hosts:    e.hosts,
 	})
 	e.front = front.New(front.Parts{Relay: e.relay, Names: o.Names, Limits: e.limits})
 	e.mirror = mirror.New(mirror.Parts{
 		Directory: d,
+		Feeds:     feeds,
 		Fleet:     e.fleet,
 		Install:   e.install,
 		Appeared:  e.appeared,
@@ -119,9 +159,14 @@
 		Log:       log,
 		Meter:     o.Meter,
 	})
-	return e
+	if e.feed, err = feed.NewServer(e.mirror); err != nil {
+		return nil, err
+	}
+	return e, nil
 }
 
+func (e *Edge) hosts() int { return e.crew.Hosts(time.Now()) }
+
 // seed lets hosts begin at different places of a rotation.
 func seed(h core.HostID) uint64 {
 	sum := uint64(14695981039346656037)
@@ -141,8 +186,12 @@
 func (e *Edge) install(doc core.Routing) {
 	t := route.New(doc)
 	e.relay.SetTable(t)
-	for _, u := range doc.Upstreams {
-		e.fleet.SetCap(u.Name, e.relay.Connections(t, u.Name))
+	e.setCaps(t)
+}
+
+func (e *Edge) setCaps(t *route.Table) {
+	for _, u := range t.Upstreams() {
+		e.fleet.SetCap(u.Name, e.relay.Share(t, u.Name))
 	}
 }
 
@@ -163,26 +212,46 @@
 		"extra_minimum", s.Extra.Minimum, "grace", s.Grace)
 }
 
+// listeners are the sockets of a host.
+type listeners struct {
+	callers, checks, hosts net.Listener
+	packets                net.PacketConn
+}
+
+func (e *Edge) listen() (l listeners, err error) {
+	if l.callers, err = e.opts.Listen("tcp", e.opts.CallerAddress); err != nil {
+		return l, errors.Wrap(err, "edge: listen for callers")
+	}
+	if l.checks, err = e.opts.Listen("tcp", e.opts.ReadyAddress); err != nil {
+		return l, errors.Wrap(err, "edge: listen for readiness checks")
+	}
+	if l.hosts, err = e.opts.Listen("tcp", e.opts.PeerAddress); err != nil {
+		return l, errors.Wrap(err, "edge: listen for hosts")
+	}
+	if l.packets, err = e.opts.ListenPacket("udp", e.opts.PeerAddress); err != nil {
+		return l, errors.Wrap(err, "edge: listen for packets of hosts")
+	}
+	return l, nil
+}
+
 // Run serves until ctx ends, then drains.
 func (e *Edge) Run(ctx context.Context) error {
-	callers, err := e.opts.Listen("tcp", e.opts.CallerAddress)
+	l, err := e.listen()
 	if err != nil {
-		return errors.Wrap(err, "edge: listen for callers")
-	}
-	checks, err := e.opts.Listen("tcp", e.opts.ReadyAddress)
-	if err != nil {
-		_ = callers.Close()
-		return errors.Wrap(err, "edge: listen for readiness checks")
+		return err
 	}
 	e.log.Info("node: host starts", "host", e.opts.Host, "data_centre", e.opts.DataCentre,
-		"callers", callers.Addr().String(), "checks", checks.Addr().String())
+		"callers", l.callers.Addr().String(), "checks", l.checks.Addr().String(), "peers", l.hosts.Addr().String())
 	defer e.client.Close()
+	defer e.feeds.Close()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, work := errgroup.WithContext(work)
 	server, checker := e.front.Server(), &http.Server{Handler: http.HandlerFunc(e.check), ReadHeaderTimeout: time.Second}
-	group.Go(func() error { return serve(server, callers) })
-	group.Go(func() error { return serve(checker, checks) })
+	group.Go(func() error { return serve(server, l.callers) })
+	group.Go(func() error { return serve(checker, l.checks) })
+	group.Go(func() error { return e.feed.Serve(work, l.hosts) })
+	group.Go(func() error { return e.crew.Run(work, l.packets) })
 	group.Go(func() error { return e.mirror.Run(work) })
 	group.Go(func() error { return e.becomeReady(work) })
 	group.Go(func() error { return e.warm(work) })
@@ -194,7 +263,7 @@
 		}
 		e.drain(server)
 		stop()
-		_ = checker.Close()
+		_ = checker.Close() // checks that run get no answer, which says the same
 		return nil
 	})
 	err = group.Wait()
@@ -222,7 +291,8 @@
 func (e *Edge) becomeReady(ctx context.Context) error {
 	ticker := time.NewTicker(tick / 4)
 	defer ticker.Stop()
-	for !e.mirror.Known() {
+	bound := time.Now().Add(coverBound)
+	for !e.mirror.Known() || !e.covered() && time.Now().Before(bound) {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -241,10 +311,21 @@
 	}
 	_ = group.Wait() // warming reports no error
 	e.ready.Store(true)
+	e.crew.SetReady(true)
 	e.log.Info("node: host is ready", "host", e.opts.Host, "replicas", e.fleet.Size(), "connections", e.client.Connections())
 	return nil
 }
 
+// covered reports whether each service of the routes has a replica.
+func (e *Edge) covered() bool {
+	for _, s := range e.relay.Table().Services() {
+		if !e.fleet.Available(s) {
+			return false
+		}
+	}
+	return true
+}
+
 func (e *Edge) warmOne(ctx context.Context, in core.Instance) {
 	t := e.relay.Table()
 	if t == nil {
@@ -253,7 +334,7 @@
 	if _, used := t.Upstream(in.Service); !used {
 		return
 	}
-	e.client.Warm(ctx, client.Target{ID: in.ID, Address: in.Address, Connections: e.relay.Connections(t, in.Service)})
+	e.client.Warm(ctx, client.Target{ID: in.ID, Address: in.Address, Connections: e.relay.Share(t, in.Service).Calls})
 }
 
 // warm opens connections to replicas that appear while the host serves.
@@ -282,12 +363,26 @@
 			return nil
 		case <-ticker.C:
 		}
+		e.share()
 		for _, r := range e.fleet.Probes(time.Now()) {
 			running.Go(func() { e.probeOne(ctx, r) })
 		}
 	}
 }
 
+// share follows the number of hosts that share budget and connections.
+func (e *Edge) share() {
+	n := e.hosts()
+	if int64(n) == e.sharing.Swap(int64(n)) {
+		return
+	}
+	e.extra.SetHosts(n)
+	if t := e.relay.Table(); t != nil {
+		e.setCaps(t)
+	}
+	e.log.Info("node: limits are shared", "hosts", n)
+}
+
 func (e *Edge) probeOne(ctx context.Context, r *fleet.Replica) {
 	in := r.Instance()
 	t := e.relay.Table()
@@ -296,7 +391,7 @@
 		path = u.HealthPath
 	}
 	result := make(chan client.Result, 1)
-	call := e.client.Send(client.Target{ID: in.ID, Address: in.Address, Connections: e.relay.Connections(t, in.Service)},
+	call := e.client.Send(client.Target{ID: in.ID, Address: in.Address, Connections: e.relay.Share(t, in.Service).Calls},
 		client.Request{Method: http.MethodGet, URI: path, Host: in.Address},
 		func(res client.Result) { result <- res })
 	timer := time.NewTimer(probeTimeout)
@@ -320,6 +415,7 @@
 	begin := time.Now()
 	e.leaving.Store(true)
 	e.front.Leave()
+	e.crew.Leave()
 	e.log.Info("node: host leaves", "host", e.opts.Host)
 	grace := time.Duration(e.grace.Load())
 	wait := min(notReadyFor, grace/2)
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -192,7 +192,7 @@
 		if err != nil {
 			continue
 		}
-		raw, err := encode(s.Packet)
+		raw, err := Encode(s.Packet)
 		if err != nil {
 			a.Log.Warn("gossip: packet not encoded", "err", err)
 			continue
@@ -225,7 +225,7 @@
 }
 
 func (a *Agent) take(raw []byte) {
-	p, err := decode(raw)
+	p, err := Decode(raw)
 	if err != nil {
 		a.malformed.Add(1)
 		return
--- a/io/gossip/packet.go
+++ b/io/gossip/packet.go
@@ -17,9 +17,9 @@
 // ErrMalformed is returned for a packet that no host of this version sends.
 var ErrMalformed = errors.New("gossip: malformed packet")
 
-// encode leaves out the last updates when the packet would be too large; the
+// Encode returns the bytes of a packet. It leaves out the last updates when the packet would be too large; the
 // next packets carry them again.
-func encode(p member.Packet) ([]byte, error) {
+func Encode(p member.Packet) ([]byte, error) {
 	w := &wire.Packet{
 		Host:           string(p.From.ID()),
 		DataCentre:     string(p.From.DataCentre()),
@@ -49,7 +49,8 @@
 	return raw, errors.Wrap(err, "gossip: encode")
 }
 
-func decode(raw []byte) (member.Packet, error) {
+// Decode parses a packet.
+func Decode(raw []byte) (member.Packet, error) {
 	var w wire.Packet
 	if len(raw) > maxPacketBytes || proto.Unmarshal(raw, &w) != nil {
 		return member.Packet{}, ErrMalformed
--- a/io/gossip/packet_test.go
+++ b/io/gossip/packet_test.go
@@ -20,11 +20,11 @@
 		long := core.HostID(strings.Repeat("h", 300))
 		p.Updates = append(p.Updates, member.Update{Host: core.NewHost(long, "x", "10.0.0.2:1"), State: core.PeerDead})
 	}
-	raw, err := encode(p)
+	raw, err := Encode(p)
 	if err != nil || len(raw) > maxPacketBytes {
 		t.Fatalf("%d bytes, error %v", len(raw), err)
 	}
-	got, err := decode(raw)
+	got, err := Decode(raw)
 	if err != nil || len(got.Updates) != 3 {
 		t.Fatalf("%d updates, error %v", len(got.Updates), err)
 	}
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -10,22 +10,30 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"oriolebarrow/core"
 	"oriolebarrow/core/fleet"
+	"oriolebarrow/core/trail"
 )
 
 const (
-	// watchWait bounds one watch. A connection that went silent is noticed one
-	// wait later, within the time after which a host counts as undisturbed.
-	watchWait = 2 * time.Second
+	// watchWait bounds one watch, and so how old the knowledge of a host gets
+	// that reads the directory, and how long a silent connection goes unnoticed.
+	watchWait = 1200 * time.Millisecond
+	// followWait bounds one call to another host.
+	followWait = 800 * time.Millisecond
+	// maxAge is how old the knowledge of another host may be before the directory
+	// is read instead: one watch, its answer and one call later, within the
+	// shortest time in which a change is due everywhere.
+	maxAge = 1700 * time.Millisecond
 	// watchGap collects the changes of a short time into one call.
-	watchGap = 150 * time.Millisecond
+	watchGap = 250 * time.Millisecond
 	// answerTimeout is added to a call's own wait: answers take milliseconds, up
 	// to a quarter of a second when the directory is slow.
 	answerTimeout = 500 * time.Millisecond
@@ -41,6 +49,7 @@
 // Parts are what a mirror works with.
 type Parts struct {
 	Directory core.Directory
+	Feeds     core.Feeds // may be nil
 	Fleet     *fleet.Table
 	Install   func(core.Routing)    // puts a newer routing document in force
 	Appeared  func(core.Instance)   // a replica may get calls; may be nil
@@ -49,12 +58,21 @@
 	Meter     core.Meter
 }
 
-// Mirror follows one directory.
+// Errors of what another host knows.
+var (
+	ErrStale   = errors.New("mirror: knowledge is too old")
+	ErrUnknown = errors.New("mirror: directory is not known yet")
+)
+
+// Mirror follows one directory. Its lock covers the fields below it; the table of
+// replicas and the installed document are changed outside of it, by Run only.
 type Mirror struct {
 	Parts
 
 	mu       sync.Mutex
-	revision core.Revision
+	trail    *trail.Trail
+	changed  chan struct{} // closed at the next change
+	verified time.Time     // when the directory was read, here or by the host that is followed
 	version  uint64
 	listed   bool
 	lost     bool
@@ -71,7 +89,7 @@
 	if p.Gone == nil {
 		p.Gone = func(core.InstanceID) {}
 	}
-	return &Mirror{Parts: p}
+	return &Mirror{Parts: p, trail: trail.New(), changed: make(chan struct{})}
 }
 
 // Known reports whether the directory was read and holds a routing document.
@@ -103,20 +121,21 @@
 
 // step makes one call and applies what it brought.
 func (m *Mirror) step(ctx context.Context) (changed bool, err error) {
-	m.Meter.Count("directory_calls", 1)
+	if m.Feeds != nil {
+		for _, h := range m.Feeds.Leaders(time.Now()) {
+			changed, err := m.follow(ctx, h)
+			if err == nil {
+				return changed, nil
+			}
+			m.Log.Info("mirror: host cannot be followed", "peer", h.ID(), "cause", err)
+		}
+	}
 	m.mu.Lock()
-	listed, after, held := m.listed, m.revision, time.Now().Before(m.lapsing)
+	listed, after, held := m.listed, m.trail.Revision(), time.Now().Before(m.lapsing)
 	m.mu.Unlock()
+	m.Meter.Count("directory_calls", 1)
 	if !listed {
-		ctx, cancel := context.WithTimeout(ctx, 2*answerTimeout)
-		defer cancel()
-		news, err := m.Directory.List(ctx)
-		if err != nil {
-			return false, err
-		}
-		m.regained()
-		m.replace(news)
-		return true, nil
+		return m.list(ctx)
 	}
 	wait := watchWait
 	if held {
@@ -127,19 +146,114 @@
 	news, err := m.Directory.Watch(ctx, after, wait)
 	if errors.Is(err, core.ErrHistoryGone) {
 		m.Log.Info("mirror: history is gone, listing again", "revision", after)
-		m.mu.Lock()
-		m.listed = false
-		m.mu.Unlock()
-		return false, nil
+		return m.list(ctx)
 	}
 	if err != nil {
 		return false, err
 	}
 	m.regained()
-	m.apply(news)
+	m.apply(news, 0)
 	return len(news.Items) > 0, nil
 }
 
+func (m *Mirror) list(ctx context.Context) (changed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*answerTimeout)
+	defer cancel()
+	news, err := m.Directory.List(ctx)
+	if err != nil {
+		return false, err
+	}
+	m.regained()
+	m.replace(news, 0)
+	return true, nil
+}
+
+// follow learns from another host.
+func (m *Mirror) follow(ctx context.Context, h core.Host) (changed bool, err error) {
+	m.mu.Lock()
+	after, wait := m.trail.Revision(), followWait
+	if !m.listed {
+		after = 0
+	}
+	if time.Now().Before(m.lapsing) {
+		wait = watchGap // vanished entries expire soon
+	}
+	m.mu.Unlock()
+	m.Meter.Count("directory_follows", 1)
+	asked := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, followWait+answerTimeout)
+	defer cancel()
+	feed, err := m.Feeds.Follow(ctx, h, after, wait)
+	if errors.Is(err, core.ErrHistoryGone) {
+		after = 0
+		feed, err = m.Feeds.Follow(ctx, h, after, wait)
+	}
+	switch {
+	case err != nil:
+		if ctx.Err() != nil || time.Since(asked) < answerTimeout {
+			m.Feeds.Lost(time.Now(), h)
+		}
+		return false, err
+	case feed.Age > maxAge:
+		return false, errors.Wrapf(ErrStale, "%s: read %v ago", h.ID(), feed.Age)
+	case feed.News.Revision < after:
+		return false, errors.Wrapf(ErrStale, "%s: revision %d, have %d", h.ID(), feed.News.Revision, after)
+	}
+	m.regained()
+	m.mu.Lock()
+	if until := time.Now().Add(feed.Lapsing); feed.Lapsing > 0 && until.After(m.lapsing) {
+		m.since, m.lapsing = until.Add(-lapseFor), until
+	}
+	m.mu.Unlock()
+	if after == 0 {
+		m.replace(feed.News, feed.Age)
+		return true, nil
+	}
+	m.apply(feed.News, feed.Age)
+	// Changes come from the other host in batches already.
+	return false, nil
+}
+
+// Follow tells another host what changed after a revision.
+func (m *Mirror) Follow(ctx context.Context, after core.Revision, wait time.Duration) (core.FeedNews, error) {
+	timer := time.NewTimer(min(wait, followWait))
+	defer timer.Stop()
+	for last := false; ; {
+		feed, changed, err := m.changesSince(after)
+		if err != nil || last || after == 0 || len(feed.News.Items) > 0 {
+			return feed, err
+		}
+		select {
+		case <-ctx.Done():
+			return core.FeedNews{}, ctx.Err()
+		case <-timer.C:
+			last = true
+		case <-changed:
+		}
+	}
+}
+
+// changesSince returns the changes after a revision, and a channel that is closed at
+// the next one.
+func (m *Mirror) changesSince(after core.Revision) (core.FeedNews, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.listed || m.version == 0 {
+		return core.FeedNews{}, nil, ErrUnknown
+	}
+	now := time.Now()
+	feed := core.FeedNews{Age: now.Sub(m.verified), Lapsing: max(0, m.lapsing.Sub(now))}
+	if after == 0 {
+		feed.News = m.trail.All()
+		return feed, m.changed, nil
+	}
+	var ok bool
+	if feed.News, ok = m.trail.Since(after); !ok {
+		return core.FeedNews{}, nil, core.ErrHistoryGone
+	}
+	return feed, m.changed, nil
+}
+
 // failed notes that the directory could not be read.
 func (m *Mirror) failed(err error) {
 	m.Meter.Count("directory_failures", 1)
@@ -161,11 +275,11 @@
 	m.lost = false
 	m.since = time.Now()
 	m.lapsing = m.since.Add(lapseFor)
-	m.Log.Info("mirror: directory regained", "revision", m.revision)
+	m.Log.Info("mirror: directory regained", "revision", m.trail.Revision())
 }
 
 // replace applies a whole list.
-func (m *Mirror) replace(news core.DirectoryNews) {
+func (m *Mirror) replace(news core.DirectoryNews, age time.Duration) {
 	known := make(map[core.InstanceID]bool, len(news.Items))
 	for _, item := range news.Items {
 		if item.Instance != nil {
@@ -177,13 +291,17 @@
 		m.Log.Info("mirror: entry is missing in the list", "replica", id, "held", m.holding(now))
 		m.dropped(id)
 	}
-	m.apply(news)
+	m.mu.Lock()
+	m.trail.Replace(news)
+	m.mu.Unlock()
+	m.apply(news, age)
 	m.mu.Lock()
 	m.listed = true
 	m.mu.Unlock()
 }
 
-func (m *Mirror) apply(news core.DirectoryNews) {
+// apply takes changes that were read age ago.
+func (m *Mirror) apply(news core.DirectoryNews, age time.Duration) {
 	now := time.Now()
 	for _, item := range news.Items {
 		switch {
@@ -196,8 +314,13 @@
 		}
 	}
 	m.mu.Lock()
-	m.revision = max(m.revision, news.Revision)
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	m.trail.Apply(news)
+	m.verified = now.Add(-age)
+	if len(news.Items) > 0 {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
 }
 
 // install puts a routing document in force unless it is older than the one that
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -143,7 +143,7 @@
 	call := j.relay.Client.Send(client.Target{
 		ID:          in.ID,
 		Address:     in.Address,
-		Connections: j.relay.Connections(j.table, l.service),
+		Connections: j.relay.Share(j.table, l.service).Calls,
 	}, client.Request{
 		ID:     j.req.ID,
 		Method: j.req.Method,
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -181,12 +181,16 @@
 	t.Observe(took)
 }
 
-// Connections returns how many connections this host may open to a replica: its
-// part of the limit, with one part left free for hosts that join.
-func (r *Relay) Connections(t *route.Table, s core.ServiceName) int {
+// Share returns this host's part of the connections to the replicas of a
+// service. One part is left free for a host that joins.
+func (r *Relay) Share(t *route.Table, s core.ServiceName) fleet.Cap {
 	u, ok := t.Upstream(s)
 	if !ok || u.Connections <= 0 {
-		return 1
+		return fleet.Cap{Calls: 1, Share: 1}
+	}
+	hosts := r.Hosts() + 1
+	return fleet.Cap{
+		Calls: max(1, min(maxConnections, u.Connections/hosts)),
+		Share: min(1, float64(u.Connections)/float64(hosts)),
 	}
-	return max(1, min(maxConnections, u.Connections/(r.Hosts()+1)))
 }
