perf(relay): allow for the lag of a busy processor when a query is closed

Cause: on machines with 0.192 core the timer of the closing fires late, and the answer came past its target. Change: the relay learns by how much it closes late and closes that much earlier.

--- a/io/relay/gather.go
+++ b/io/relay/gather.go
@@ -28,6 +28,10 @@
 	closeAt := j.closeAt()
 	for {
 		now = time.Now()
+		if !now.Before(closeAt) && !j.closing {
+			j.closing = true
+			j.relay.noteLag(now.Sub(closeAt))
+		}
 		if j.query.Settled() || !j.query.Possible() || j.query.Enough() && !now.Before(closeAt) || !now.Before(j.deadline.Add(-answerMargin)) {
 			return j.gathered()
 		}
@@ -70,7 +74,7 @@
 	if j.route.Target <= 0 {
 		return j.deadline
 	}
-	margin := closeMargin
+	margin := closeMargin + j.relay.lagNow()
 	if j.req.First {
 		margin += connectMargin
 	}
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -37,6 +37,10 @@
 	// connectMargin is added for a caller that has just connected: one more way
 	// there and back.
 	connectMargin = 6 * time.Millisecond
+	// lagRise and lagFall are the weights of a new lag that is above or below the
+	// estimate.
+	lagRise = 0.5
+	lagFall = 0.05
 	// answerMargin before the deadline the final answer is sent.
 	answerMargin = 10 * time.Millisecond
 	// lingerAfter is how long an abandoned call may still bring its connection
@@ -89,6 +93,7 @@
 	extra    int
 	timer    *time.Timer
 	query    *gather.Query
+	closing  bool // the time to answer with what is there has come
 }
 
 func newJob(r *Relay, t *route.Table, rt *core.Route, req Request) *job {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -79,6 +79,7 @@
 
 	mu    sync.Mutex
 	times map[string]*budget.Times // by route
+	lag   time.Duration            // see noteLag
 }
 
 // New returns a relay without a routing document.
@@ -182,6 +183,24 @@
 	t.Observe(took)
 }
 
+// noteLag learns by how much this host answers later than it means to, because
+// its processor is busy. The estimate rises at once and falls slowly.
+func (r *Relay) noteLag(late time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	weight := lagFall
+	if late > r.lag {
+		weight = lagRise
+	}
+	r.lag += time.Duration(weight * float64(late-r.lag))
+}
+
+func (r *Relay) lagNow() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lag
+}
+
 // Share returns this host's part of the connections to the replicas of a
 // service. One part is left free for a host that joins.
 func (r *Relay) Share(t *route.Table, s core.ServiceName) fleet.Cap {
