feat: hosts beside the replicas call them and merge; ready only when informed

TestRollingRestartFailsNoRequest: a joining host was ready before the owners of all groups had told what they hold, and asked again only after 10 s. A joining host waits for the owners, 2 s at most, and refreshes unknown groups at each tick. TestRollingRestart four times with the race detector: passed.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -63,6 +63,7 @@
 		Grace:         settings.Grace,
 		PeerAddress:   settings.PeerAddress,
 		PeerSeeds:     settings.PeerSeeds,
+		TaskPort:      settings.FreePorts[0],
 		Meter:         metrics,
 	}, store, log)
 	if err != nil {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -279,6 +279,13 @@
 	return slices.ContainsFunc(t.byService[s], (*Replica).usable)
 }
 
+// Near reports whether a service has a usable replica in a data centre.
+func (t *Table) Near(s core.ServiceName, dc core.DataCentre) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.byService[s], func(r *Replica) bool { return r.usable() && r.inst.DataCentre == dc })
+}
+
 // Started notes the start of a call.
 func (t *Table) Started(now time.Time, r *Replica) {
 	t.mu.Lock()
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -61,7 +61,7 @@
 // Add includes the part of a shard. A second part of the same shard and a stamp
 // that is already in are ignored, since an answer names each part once.
 func (q *Query) Add(shard int, stamp string, body []byte) bool {
-	if q.states[shard] == included || slices.Contains(q.stamps, stamp) {
+	if !q.Addable(shard, stamp) {
 		return false
 	}
 	if q.states[shard] == lost {
@@ -70,11 +70,21 @@
 	q.states[shard] = included
 	q.in++
 	q.stamps = append(q.stamps, stamp)
+	q.AddRecords(body)
+	return true
+}
+
+// Addable reports whether Add would include a part.
+func (q *Query) Addable(shard int, stamp string) bool {
+	return q.states[shard] != included && !slices.Contains(q.stamps, stamp)
+}
+
+// AddRecords merges records of parts that were added without a body.
+func (q *Query) AddRecords(body []byte) {
 	for len(body) >= RecordBytes {
 		q.insert([RecordBytes]byte(body[:RecordBytes]))
 		body = body[RecordBytes:]
 	}
-	return true
 }
 
 func (q *Query) insert(r [RecordBytes]byte) {
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,85 @@
+package route_test
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/route"
+)
+
+// TestMatchTakesLongestPrefix guards against requests that an outer route takes
+// from an inner one.
+func TestMatchTakesLongestPrefix(t *testing.T) {
+	table := route.New(core.Routing{Version: 3, Routes: []core.Route{
+		{Name: "all", Host: "a.example", Prefix: "/"},
+		{Name: "inner", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "outer", Host: "a.example", Prefix: "/x/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}})
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "inner"},
+		{"a.example", "/x/yz", "outer"},
+		{"A.Example:80", "/x/", "outer"},
+		{"a.example", "/x", "all"},
+		{"b.example", "/x/q", "other"},
+		{"b.example", "/y", ""},
+		{"c.example", "/x/", ""},
+	} {
+		r, ok := table.Match(c.host, c.path)
+		switch {
+		case !ok && c.want != "":
+			t.Errorf("%s%s: no route, want %s", c.host, c.path, c.want)
+		case ok && r.Name != c.want:
+			t.Errorf("%s%s: got %s, want %q", c.host, c.path, r.Name, c.want)
+		}
+	}
+}
+
+// TestSplitKeepsToWeights guards against parts of a route that get more or less
+// than their share, on every host from its first request on.
+func TestSplitKeepsToWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &core.Route{Name: "r", Split: []core.Share{
+			{Service: "a", Weight: rapid.IntRange(0, 90).Draw(t, "a")},
+			{Service: "b", Weight: rapid.IntRange(1, 90).Draw(t, "b")},
+			{Service: "c", Weight: rapid.IntRange(0, 90).Draw(t, "c")},
+		}}
+		s := route.NewSplitter(rapid.Uint64().Draw(t, "seed"))
+		total := 0
+		for _, sh := range r.Split {
+			total += sh.Weight
+		}
+		n := rapid.IntRange(1, 400).Draw(t, "requests")
+		got := map[core.ServiceName]int{}
+		for range n {
+			service, ok := s.Pick(r)
+			if !ok {
+				t.Fatal("no service")
+			}
+			got[service]++
+		}
+		for _, sh := range r.Split {
+			want := float64(n) * float64(sh.Weight) / float64(total)
+			if diff := math.Abs(float64(got[sh.Service]) - want); diff > float64(len(r.Split)) {
+				t.Fatalf("%s: got %d of %d, want about %.1f", sh.Service, got[sh.Service], n, want)
+			}
+		}
+	})
+}
+
+// TestSplitStartsDiffer guards against hosts that all send their first request to
+// the same part.
+func TestSplitStartsDiffer(t *testing.T) {
+	r := &core.Route{Name: "r", Split: []core.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	first := map[core.ServiceName]bool{}
+	for seed := range uint64(4) {
+		service, _ := route.NewSplitter(seed).Pick(r)
+		first[service] = true
+	}
+	if len(first) != 2 {
+		t.Errorf("got %v", first)
+	}
+}
--- a/core/snaps/snaps.go
+++ b/core/snaps/snaps.go
@@ -69,6 +69,14 @@
 	return t.services[s][g]
 }
 
+// Knows reports whether anything was said of a group, even that it holds nothing.
+func (t *Table) Knows(s core.ServiceName, g core.GroupID) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	_, ok := t.services[s][g]
+	return ok
+}
+
 // Select returns the newest snapshot in which every shard is held by a group,
 // else the one with the best coverage (the newest of these). Selections in turn
 // spread a shard over all groups that hold it.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,11 +28,13 @@
 	"oriolebarrow/core/member"
 	"oriolebarrow/core/place"
 	"oriolebarrow/core/route"
+	"oriolebarrow/io/assist"
 	"oriolebarrow/io/client"
 	"oriolebarrow/io/crew"
 	"oriolebarrow/io/feed"
 	"oriolebarrow/io/front"
 	"oriolebarrow/io/mirror"
+	"oriolebarrow/io/peer"
 	"oriolebarrow/io/relay"
 )
 
@@ -65,6 +68,7 @@
 	ReadyAddress  string
 	PeerAddress   string   // other hosts reach this host here, TCP and UDP
 	PeerSeeds     []string // peer addresses of some hosts
+	TaskPort      int      // the same on all hosts
 	Names         core.HeaderNames
 	Extra         budget.ExtraLimits
 	Grace         time.Duration // from the request to stop until the kill
@@ -108,6 +112,8 @@
 	crew    *crew.Crew
 	feeds   *feed.Feeds
 	feed    *feed.Server
+	peers   *peer.Client
+	tasks   *peer.Server
 	ready   atomic.Bool
 	leaving atomic.Bool
 	warming chan core.Instance
@@ -139,7 +145,12 @@
 	e.client = client.New(client.Options{Names: o.Names, Dial: o.Dial, Meter: o.Meter, Emptied: e.emptied})
 	e.extra = budget.NewExtra(o.Extra, e.hosts())
 	e.grace.Store(int64(o.Grace))
+	e.peers = peer.NewClient(o.Host, inc, taskDial(o.Dial, o.TaskPort))
 	e.relay = relay.New(relay.Parts{
+		Self: o.Host,
+		Helpers: assist.New(assist.Parts{
+			Self: self, Views: detector, Near: e.fleet.Near, Peers: e.peers, Log: log,
+		}),
 		Fleet:    e.fleet,
 		Client:   e.client,
 		Extra:    e.extra,
@@ -162,9 +173,24 @@
 	if e.feed, err = feed.NewServer(e.mirror); err != nil {
 		return nil, err
 	}
+	if e.tasks, err = peer.NewServer(assist.NewHandler(e.relay, log)); err != nil {
+		return nil, err
+	}
 	return e, nil
 }
 
+// taskDial reaches the hosts at the port for tasks instead of the one that they
+// announce.
+func taskDial(dial client.Dial, port int) peer.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, errors.Wrap(err, "edge: address of a host")
+		}
+		return dial(ctx, network, net.JoinHostPort(host, strconv.Itoa(port)))
+	}
+}
+
 func (e *Edge) hosts() int { return e.crew.Hosts(time.Now()) }
 
 // seed lets hosts begin at different places of a rotation.
@@ -222,8 +248,9 @@
 
 // listeners are the sockets of a host.
 type listeners struct {
-	callers, checks, hosts net.Listener
-	packets                net.PacketConn
+	callers, checks, hosts, tasks net.Listener
+
+	packets net.PacketConn
 }
 
 func (e *Edge) listen() (l listeners, err error) {
@@ -236,6 +263,13 @@
 	if l.hosts, err = e.opts.Listen("tcp", e.opts.PeerAddress); err != nil {
 		return l, errors.Wrap(err, "edge: listen for hosts")
 	}
+	host, _, err := net.SplitHostPort(e.opts.PeerAddress)
+	if err != nil {
+		return l, errors.Wrap(err, "edge: peer address")
+	}
+	if l.tasks, err = e.opts.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(e.opts.TaskPort))); err != nil {
+		return l, errors.Wrap(err, "edge: listen for tasks")
+	}
 	if l.packets, err = e.opts.ListenPacket("udp", e.opts.PeerAddress); err != nil {
 		return l, errors.Wrap(err, "edge: listen for packets of hosts")
 	}
@@ -252,6 +286,7 @@
 		"callers", l.callers.Addr().String(), "checks", l.checks.Addr().String(), "peers", l.hosts.Addr().String())
 	defer e.client.Close()
 	defer e.feeds.Close()
+	defer e.peers.Close()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, work := errgroup.WithContext(work)
@@ -259,6 +294,7 @@
 	group.Go(func() error { return serve(server, l.callers) })
 	group.Go(func() error { return serve(checker, l.checks) })
 	group.Go(func() error { return e.feed.Serve(work, l.hosts) })
+	group.Go(func() error { return e.tasks.Serve(work, l.tasks) })
 	group.Go(func() error { return e.crew.Run(work, l.packets) })
 	group.Go(func() error { return e.mirror.Run(work) })
 	group.Go(func() error { return e.becomeReady(work) })
@@ -433,6 +469,9 @@
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		e.log.Warn("node: requests still run at the end of the drain", "cause", err)
-		_ = server.Close()
+		_ = server.Close() // cuts what still runs, as logged
+	}
+	if open := e.tasks.Drain(ctx); open > 0 {
+		e.log.Warn("node: tasks of other hosts still run at the end of the drain", "tasks", open)
 	}
 }
--- a/io/entry/refresh.go
+++ b/io/entry/refresh.go
@@ -47,18 +47,43 @@
 }
 
 // due reports whether a service must be refreshed now: at each tick while it is
-// queried here, else every idleInterval. Without the distinction a host would ask
+// queried here or some of its groups are not known, else every idleInterval. Without the distinction a host would ask
 // the owners of all services four times a second, whatever its callers use.
 func (e *Entry) due(now time.Time, s core.ServiceName) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if now.Sub(e.queried[s]) > usedFor && now.Sub(e.refreshed[s]) < idleInterval {
+	if e.known(s) && now.Sub(e.queried[s]) > usedFor && now.Sub(e.refreshed[s]) < idleInterval {
 		return false
 	}
 	e.refreshed[s] = now
 	return true
 }
 
+// known reports whether the owners of all groups of a service were heard.
+func (e *Entry) known(s core.ServiceName) bool {
+	service, ok := e.Settings.Service(s)
+	if !ok {
+		return true
+	}
+	for i := range service.Groups() {
+		if !e.Table.Knows(s, core.GroupID(i)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Known reports whether the owners of all groups of all services were heard, so
+// that queries miss no shard for want of knowledge.
+func (e *Entry) Known() bool {
+	for _, s := range e.Settings.Services() {
+		if !e.known(s.Name()) {
+			return false
+		}
+	}
+	return true
+}
+
 func (e *Entry) noteQuery(now time.Time, s core.ServiceName) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/io/gossip/config.go
+++ b/io/gossip/config.go
@@ -34,7 +34,11 @@
 	// reads the document. Without the list it can't tell whether it is a reader,
 	// and in a cold start every host would read the document.
 	hostsFirst = 2 * time.Second
-	startMax   = 500 * time.Millisecond // between comparisons that bring nothing
+	// informBound ends the wait for owners that do not answer: the failure
+	// detector takes a lost host out of the view of this host sooner.
+	informBound = 2 * time.Second
+	informCheck = 20 * time.Millisecond
+	startMax    = 500 * time.Millisecond // between comparisons that bring nothing
 )
 
 // ErrTooMuch is returned when an exchange brings more than a document can hold.
@@ -272,6 +276,9 @@
 		rule := a.readiness.Check(a.Ledger.HasDocument(), known, roster, dead)
 		a.mu.Unlock()
 		if rule != member.NotReady {
+			if rule == member.Compared {
+				a.awaitInformed(ctx)
+			}
 			// The view holds this host before callers are admitted.
 			a.setReady(true)
 			a.ready.Store(true)
@@ -288,6 +295,19 @@
 	return nil
 }
 
+// awaitInformed waits until this host knows what it needs to answer, for as long
+// as owners that are lost stay in the view at most.
+func (a *Agent) awaitInformed(ctx context.Context) {
+	if a.Informed == nil {
+		return
+	}
+	bound := time.Now().Add(informBound)
+	for !a.Informed() && time.Now().Before(bound) && ctx.Err() == nil {
+		pause(ctx, informCheck)
+	}
+	a.Log.Info("gossip: host is informed", "complete", a.Informed())
+}
+
 // survey returns the other live hosts of the roster, how many of them are held
 // dead, and one to compare with next, preferring hosts that said they are ready.
 func (a *Agent) survey() (roster []core.HostID, dead int, candidate core.Host, found bool) {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -53,6 +53,9 @@
 	Exchange core.Exchange
 	Log      *slog.Logger
 	Meter    core.Meter // may be nil
+	// Informed reports whether this host knows what it needs to answer. A host
+	// that joins others waits for it before it is ready; may be nil.
+	Informed func() bool
 }
 
 // Stats counts what an agent did.
--- a/io/node/hosts.go
+++ b/io/node/hosts.go
@@ -19,6 +19,7 @@
 		Exchange: n.peers,
 		Log:      n.log,
 		Meter:    n.meter(),
+		Informed: func() bool { return n.entry.Known() },
 	})
 }
 
--- a/io/relay/gather.go
+++ b/io/relay/gather.go
@@ -18,14 +18,12 @@
 		return refuse(core.ReasonNoReplica, retryDark)
 	}
 	defer j.abandon()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the tasks of other hosts
 	now := time.Now()
-	for i := range j.legs {
-		l := &j.legs[i]
-		if !j.attempt(now, l) {
-			j.missing(l)
-		}
-	}
 	closeAt := j.closeAt()
+	j.delegate(ctx, now, closeAt)
+	j.begin(now)
 	for {
 		now = time.Now()
 		if !now.Before(closeAt) && !j.closing {
@@ -44,13 +42,25 @@
 			return Reply{Status: http.StatusGatewayTimeout, Reason: core.ReasonCallerLeft}
 		}
 		now = time.Now()
-		if got {
+		switch {
+		case got && e.task != nil:
+			j.taskNews(now, *e.task)
+		case got:
 			j.part(now, e)
 		}
 		j.timeouts(now)
 	}
 }
 
+// begin starts the first call of each shard that this host calls itself.
+func (j *job) begin(now time.Time) {
+	for i := range j.legs {
+		if l := &j.legs[i]; !l.delegated && !l.settled && !j.attempt(now, l) {
+			j.missing(l)
+		}
+	}
+}
+
 // reachable reports whether enough shards have a usable replica, so that a
 // query that cannot be answered costs the other shards nothing.
 func (j *job) reachable() bool {
@@ -81,24 +91,25 @@
 	return j.start.Add(max(j.route.Target/2, j.route.Target-margin))
 }
 
-// part handles the end of a shard's call.
-func (j *job) part(now time.Time, e end) {
+// part handles the end of a shard's call and reports whether it brought the part.
+func (j *job) part(now time.Time, e end) bool {
 	l := e.leg
 	l.running--
 	if l.settled {
-		return
+		return false
 	}
 	res := e.result
 	if !usablePart(res) {
 		j.failed(now, l, res)
-		return
+		return false
 	}
 	if !j.query.Add(l.index, res.Reply.Stamp, res.Reply.Body) {
 		l.reason = core.ReasonWrongAnswer
 		j.settle(l)
-		return
+		return false
 	}
 	l.settled = true
+	return true
 }
 
 func usablePart(res client.Result) bool {
@@ -128,7 +139,7 @@
 // mayHaveRun reports whether any replica may have run the request, or may still.
 func (j *job) mayHaveRun() bool {
 	for i := range j.legs {
-		if j.legs[i].mayRun() {
+		if l := &j.legs[i]; l.mayRun() || l.delegated && l.reason == "" {
 			return true
 		}
 	}
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -63,8 +63,11 @@
 	retryAt  time.Time // zero unless all connections were in use
 	settled  bool
 	ran      bool // a call ended and may have run
-	last     *client.Reply
-	reason   core.Reason
+	limit    int  // replicas that may get the request; 0 for the route's limit
+	// delegated is set when another host calls the replicas.
+	delegated bool
+	last      *client.Reply
+	reason    core.Reason
 }
 
 // mayRun reports whether a replica may have run the request, or may still.
@@ -74,26 +77,29 @@
 type end struct {
 	leg    *leg
 	result client.Result
+	task   *taskEvent // set instead for an event of a delegated part
 }
 
 // job is one request while it is served, by one goroutine.
 type job struct {
-	relay    *Relay
-	table    *route.Table
-	route    *core.Route
-	req      Request
-	start    time.Time
-	deadline time.Time
-	legs     []leg
-	calls    []*client.Call
-	results  chan end
-	usual    time.Duration
-	hedge    time.Duration
-	sent     int
-	extra    int
-	timer    *time.Timer
-	query    *gather.Query
-	closing  bool // the time to answer with what is there has come
+	relay     *Relay
+	table     *route.Table
+	route     *core.Route
+	req       Request
+	start     time.Time
+	deadline  time.Time
+	legs      []leg
+	calls     []*client.Call
+	results   chan end
+	usual     time.Duration
+	hedge     time.Duration
+	sent      int
+	extra     int
+	timer     *time.Timer
+	query     *gather.Query
+	tasks     chan taskEvent
+	delegated int  // parts that other hosts carry out
+	closing   bool // the time to answer with what is there has come
 }
 
 func newJob(r *Relay, t *route.Table, rt *core.Route, req Request) *job {
@@ -115,7 +121,6 @@
 	j.results = make(chan end, len(services)*max(1, j.route.Attempts))
 	for i, s := range services {
 		j.legs[i] = leg{index: i, service: s}
-		j.relay.Extra.Request(j.start, s)
 	}
 }
 
@@ -129,7 +134,9 @@
 		}
 		return busy
 	}
-	if l.attempts > 0 {
+	if l.attempts == 0 {
+		j.relay.Extra.Request(now, l.service)
+	} else {
 		if !j.relay.Extra.Take(now, l.service) {
 			l.reason = core.ReasonBudget
 			return false
@@ -229,7 +236,15 @@
 }
 
 func (j *job) mayRepeat(l *leg) bool {
-	return j.route.Idempotent && l.attempts < j.route.Attempts
+	return j.route.Idempotent && l.attempts < j.attempts(l)
+}
+
+// attempts returns how many replicas may get the leg's request.
+func (j *job) attempts(l *leg) int {
+	if l.limit > 0 {
+		return l.limit
+	}
+	return j.route.Attempts
 }
 
 // settle says that no answer of a leg is awaited any more.
@@ -249,7 +264,7 @@
 	} else {
 		l.ran = true
 	}
-	repeat := l.attempts < j.route.Attempts && (j.route.Idempotent || res.NotRun)
+	repeat := l.attempts < j.attempts(l) && (j.route.Idempotent || res.NotRun)
 	if repeat && j.attempt(now, l) {
 		return
 	}
@@ -281,6 +296,8 @@
 	select {
 	case e := <-j.results:
 		return e, true, true
+	case t := <-j.tasks:
+		return end{task: &t}, true, true
 	default:
 	}
 	d := time.Until(until)
@@ -295,6 +312,8 @@
 	select {
 	case e := <-j.results:
 		return e, true, true
+	case t := <-j.tasks:
+		return end{task: &t}, true, true
 	case <-j.timer.C:
 		return end{}, false, true
 	case <-ctx.Done():
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -70,6 +70,9 @@
 	Meter    core.Meter
 	// Hosts returns how many hosts share the connections to a replica.
 	Hosts func() int
+	// Self and Helpers let other hosts carry out parts of a query; may be empty.
+	Self    core.HostID
+	Helpers core.Helpers
 }
 
 // Relay passes requests on. It is safe for concurrent use.
@@ -141,6 +144,7 @@
 		slog.Int("missing", reply.Missing),
 		slog.Int("calls", j.sent),
 		slog.Int("extra", j.extra),
+		slog.Int("tasks", j.delegated),
 		slog.Int64("left_ms", j.req.Left.Milliseconds()),
 		slog.Int64("took_us", took.Microseconds()),
 		slog.String("missed", j.missed()),
