--- a/core/fleet/replica.go
+++ b/core/fleet/replica.go
@@ -20,8 +20,10 @@
 	// itself, and its repetition elsewhere.
 	failureCost = 5
 	// remoteCost is the cost of a call to another data centre: the way there
-	// and back, and its bytes.
-	remoteCost = 4 * time.Millisecond
+	// and back. remoteShare of the usual time is added for its bytes, so that the
+	// ordinary variation of service times does not send calls away.
+	remoteCost  = 4 * time.Millisecond
+	remoteShare = 0.8
 	// loadAge is how long a reported load is used; later it says nothing.
 	loadAge = 100 * time.Millisecond
 	// stuckFactor times the expected time, a call counts as stuck: the replica
@@ -117,7 +119,7 @@
 		}
 	}
 	if r.inst.DataCentre != home {
-		cost += float64(remoteCost)
+		cost += float64(remoteCost) + remoteShare*base
 	}
 	if !r.missing.IsZero() {
 		cost += base * failureCost
