fix(relay): do not repeat the part of a silent host; connect only where this host calls

Ruled out: one attempt less for the other host: it could not hedge. Change: a task that is not acknowledged goes on, and its host is left out of the next plans; only a task that cannot have started is taken back. Connections are kept warm only to the replicas that this host calls.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -150,11 +150,7 @@
 // spread gives each shard to its host by rendezvous hashing within a set of
 // hosts that is the same for all queries of that size.
 func (a *Assigner) spread(hosts []core.Host, dc core.DataCentre, services []core.ServiceName, shards []int) []core.TaskBatch {
-	n := (len(shards) + shardsPerHost - 1) / shardsPerHost
-	slices.SortFunc(hosts, func(x, y core.Host) int {
-		return cmp.Compare(weight("set", y.ID()), weight("set", x.ID()))
-	})
-	hosts = hosts[:min(n, len(hosts))]
+	hosts = ownerSet(hosts, len(shards))
 	byHost := make(map[core.HostID]*core.TaskBatch, len(hosts))
 	batches := make([]core.TaskBatch, len(hosts))
 	for i, h := range hosts {
@@ -168,6 +164,28 @@
 	return slices.DeleteFunc(batches, func(b core.TaskBatch) bool { return len(b.Shards) == 0 })
 }
 
+// ownerSet returns the hosts that share a number of shards.
+func ownerSet(hosts []core.Host, shards int) []core.Host {
+	n := (shards + shardsPerHost - 1) / shardsPerHost
+	slices.SortFunc(hosts, func(x, y core.Host) int {
+		return cmp.Compare(weight("set", y.ID()), weight("set", x.ID()))
+	})
+	return hosts[:min(n, len(hosts))]
+}
+
+// Mine reports whether this host calls the replicas of a service for queries over
+// all of the services. It is exact for data centres that hold a replica of every
+// shard, and a good guess for others.
+func (a *Assigner) Mine(v core.View, services []core.ServiceName, s core.ServiceName) bool {
+	if len(services) <= directShards {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	set := ownerSet(hostsOf(v, a.self.DataCentre()), len(services))
+	return len(set) == 0 || a.owner(set, a.self.DataCentre(), s).ID() == a.self.ID()
+}
+
 func (a *Assigner) owner(hosts []core.Host, dc core.DataCentre, s core.ServiceName) core.Host {
 	k := key{dataCentre: dc, hosts: len(hosts), service: s}
 	if h, ok := a.cache[k]; ok {
--- a/core/budget/extra.go
+++ b/core/budget/extra.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// slices of a window; one more is kept, so that any window of the full length
-	// lies within the count.
+	// slices of a window are counted together.
 	slices = 20
+	// kept slices cover two windows, and one slice more, since the newest one has
+	// only begun.
+	kept = 2*slices + 1
 	// headroom of the share is left for calls that this host counts later than
 	// the replica sees them.
 	headroom = 0.9
@@ -24,10 +26,11 @@
 	Minimum float64 // extra calls that are always allowed in a window
 }
 
-// Extra limits the extra calls of this host to each service in any window. The
-// hosts share the minimum equally, and each has the ratio of its own requests,
-// so that the sum keeps to the limits without any exchange. It is safe for
-// concurrent use.
+// Extra limits the extra calls of this host to each service in any window: to the
+// ratio of the requests of that window, the one before it or the one half a window
+// before it, whichever has most, and the minimum. The hosts share the minimum
+// equally, and each has the ratio of its own requests, so that the sum keeps to the
+// limits without any exchange. It is safe for concurrent use.
 type Extra struct {
 	mu       sync.Mutex
 	limits   ExtraLimits
@@ -43,8 +46,7 @@
 
 // counter counts events of the last slices.
 type counter struct {
-	counts [slices + 1]int
-	sum    int
+	counts [kept]int
 	at     int64 // number of the newest slice
 }
 
@@ -79,7 +81,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u, at := e.usage(s), e.slice(now)
-	if float64(u.extra.count(at)+1) > e.allowed(u, at) {
+	if float64(u.used(at)+1) > e.allowed(u, at) {
 		return false
 	}
 	u.extra.add(at)
@@ -95,11 +97,30 @@
 	if allowed <= 0 {
 		return 0
 	}
-	return max(0, 1-float64(u.extra.count(at))/allowed)
+	return max(0, 1-float64(u.used(at))/allowed)
 }
 
 func (e *Extra) allowed(u *usage, at int64) float64 {
-	return headroom * (e.limits.Ratio*float64(u.requests.count(at)) + e.limits.Minimum/float64(e.hosts))
+	return headroom * (e.limits.Ratio*float64(u.earned(at)) + e.limits.Minimum/float64(e.hosts))
+}
+
+// used returns the extra calls of any window that ends now.
+func (u *usage) used(at int64) int { return u.extra.sum(at-slices, at) }
+
+// earned returns the requests that count for every window that holds the present.
+func (u *usage) earned(at int64) int {
+	least := -1
+	for first := at - slices; first <= at; first++ {
+		most := max(
+			u.requests.sum(first+1, at),
+			u.requests.sum(first+1-slices/2, min(at, first+slices/2)),
+			u.requests.sum(first+1-slices, first),
+		)
+		if least < 0 || most < least {
+			least = most
+		}
+	}
+	return least
 }
 
 func (e *Extra) usage(s core.ServiceName) *usage {
@@ -120,25 +141,26 @@
 
 func (c *counter) add(at int64) {
 	c.move(at)
-	c.counts[c.at%int64(len(c.counts))]++
-	c.sum++
+	c.counts[c.at%kept]++
 }
 
-func (c *counter) count(at int64) int {
-	c.move(at)
-	return c.sum
+// sum returns the events of the slices from first to last.
+func (c *counter) sum(first, last int64) (n int) {
+	c.move(last)
+	for i := max(first, c.at-kept+1, 0); i <= min(last, c.at); i++ {
+		n += c.counts[i%kept]
+	}
+	return n
 }
 
 // move forgets the slices that are too old at a new time.
 func (c *counter) move(at int64) {
-	if at-c.at >= int64(len(c.counts)) {
+	if at-c.at >= kept {
 		*c = counter{at: at}
 		return
 	}
 	for c.at < at {
 		c.at++
-		i := c.at % int64(len(c.counts))
-		c.sum -= c.counts[i]
-		c.counts[i] = 0
+		c.counts[c.at%kept] = 0
 	}
 }
--- /dev/null
+++ b/core/budget/extra_test.go
@@ -0,0 +1,78 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"oriolebarrow/core/budget"
+)
+
+// TestExtraCallsOfAllHosts guards against hedges and retries that multiply an
+// overload: in no window do all hosts together make more extra calls than the
+// ratio of the requests of that window or the one before it, plus the minimum.
+func TestExtraCallsOfAllHosts(t *testing.T) {
+	const window = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		limits := budget.ExtraLimits{
+			Window:  window,
+			Ratio:   rapid.Float64Range(0, 0.5).Draw(t, "ratio"),
+			Minimum: float64(rapid.IntRange(0, 60).Draw(t, "minimum")),
+		}
+		hosts := make([]*budget.Extra, rapid.IntRange(1, 5).Draw(t, "hosts"))
+		for i := range hosts {
+			hosts[i] = budget.NewExtra(limits, len(hosts))
+		}
+		start := time.Now()
+		now := start
+		var requests, extra []time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "gap_ms")) * time.Millisecond)
+			h := hosts[rapid.IntRange(0, len(hosts)-1).Draw(t, "host")]
+			for range rapid.IntRange(0, 15).Draw(t, "requests") {
+				h.Request(now, "tickets")
+				requests = append(requests, now)
+			}
+			for range rapid.IntRange(0, 40).Draw(t, "wanted") {
+				if h.Take(now, "tickets") {
+					extra = append(extra, now)
+				}
+			}
+		}
+		for _, from := range extra {
+			got := within(extra, from, window)
+			most := max(within(requests, from, window), within(requests, from.Add(-window/2), window), within(requests, from.Add(-window), window))
+			if allowed := limits.Ratio*float64(most) + limits.Minimum; float64(got) > allowed {
+				t.Fatalf("%d extra calls in the window from %v, allowed %v", got, from.Sub(start), allowed)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, from time.Time, window time.Duration) (n int) {
+	for _, at := range times {
+		if !at.Before(from) && at.Before(from.Add(window)) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestExtraCallsAreUsable guards against a budget that leaves most of its limit
+// unused while all replicas are slow.
+func TestExtraCallsAreUsable(t *testing.T) {
+	e := budget.NewExtra(budget.ExtraLimits{Window: 10 * time.Second, Ratio: 0.2, Minimum: 54}, 7)
+	now, taken := time.Now(), 0
+	for i := range 200 {
+		now = now.Add(100 * time.Millisecond)
+		e.Request(now, "tickets")
+		// The first window has no requests before it, and earns less.
+		if e.Take(now, "tickets") && i >= 100 {
+			taken++
+		}
+	}
+	if allowed := 0.2*100 + 54.0/7; float64(taken) < 0.75*allowed {
+		t.Errorf("got %d extra calls, allowed %.1f", taken, allowed)
+	}
+}
--- a/core/errs.go
+++ b/core/errs.go
@@ -33,7 +33,3 @@
 // ErrHistoryGone says that a directory no longer has the changes after a
 // revision.
 var ErrHistoryGone = errors.New("core: history is gone")
-
-// ErrNoAck says that another host did not acknowledge a request, which it may
-// have received.
-var ErrNoAck = errors.New("core: no acknowledgement")
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -239,6 +239,16 @@
 	return r.inst, true
 }
 
+// Running returns the number of calls that run.
+func (t *Table) Running() (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.byID {
+		n += r.running
+	}
+	return n
+}
+
 // Size returns the number of replicas, drained and ejected ones included.
 func (t *Table) Size() int {
 	t.mu.Lock()
--- a/core/query.go
+++ b/core/query.go
@@ -65,6 +65,9 @@
 	Query    Query
 	Snapshot SnapshotID
 	Shards   []ShardRef
+	// Unacknowledged is called if no acknowledgement comes in time, and the batch
+	// goes on. The batch fails instead when it is nil.
+	Unacknowledged func()
 }
 
 // ShardResult is the result of one shard: rows, or the reason for none.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -21,6 +21,7 @@
 type Table struct {
 	version   uint64
 	byHost    map[string][]*core.Route // longest prefix first
+	byService map[core.ServiceName][]*core.Route
 	upstreams map[core.ServiceName]core.Upstream
 	limits    core.CallerLimits
 }
@@ -30,6 +31,7 @@
 	t := &Table{
 		version:   doc.Version,
 		byHost:    make(map[string][]*core.Route),
+		byService: make(map[core.ServiceName][]*core.Route),
 		upstreams: make(map[core.ServiceName]core.Upstream, len(doc.Upstreams)),
 		limits:    doc.Limits,
 	}
@@ -37,6 +39,12 @@
 		r := doc.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], &r)
+		for _, s := range r.Gather {
+			t.byService[s] = append(t.byService[s], &r)
+		}
+		for _, s := range r.Split {
+			t.byService[s.Service] = append(t.byService[s.Service], &r)
+		}
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *core.Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -63,20 +71,10 @@
 func (t *Table) Upstreams() []core.Upstream { return slices.Collect(maps.Values(t.upstreams)) }
 
 // Services returns the services that some route names, without order.
-func (t *Table) Services() []core.ServiceName {
-	named := make(map[core.ServiceName]bool)
-	for _, routes := range t.byHost {
-		for _, r := range routes {
-			for _, s := range r.Gather {
-				named[s] = true
-			}
-			for _, s := range r.Split {
-				named[s.Service] = true
-			}
-		}
-	}
-	return slices.Collect(maps.Keys(named))
-}
+func (t *Table) Services() []core.ServiceName { return slices.Collect(maps.Keys(t.byService)) }
+
+// RoutesOf returns the routes that name a service.
+func (t *Table) RoutesOf(s core.ServiceName) []*core.Route { return t.byService[s] }
 
 // Match returns the route of the host with the longest prefix of the path.
 func (t *Table) Match(host, path string) (*core.Route, bool) {
--- /dev/null
+++ b/core/trail/trail_test.go
@@ -0,0 +1,63 @@
+package trail_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/trail"
+)
+
+// TestFollowerEndsUpEqual guards against a host that misses a change, or revives
+// an entry that was removed, when it follows another one from any revision.
+func TestFollowerEndsUpEqual(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		leader, follower := trail.New(), trail.New()
+		leader.Replace(core.DirectoryNews{Revision: 1})
+		revision := core.Revision(1)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if rapid.IntRange(0, 9).Draw(t, "relist") == 0 {
+				leader.Replace(leader.All())
+			}
+			revision++
+			item := core.DirectoryItem{ID: core.InstanceID(fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "id"))), Revision: revision}
+			if rapid.Bool().Draw(t, "put") {
+				item.Instance = &core.Instance{ID: item.ID, Born: int64(revision)}
+			}
+			leader.Apply(core.DirectoryNews{Revision: revision, Items: []core.DirectoryItem{item}})
+			if rapid.Bool().Draw(t, "follow") {
+				follow(leader, follower)
+			}
+		}
+		follow(leader, follower)
+		if diff := cmp.Diff(leader.All(), follower.All()); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+func follow(leader, follower *trail.Trail) {
+	news, ok := leader.Since(follower.Revision())
+	if !ok || follower.Revision() == 0 {
+		follower.Replace(leader.All())
+		return
+	}
+	follower.Apply(news)
+}
+
+// TestLateNewsLoses guards against news that arrive in the wrong order.
+func TestLateNewsLoses(t *testing.T) {
+	tr := trail.New()
+	item := func(r core.Revision) core.DirectoryItem {
+		return core.DirectoryItem{ID: "a", Revision: r, Instance: &core.Instance{ID: "a", Born: int64(r)}}
+	}
+	tr.Apply(core.DirectoryNews{Revision: 9, Items: []core.DirectoryItem{item(9)}})
+	tr.Apply(core.DirectoryNews{Revision: 5, Items: []core.DirectoryItem{item(5)}})
+	all := tr.All()
+	if all.Revision != 9 || len(all.Items) != 1 || all.Items[0].Instance.Born != 9 {
+		t.Errorf("got %+v", all)
+	}
+}
--- a/io/assist/assist.go
+++ b/io/assist/assist.go
@@ -24,6 +24,8 @@
 	"oriolebarrow/io/wire"
 )
 
+var errUnacknowledged = errors.New("assist: no acknowledgement")
+
 // Reader sends a batch to another host; see peer.Client.
 type Reader interface {
 	Read(ctx context.Context, h core.Host, b core.ReadBatch, sink func(core.ShardResult)) error
@@ -61,7 +63,12 @@
 	if err != nil {
 		return errors.Wrap(err, "assist: encode task")
 	}
-	batch := core.ReadBatch{Query: core.Query{ID: t.ID, Body: body, Deadline: t.Deadline}}
+	batch := core.ReadBatch{
+		Query: core.Query{ID: t.ID, Body: body, Deadline: t.Deadline},
+		// The host may only be busy, and may have sent calls: the task is not
+		// repeated, but the following ones avoid the host.
+		Unacknowledged: func() { a.lost(h, t.ID, errUnacknowledged) },
+	}
 	var broken error
 	err = a.Peers.Read(ctx, h, batch, func(r core.ShardResult) {
 		var result core.TaskResult
@@ -72,8 +79,7 @@
 		sink(result)
 	})
 	if err != nil && ctx.Err() == nil {
-		a.Views.MarkDown(time.Now(), h.ID())
-		a.Log.Warn("relay: host does not carry out a task", "peer", h.ID(), "request", t.ID, "cause", err)
+		a.lost(h, t.ID, err)
 	}
 	if err != nil {
 		return err
@@ -81,6 +87,17 @@
 	return broken
 }
 
+func (a *Assistant) lost(h core.Host, id core.RequestID, cause error) {
+	a.Views.MarkDown(time.Now(), h.ID())
+	a.Log.Warn("relay: host does not carry out a task", "peer", h.ID(), "request", id, "cause", cause)
+}
+
+// Mine reports whether this host calls the replicas of a service for queries over
+// all of the services.
+func (a *Assistant) Mine(now time.Time, services []core.ServiceName, s core.ServiceName) bool {
+	return a.assigner.Mine(a.Views.View(now), services, s)
+}
+
 // Runner carries out a task; see relay.Relay.
 type Runner interface {
 	Assist(ctx context.Context, t core.Task, sink func(core.TaskResult)) error
--- /dev/null
+++ b/io/client/client_test.go
@@ -0,0 +1,195 @@
+package client_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"oriolebarrow/core"
+	"oriolebarrow/io/client"
+)
+
+var names = core.HeaderNames{
+	RequestID: "Req-Id", Deadline: "Left-Ms", Stamp: "Stamp", Expect: "Expect-Instance", Instance: "Instance",
+	NotRun: "Not-Run", Load: "Load",
+}
+
+// replica answers each request of a connection with the next script; "" closes.
+type replica struct {
+	scripts []string
+	dials   atomic.Int32
+	seen    []string
+}
+
+func (r *replica) dial(context.Context, string, string) (net.Conn, error) {
+	r.dials.Add(1)
+	near, far := net.Pipe()
+	go r.serve(far)
+	return near, nil
+}
+
+func (r *replica) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	read := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(read)
+		if err != nil {
+			return
+		}
+		r.seen = append(r.seen, req.Method+" "+req.RequestURI+" "+req.Header.Get("Left-Ms")+" "+req.Header.Get("Expect-Instance"))
+		script := r.scripts[0]
+		r.scripts = r.scripts[1:]
+		if script == "" {
+			return
+		}
+		if script == "silent" {
+			_, _ = read.ReadByte()
+			return
+		}
+		if _, err := c.Write([]byte(script)); err != nil || strings.Contains(script, "\r\nX-Cut") {
+			return
+		}
+	}
+}
+
+var target = client.Target{ID: "i-1", Address: "10.0.0.1:80", Connections: 2}
+
+func send(c *client.Client, id string) client.Result {
+	results := make(chan client.Result, 1)
+	c.Send(target, client.Request{ID: core.RequestID(id), Method: "GET", URI: "/a?b", Host: "h", Left: time.Second},
+		func(r client.Result) { results <- r })
+	synctest.Wait()
+	select {
+	case r := <-results:
+		return r
+	default:
+		return client.Result{Err: context.DeadlineExceeded}
+	}
+}
+
+const (
+	answer  = "HTTP/1.1 200 OK\r\nReq-Id: r\r\nStamp: s\r\nLoad: 1,2,3\r\nContent-Length: 2\r\n\r\nok"
+	chunked = "HTTP/1.1 200 OK\r\nReq-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n"
+	foreign = "HTTP/1.1 200 OK\r\nReq-Id: other\r\nContent-Length: 3\r\n\r\nbad"
+)
+
+// TestAnswers guards against answers that are taken for complete, or for those of
+// another request, and against claims that a request did not run.
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name, script string
+		body         string
+		fails        bool
+		notRun       bool
+		dials        int32 // after a second request
+	}{
+		{name: "length", script: answer, body: "ok", dials: 1},
+		{name: "chunked", script: chunked, body: "ok", dials: 1},
+		{name: "interim", script: "HTTP/1.1 100 Continue\r\n\r\n" + answer, body: "ok", dials: 1},
+		{name: "close", script: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", body: "ok", dials: 2},
+		{name: "no length", script: "HTTP/1.1 200 OK\r\nX-Cut: 1\r\n\r\nok", body: "ok", dials: 2},
+		{name: "cut", script: "HTTP/1.1 200 OK\r\nX-Cut: 1\r\nContent-Length: 9\r\n\r\nok", fails: true, dials: 2},
+		{name: "cut chunk", script: "HTTP/1.1 200 OK\r\nX-Cut: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok", fails: true, dials: 2},
+		{name: "no answer", script: "", fails: true, dials: 2},
+		{name: "no HTTP", script: "\x00\x01\x02 what\r\n\r\n", fails: true, dials: 2},
+		{name: "two lengths", script: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok!", fails: true, dials: 2},
+		{name: "bytes after the answer", script: answer + "HTTP/1.1 200", body: "ok", dials: 2},
+		{name: "late answer to an earlier request", script: foreign + answer, body: "ok", dials: 1},
+		{name: "another instance", script: "HTTP/1.1 421 Misdirected Request\r\nInstance: i-9\r\nContent-Length: 0\r\n\r\n", notRun: true, dials: 1},
+		{name: "refused", script: "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", notRun: true, dials: 1},
+		{name: "failed", script: "HTTP/1.1 503 Busy\r\nStamp: s\r\nContent-Length: 0\r\n\r\n", dials: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := &replica{scripts: []string{c.script, answer}}
+				cl := client.New(client.Options{Names: names, Dial: r.dial})
+				defer cl.Close()
+				got := send(cl, "r")
+				if (got.Err != nil) != c.fails || got.NotRun != c.notRun || string(got.Reply.Body) != c.body {
+					t.Errorf("got %+v", got)
+				}
+				if second := send(cl, "r"); string(second.Reply.Body) != "ok" {
+					t.Errorf("second request: got %+v", second)
+				}
+				if n := r.dials.Load(); n != c.dials {
+					t.Errorf("got %d connections, want %d", n, c.dials)
+				}
+				if diff := cmp.Diff([]string{"GET /a?b 1000 i-1", "GET /a?b 1000 i-1"}, r.seen); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+// TestConnectionLimit guards against more connections to a replica than this
+// host's part.
+func TestConnectionLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &replica{scripts: []string{"silent", "silent", "silent"}}
+		cl := client.New(client.Options{Names: names, Dial: r.dial})
+		defer cl.Close()
+		var calls []*client.Call
+		results := make(chan client.Result, 3)
+		for range 3 {
+			calls = append(calls, cl.Send(target, client.Request{ID: "r", Method: "GET", URI: "/", Host: "h"}, func(r client.Result) { results <- r }))
+			synctest.Wait()
+		}
+		got := <-results
+		if !got.NotRun || r.dials.Load() != 2 {
+			t.Errorf("third call: %+v after %d connections", got, r.dials.Load())
+		}
+		for _, call := range calls[:2] {
+			call.Abandon(0)
+			if got := <-results; got.Err == nil || got.NotRun {
+				t.Errorf("abandoned call: %+v", got)
+			}
+		}
+	})
+}
+
+// TestAbandonedCallKeepsConnection guards against a new connection for each call
+// that lost against its hedge.
+func TestAbandonedCallKeepsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		dials := 0
+		cl := client.New(client.Options{Names: names, Dial: func(context.Context, string, string) (net.Conn, error) {
+			dials++
+			return near, nil
+		}})
+		defer cl.Close()
+		go func() {
+			read := bufio.NewReader(far)
+			for {
+				if _, err := http.ReadRequest(read); err != nil {
+					return
+				}
+				<-time.After(100 * time.Millisecond) // a pause of the replica
+				if _, err := far.Write([]byte(answer)); err != nil {
+					return
+				}
+			}
+		}()
+		results := make(chan client.Result, 2)
+		for range 2 {
+			call := cl.Send(target, client.Request{ID: "r", Method: "GET", URI: "/", Host: "h"}, func(r client.Result) { results <- r })
+			synctest.Wait() // the request is on its way
+			call.Abandon(300 * time.Millisecond)
+			if got := <-results; got.Err != nil {
+				t.Errorf("got %v", got.Err)
+			}
+		}
+		if dials != 1 {
+			t.Errorf("got %d connections, want 1", dials)
+		}
+	})
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -113,6 +114,7 @@
 	feeds   *feed.Feeds
 	feed    *feed.Server
 	peers   *peer.Client
+	assist  *assist.Assistant
 	tasks   *peer.Server
 	ready   atomic.Bool
 	leaving atomic.Bool
@@ -146,11 +148,10 @@
 	e.extra = budget.NewExtra(o.Extra, e.hosts())
 	e.grace.Store(int64(o.Grace))
 	e.peers = peer.NewClient(o.Host, inc, taskDial(o.Dial, o.TaskPort))
+	e.assist = assist.New(assist.Parts{Self: self, Views: detector, Near: e.fleet.Near, Peers: e.peers, Log: log})
 	e.relay = relay.New(relay.Parts{
-		Self: o.Host,
-		Helpers: assist.New(assist.Parts{
-			Self: self, Views: detector, Near: e.fleet.Near, Peers: e.peers, Log: log,
-		}),
+		Self:     o.Host,
+		Helpers:  e.assist,
 		Fleet:    e.fleet,
 		Client:   e.client,
 		Extra:    e.extra,
@@ -242,7 +243,7 @@
 // set-up time would fall into the next query.
 func (e *Edge) emptied(id core.InstanceID) {
 	if in, ok := e.fleet.Chosen(id); ok {
-		e.appeared(in)
+		e.appeared(in) // warm looks whether it is still used
 	}
 }
 
@@ -370,12 +371,21 @@
 	return true
 }
 
+// used reports whether this host calls the replicas of a service: some route
+// names it, and not only queries whose calls other hosts make.
+func (e *Edge) used(t *route.Table, s core.ServiceName) bool {
+	now := time.Now()
+	return slices.ContainsFunc(t.RoutesOf(s), func(r *core.Route) bool {
+		return len(r.Gather) == 0 || e.assist.Mine(now, r.Gather, s)
+	})
+}
+
 func (e *Edge) warmOne(ctx context.Context, in core.Instance) {
 	t := e.relay.Table()
 	if t == nil {
 		return
 	}
-	if _, used := t.Upstream(in.Service); !used {
+	if !e.used(t, in.Service) {
 		return
 	}
 	e.client.Warm(ctx, client.Target{ID: in.ID, Address: in.Address, Connections: e.relay.Share(t, in.Service).Calls})
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -140,7 +140,10 @@
 			}
 			return nil
 		case <-timer.C:
-			return lost("read", h, core.ErrNoAck)
+			if b.Unacknowledged == nil {
+				return lost("read", h, errors.New("no acknowledgement"))
+			}
+			b.Unacknowledged()
 		case <-ctx.Done():
 			return lost("read", h, ctx.Err())
 		}
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -63,7 +63,6 @@
 	retryAt  time.Time // zero unless all connections were in use
 	settled  bool
 	ran      bool // a call ended and may have run
-	limit    int  // replicas that may get the request; 0 for the route's limit
 	// delegated is set when another host calls the replicas.
 	delegated bool
 	last      *client.Reply
@@ -236,15 +235,7 @@
 }
 
 func (j *job) mayRepeat(l *leg) bool {
-	return j.route.Idempotent && l.attempts < j.attempts(l)
-}
-
-// attempts returns how many replicas may get the leg's request.
-func (j *job) attempts(l *leg) int {
-	if l.limit > 0 {
-		return l.limit
-	}
-	return j.route.Attempts
+	return j.route.Idempotent && l.attempts < j.route.Attempts
 }
 
 // settle says that no answer of a leg is awaited any more.
@@ -264,7 +255,7 @@
 	} else {
 		l.ran = true
 	}
-	repeat := l.attempts < j.attempts(l) && (j.route.Idempotent || res.NotRun)
+	repeat := l.attempts < j.route.Attempts && (j.route.Idempotent || res.NotRun)
 	if repeat && j.attempt(now, l) {
 		return
 	}
--- /dev/null
+++ b/io/relay/load_test.go
@@ -0,0 +1,411 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/budget"
+	"oriolebarrow/core/fleet"
+	"oriolebarrow/core/route"
+	"oriolebarrow/io/client"
+	"oriolebarrow/io/relay"
+)
+
+var names = core.HeaderNames{RequestID: "Req-Id", Deadline: "Left-Ms", Stamp: "Stamp", Expect: "Expect-Instance", Instance: "Instance", NotRun: "Not-Run", Load: "Load"}
+
+const work = 10 * time.Millisecond
+
+// world is a set of shards with two replicas each, in memory.
+type world struct {
+	mu    sync.Mutex
+	ran   map[string]int // by address
+	sent  int
+	modes map[string]string // by address; see answer
+}
+
+func newWorld() *world { return &world{ran: map[string]int{}, modes: map[string]string{}} }
+
+func (w *world) set(mode string, addresses ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range addresses {
+		w.modes[a] = mode
+	}
+}
+
+func (w *world) runs(addresses ...string) (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range addresses {
+		n += w.ran[a]
+	}
+	return n
+}
+
+func (w *world) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	w.mu.Lock()
+	mode := w.modes[address]
+	w.mu.Unlock()
+	if mode == "down" {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	go w.serve(far, address)
+	return near, ctx.Err()
+}
+
+func (w *world) serve(c net.Conn, address string) {
+	defer func() { _ = c.Close() }()
+	read := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(read)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		w.mu.Lock()
+		mode := w.modes[address]
+		w.sent++
+		if mode != "shed" {
+			w.ran[address]++
+		}
+		w.mu.Unlock()
+		if !answer(c, mode, address, req.Header.Get("Req-Id")) {
+			return
+		}
+	}
+}
+
+// answer answers as a replica in a mode does; false ends the connection.
+func answer(c net.Conn, mode, address, id string) bool {
+	status, extra, took := "200 OK", "", work
+	switch mode {
+	case "dark":
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	case "lost":
+		<-time.After(work)
+		return false
+	case "paused":
+		took = 120 * time.Millisecond
+	case "slow":
+		took = 8 * work
+	case "shed":
+		status, extra, took = "503 Busy", "Not-Run: 1\r\n", time.Millisecond
+	case "unavailable":
+		status = "503 Unavailable"
+	case "failing":
+		status = "500 Failed"
+	}
+	<-time.After(took)
+	body := fmt.Sprintf("%-16s", address)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nReq-Id: %s\r\nStamp: %s-%s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, address, id, extra, len(body), body)
+	return err == nil
+}
+
+func address(shard, replica int) string { return fmt.Sprintf("10.0.%d.%d:80", shard, replica) }
+
+func service(shard int) core.ServiceName { return core.ServiceName(fmt.Sprint("shard-", shard)) }
+
+// newRelay returns a relay over shards of two replicas, with a query route over
+// all of them and two routes to the first one.
+func newRelay(t *testing.T, w *world, shards int, helpers core.Helpers) (*relay.Relay, *fleet.Table) {
+	f := fleet.New("host-0", "a")
+	c := client.New(client.Options{Names: names, Dial: w.dial})
+	t.Cleanup(c.Close)
+	r := relay.New(relay.Parts{
+		Fleet:    f,
+		Client:   c,
+		Extra:    budget.NewExtra(budget.ExtraLimits{Window: 10 * time.Second, Ratio: 0.2, Minimum: 54}, 1),
+		Splitter: route.NewSplitter(0),
+		Log:      slog.New(slog.DiscardHandler),
+		Hosts:    func() int { return 1 },
+		Self:     "host-0",
+		Helpers:  helpers,
+	})
+	doc := core.Routing{Version: 1, Routes: []core.Route{
+		{Name: "query", Host: "h", Prefix: "/q/", Idempotent: true, Timeout: 600 * time.Millisecond, Target: 100 * time.Millisecond, Attempts: 2, TopK: 5, MinRatio: 0.89},
+		{Name: "order", Host: "h", Prefix: "/o/", Timeout: 2 * time.Second, Target: 400 * time.Millisecond, Attempts: 2, Split: []core.Share{{Service: service(0), Weight: 1}}},
+		{Name: "view", Host: "h", Prefix: "/v/", Idempotent: true, Timeout: 2 * time.Second, Target: 400 * time.Millisecond, Attempts: 2, Split: []core.Share{{Service: service(0), Weight: 1}}},
+	}}
+	for i := range shards {
+		doc.Routes[0].Gather = append(doc.Routes[0].Gather, service(i))
+		doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: service(i), HealthPath: "/healthz", Connections: 26})
+		for n := range 2 {
+			f.Put(time.Now(), core.Instance{
+				ID: core.InstanceID(address(i, n)), Service: service(i), Address: address(i, n),
+				DataCentre: []core.DataCentre{"a", "b"}[n], Slots: 2,
+			})
+		}
+	}
+	r.SetTable(route.New(doc))
+	return r, f
+}
+
+func ask(r *relay.Relay, path string, n int) (relay.Reply, time.Duration) {
+	return askFor(context.Background(), r, path, n)
+}
+
+func askFor(ctx context.Context, r *relay.Relay, path string, n int) (relay.Reply, time.Duration) {
+	start := time.Now()
+	method, body := "GET", []byte(nil)
+	if path == "/o/" {
+		method, body = "POST", []byte("order")
+	}
+	reply := r.Do(ctx, relay.Request{
+		ID: core.RequestID(fmt.Sprint("r", n)), Method: method, URI: path, Path: path, Host: "h", Body: body,
+		Left: 600 * time.Millisecond, Arrived: start,
+	})
+	return reply, time.Since(start)
+}
+
+// warmUp teaches a relay the usual times.
+func warmUp(r *relay.Relay) {
+	for i := range 20 {
+		ask(r, "/q/", 1000+i)
+	}
+}
+
+// TestPausedReplicas is the load of replicas that pause in turn: hedges bring all
+// parts long before the target.
+func TestPausedReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		r, _ := newRelay(t, w, 20, nil)
+		warmUp(r)
+		w.set("paused", address(3, 0), address(11, 0))
+		reply, took := ask(r, "/q/", 1)
+		if reply.Status != 200 || reply.Missing != 0 || took > 60*time.Millisecond {
+			t.Errorf("got %d with %d missing after %v", reply.Status, reply.Missing, took)
+		}
+		drain()
+	})
+}
+
+// TestDarkShard is the load of a shard whose replicas are all silent: the query
+// is answered before its target without the shard, and later at once.
+func TestDarkShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		r, _ := newRelay(t, w, 20, nil)
+		warmUp(r)
+		w.set("dark", address(7, 0), address(7, 1))
+		reply, took := ask(r, "/q/", 1)
+		if reply.Status != 200 || reply.Missing != 1 || took < 50*time.Millisecond || took > 95*time.Millisecond {
+			t.Errorf("first query: got %d with %d missing after %v", reply.Status, reply.Missing, took)
+		}
+		for i := range 30 {
+			ask(r, "/q/", 10+i)
+			<-time.After(80 * time.Millisecond)
+		}
+		reply, took = ask(r, "/q/", 2)
+		if reply.Status != 200 || reply.Missing != 1 || took > 40*time.Millisecond {
+			t.Errorf("later: got %d with %d missing after %v, want one missing at once", reply.Status, reply.Missing, took)
+		}
+		drain()
+	})
+}
+
+// TestTooManyDarkShards is the load of a service that is dark in many shards: a
+// query that cannot reach its minimum is rejected at once, nothing is sent, and
+// the caller is told when to come back.
+func TestTooManyDarkShards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		r, f := newRelay(t, w, 20, nil)
+		for i := range 3 {
+			f.Remove(time.Now(), core.InstanceID(address(i, 0)), false)
+			f.Remove(time.Now(), core.InstanceID(address(i, 1)), false)
+		}
+		reply, took := ask(r, "/q/", 1)
+		if reply.Status != 503 || reply.RetryAfter <= 0 || took > time.Millisecond || w.sent != 0 {
+			t.Errorf("got %d after %v, retry after %v, %d calls", reply.Status, took, reply.RetryAfter, w.sent)
+		}
+	})
+}
+
+// TestOrders guards against an order that runs twice and against a refusal that
+// says "not run" of an order that ran.
+func TestOrders(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		modes  [2]string
+		status int
+		ran    int
+	}{
+		{"served", [2]string{"", ""}, 200, 1},
+		{"answer lost", [2]string{"lost", ""}, 502, 1},
+		{"first refuses", [2]string{"shed", ""}, 200, 1},
+		{"both refuse", [2]string{"shed", "shed"}, 503, 0},
+		{"no connection", [2]string{"down", ""}, 200, 1},
+		{"no connection at all", [2]string{"down", "down"}, 503, 0},
+		{"fails", [2]string{"failing", ""}, 500, 1},
+		{"ran and says unavailable", [2]string{"unavailable", ""}, 502, 1},
+		{"silent", [2]string{"dark", ""}, 504, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld()
+				r, _ := newRelay(t, w, 1, nil)
+				w.set(c.modes[0], address(0, 0))
+				w.set(c.modes[1], address(0, 1))
+				reply, _ := ask(r, "/o/", 1)
+				drain()
+				if ran := w.runs(address(0, 0), address(0, 1)); reply.Status != c.status || ran != c.ran {
+					t.Errorf("got %d and %d runs, want %d and %d", reply.Status, ran, c.status, c.ran)
+				}
+				if strings.Contains("429 503", fmt.Sprint(reply.Status)) && reply.RetryAfter <= 0 {
+					t.Error("refused without a time to come back")
+				}
+			})
+		})
+	}
+}
+
+// TestViewsAreRepeated guards against idempotent requests that fail with a replica
+// that is lost, shedding or failing.
+func TestViewsAreRepeated(t *testing.T) {
+	for _, mode := range []string{"lost", "shed", "failing", "down", "dark", "unavailable"} {
+		t.Run(mode, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld()
+				r, _ := newRelay(t, w, 1, nil)
+				w.set(mode, address(0, 0))
+				if reply, took := ask(r, "/v/", 1); reply.Status != 200 || took > 300*time.Millisecond {
+					t.Errorf("got %d after %v", reply.Status, took)
+				}
+				drain()
+			})
+		})
+	}
+}
+
+// TestCallerLeaves guards against replicas that work for a caller who has left.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		r, f := newRelay(t, w, 20, nil)
+		w.set("dark", address(0, 0))
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+		defer cancel()
+		askFor(ctx, r, "/q/", 1)
+		sent := w.sent
+		<-time.After(400 * time.Millisecond)
+		if w.sent != sent {
+			t.Errorf("%d calls were sent after the caller had left", w.sent-sent)
+		}
+		if n := f.Running(); n != 0 {
+			t.Errorf("%d calls still run 0.4 s after the caller left", n)
+		}
+	})
+}
+
+// drain lets abandoned calls end.
+func drain() { <-time.After(2 * time.Second) }
+
+// helper carries out tasks as its mode says.
+type helper struct {
+	relay *relay.Relay
+	mode  string
+}
+
+func (h *helper) Plan(time.Time, []core.ServiceName) []core.TaskBatch {
+	return []core.TaskBatch{{Host: core.NewHost("host-1", "b", "10.0.9.9:1"), Shards: []int{2, 3, 5, 7, 11, 13}}}
+}
+
+func (h *helper) Run(ctx context.Context, _ core.Host, t core.Task, sink func(core.TaskResult)) error {
+	switch h.mode {
+	case "not run":
+		return &core.CallError{Op: "read", Reason: core.ReasonOwnerLost, NotRun: true}
+	case "lost":
+		<-time.After(40 * time.Millisecond)
+		return &core.CallError{Op: "read", Reason: core.ReasonOwnerLost}
+	case "wrong":
+		sink(core.TaskResult{Parts: []core.TaskPart{{Shard: 99, Stamp: "x"}}, Records: []byte("zzzzzzzzzzzzzzzz")})
+		return nil
+	}
+	return h.relay.Assist(ctx, t, sink)
+}
+
+// TestHelpers guards against parts that are lost, counted twice or merged wrongly
+// when another host carries out a part of a query or fails to.
+func TestHelpers(t *testing.T) {
+	for _, c := range []struct {
+		mode    string
+		status  int
+		missing int
+	}{
+		{"", 200, 0},
+		{"not run", 200, 0},
+		{"lost", 502, 0},
+		{"wrong", 502, 0},
+	} {
+		t.Run("helper "+c.mode, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld()
+				other, _ := newRelay(t, w, 20, nil)
+				r, _ := newRelay(t, w, 20, &helper{relay: other, mode: c.mode})
+				reply, took := ask(r, "/q/", 1)
+				if reply.Status != c.status || reply.Missing != c.missing || took > 100*time.Millisecond {
+					t.Fatalf("got %d with %d missing after %v (%s)", reply.Status, reply.Missing, took, reply.Reason)
+				}
+				if c.status == 200 {
+					checkAnswer(t, reply, 20)
+				}
+				drain()
+			})
+		})
+	}
+}
+
+// checkAnswer compares a complete answer with one computed from all parts.
+func checkAnswer(t *testing.T, reply relay.Reply, shards int) {
+	t.Helper()
+	seen := map[string]bool{}
+	for _, s := range reply.Stamps {
+		shard, _, _ := strings.Cut(strings.TrimPrefix(s, "10.0."), ".")
+		if seen[shard] {
+			t.Errorf("shard %s is in twice", shard)
+		}
+		seen[shard] = true
+	}
+	if len(seen) != shards {
+		t.Errorf("got %d shards, want %d", len(seen), shards)
+	}
+	if !strings.HasPrefix(string(reply.Body), "10.0.9.") || len(reply.Body) != 5*16 {
+		t.Errorf("body: got %q", reply.Body)
+	}
+}
+
+// TestLateHelperParts guards against parts that come after a helper's first result
+// and are lost.
+func TestLateHelperParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		other, _ := newRelay(t, w, 20, nil)
+		r, _ := newRelay(t, w, 20, &helper{relay: other})
+		// Both replicas take until after the target, so that more than a tenth of
+		// the shards is late and the answer has to wait for them.
+		for _, s := range []int{3, 5, 7} {
+			w.set("paused", address(s, 0), address(s, 1))
+		}
+		reply, took := ask(r, "/q/", 1)
+		if reply.Status != 200 || took < 90*time.Millisecond || took > 250*time.Millisecond {
+			t.Errorf("got %d with %d missing after %v", reply.Status, reply.Missing, took)
+		}
+		drain()
+	})
+}
--- a/io/relay/task.go
+++ b/io/relay/task.go
@@ -116,10 +116,9 @@
 	j.query.AddRecords(r.Records)
 }
 
-// takeBack handles a shard whose host brought no part of it. A host that cannot
-// have started is replaced by calls of this one; after a missing acknowledgement
-// they are extra calls, to one replica. A host that acknowledged may have used
-// all attempts of the request.
+// takeBack handles a shard whose host brought no part of it. If that host cannot
+// have started, this one calls the replicas; otherwise it may have used all
+// attempts of the request.
 func (j *job) takeBack(now time.Time, l *leg, err error) {
 	var call *core.CallError
 	notRun := errors.As(err, &call) && call.NotRun
@@ -128,15 +127,7 @@
 		l.reason = core.ReasonBackendError
 	}
 	l.ran = l.ran || !notRun
-	switch {
-	case notRun:
-	case errors.Is(err, core.ErrNoAck) && j.relay.Extra.Take(now, l.service):
-		l.limit = 1
-	default:
-		j.settle(l)
-		return
-	}
-	if !j.attempt(now, l) {
+	if !notRun || !j.attempt(now, l) {
 		j.settle(l)
 	}
 }
