feat(cmd): serve the metrics of a gateway host; ramp the extra calls after a start

Cause: a host that starts again knew nothing of the extra calls of its earlier life; the metrics had no address on the platform.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -9,9 +9,12 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"oriolebarrow/io/edge"
 	"oriolebarrow/io/telem"
 	"oriolebarrow/platform"
@@ -33,10 +36,14 @@
 func gateway(ctx context.Context, e env, args []string) int {
 	fs := flag.NewFlagSet("gateway", flag.ContinueOnError)
 	path := fs.String("settings", os.Getenv(platform.SettingsVariable), "settings file of the platform")
+	port := fs.Int("metrics-port", 0, "port of the metrics at the host's address; 0 for none")
 	level := fs.String("log-level", "info", "debug, info, warn or error")
 	if code, ok := parse(e, fs, args); !ok {
 		return code
 	}
+	if *port < 0 || *port > 1<<16-1 {
+		return reject(e, fs, "-metrics-port: want a port or 0, got %d", *port)
+	}
 	lowest, err := telem.ParseLevel(*level)
 	if err != nil {
 		return reject(e, fs, "-log-level: want debug, info, warn or error, got %q", *level)
@@ -70,6 +77,14 @@
 		_, _ = fmt.Fprintf(e.err, "oriolebarrow gateway: %v\n", err)
 		return ExitFault
 	}
+	if *port > 0 {
+		stop, err := serveMetrics(net.JoinHostPort(settings.IP, strconv.Itoa(*port)), metrics, log)
+		if err != nil {
+			_, _ = fmt.Fprintf(e.err, "oriolebarrow gateway: %v\n", err)
+			return ExitFault
+		}
+		defer stop()
+	}
 	go reloads(ctx, *path, reload, host, log)
 	if err := host.Run(ctx); err != nil {
 		_, _ = fmt.Fprintf(e.err, "oriolebarrow gateway: %v\n", err)
@@ -78,6 +93,23 @@
 	return ExitOK
 }
 
+// serveMetrics serves the metrics until stop is called.
+func serveMetrics(address string, metrics *telem.Registry, log *slog.Logger) (stop func(), err error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", metrics.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			log.Error("telem: metrics are not served", "address", address, "cause", err)
+		}
+	}()
+	return func() { _ = server.Close() }, nil // readers get no answer while the host ends
+}
+
 // reloads applies the settings file again on SIGHUP and when the file changes.
 // Settings that cannot be used change nothing.
 func reloads(ctx context.Context, path string, hup <-chan os.Signal, host *edge.Edge, log *slog.Logger) {
--- a/core/budget/extra.go
+++ b/core/budget/extra.go
@@ -16,6 +16,9 @@
 	// headroom of the share is left for calls that this host counts later than
 	// the replica sees them.
 	headroom = 0.9
+	// startShare of the minimum may be spent at once after a start; the rest is
+	// earned within a window.
+	startShare = 0.25
 )
 
 // ExtraLimits bounds the calls beyond the first of each request: hedges and
@@ -101,7 +104,9 @@
 }
 
 func (e *Extra) allowed(u *usage, at int64) float64 {
-	return headroom * (e.limits.Ratio*float64(u.earned(at)) + e.limits.Minimum/float64(e.hosts))
+	// An earlier life of this host may have spent its part of the minimum.
+	ramp := min(1, startShare+(1-startShare)*float64(at)/slices)
+	return headroom * (e.limits.Ratio*float64(u.earned(at)) + ramp*e.limits.Minimum/float64(e.hosts))
 }
 
 // used returns the extra calls of any window that ends now.
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -36,8 +36,7 @@
 
 	mu      sync.Mutex
 	call    *Call
-	wake    chan struct{} // tells the read loop that a call begins
-	written bool          // the whole request was written
+	written bool // the whole request was written
 	dead    bool
 	used    time.Time
 	idleFor time.Duration // stated by the replica; 0 when unknown
--- /dev/null
+++ b/io/edge/edge_test.go
@@ -0,0 +1,232 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/budget"
+	"oriolebarrow/io/edge"
+)
+
+var names = core.HeaderNames{
+	RequestID: "Req-Id", Deadline: "Left-Ms", Stamp: "Stamp", Expect: "Expect-Instance", Instance: "Instance",
+	NotRun: "Not-Run", Load: "Load", Parts: "Parts", Missing: "Missing", RetryAfter: "Retry-After",
+}
+
+const shards = 6
+
+// directory is a directory in memory that counts its readers' calls.
+type directory struct {
+	calls atomic.Int64
+
+	mu      sync.Mutex
+	news    core.DirectoryNews
+	changed chan struct{}
+}
+
+func (d *directory) List(context.Context) (core.DirectoryNews, error) {
+	d.calls.Add(1)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.news, nil
+}
+
+func (d *directory) Watch(ctx context.Context, after core.Revision, wait time.Duration) (core.DirectoryNews, error) {
+	d.calls.Add(1)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return core.DirectoryNews{}, ctx.Err()
+	}
+	return core.DirectoryNews{Revision: after}, nil
+}
+
+// deployment is three hosts in two data centres before six shards.
+type deployment struct {
+	t         *testing.T
+	network   *network
+	directory *directory
+	slow      atomic.Int64 // nanoseconds that a replica takes
+	stops     map[string]func()
+}
+
+func host(i int) string { return fmt.Sprint("host-", i) }
+
+func callerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:8000", i) }
+
+func readyAddress(i int) string { return fmt.Sprintf("10.0.0.%d:8001", i) }
+
+func peerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:8002", i) }
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{t: t, network: newNetwork(), directory: &directory{changed: make(chan struct{})}, stops: map[string]func(){}}
+	d.slow.Store(int64(5 * time.Millisecond))
+	doc := core.Routing{Version: 3, Routes: []core.Route{{
+		Name: "query", Host: "h", Prefix: "/q/", Idempotent: true, Timeout: 2 * time.Second, Target: time.Second, Attempts: 2, TopK: 3, MinRatio: 0.9,
+	}}}
+	d.directory.news.Revision = 9
+	for s := range shards {
+		name := core.ServiceName(fmt.Sprint("shard-", s))
+		doc.Routes[0].Gather = append(doc.Routes[0].Gather, name)
+		doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: name, HealthPath: "/healthz", Connections: 26})
+		id := core.InstanceID(fmt.Sprint("i-", s))
+		in := core.Instance{ID: id, Service: name, Address: fmt.Sprintf("10.0.1.%d:80", s), DataCentre: core.DataCentre([]string{"a", "b"}[s%2]), Slots: 2}
+		d.directory.news.Items = append(d.directory.news.Items, core.DirectoryItem{ID: id, Revision: 5, Instance: &in})
+		d.replica(in)
+	}
+	d.directory.news.Items = append(d.directory.news.Items, core.DirectoryItem{Revision: 6, Routing: &doc})
+	return d
+}
+
+func (d *deployment) replica(in core.Instance) {
+	l, err := d.network.listen("tcp", in.Address)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-time.After(time.Duration(d.slow.Load()))
+		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		w.Header().Set(names.Stamp, string(in.ID)+"-"+r.Header.Get(names.RequestID))
+		_, _ = fmt.Fprintf(w, "%-16s", in.ID)
+	})}
+	go func() { _ = server.Serve(l) }()
+	d.t.Cleanup(func() { _ = server.Close() })
+}
+
+// start runs a host; the returned function asks it to stop.
+func (d *deployment) start(i int) (stop func()) {
+	e, err := edge.New(edge.Options{
+		Host: core.HostID(host(i)), DataCentre: core.DataCentre([]string{"a", "b"}[i%2]),
+		CallerAddress: callerAddress(i), ReadyAddress: readyAddress(i), PeerAddress: peerAddress(i),
+		PeerSeeds: []string{peerAddress(0), peerAddress(9)}, TaskPort: 8003,
+		Names: names, Grace: 6 * time.Second,
+		Extra:  budget.ExtraLimits{Window: 10 * time.Second, Ratio: 0.2, Minimum: 54},
+		Listen: d.network.listen, ListenPacket: d.network.listenPacket, Dial: d.network.dial,
+	}, d.directory, slog.New(slog.DiscardHandler))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := e.Run(ctx); err != nil {
+			d.t.Errorf("%s: %v", host(i), err)
+		}
+	}()
+	d.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return cancel
+}
+
+func (d *deployment) client() *http.Client {
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		return d.network.dial(ctx, network, address)
+	}}
+	d.t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+func (d *deployment) get(c *http.Client, address, path string) (*http.Response, string) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		d.t.Error(err)
+		return nil, ""
+	}
+	req.Host = "h"
+	req.Header.Set(names.RequestID, "r-7")
+	req.Header.Set(names.Deadline, "2000")
+	res, err := c.Do(req)
+	if err != nil {
+		d.t.Errorf("%s%s: %v", address, path, err)
+		return nil, ""
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		d.t.Errorf("%s%s: %v", address, path, err)
+	}
+	return res, string(body)
+}
+
+// TestHostsServeTogether guards against hosts that do not find each other, read
+// the directory all by themselves, or lose parts that another host calls.
+func TestHostsServeTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		for i := range 5 {
+			d.start(i)
+		}
+		<-time.After(4 * time.Second)
+		before := d.directory.calls.Load()
+		<-time.After(12 * time.Second)
+		// One reader of each data centre, every 1.2 s.
+		if n := d.directory.calls.Load() - before; n > 24 {
+			t.Errorf("five hosts read the directory %d times in 12 s, want 24 at most", n)
+		}
+		c := d.client()
+		for i := range 5 {
+			if res, _ := d.get(c, readyAddress(i), "/any"); res == nil || res.StatusCode != http.StatusOK {
+				t.Errorf("%s is not ready", host(i))
+			}
+			res, body := d.get(c, callerAddress(i), "/q/1")
+			if res == nil || res.StatusCode != http.StatusOK || res.Header.Get(names.Missing) != "0" || len(strings.Split(res.Header.Get(names.Parts), ",")) != shards {
+				t.Errorf("%s: got %+v", host(i), res)
+			}
+			if want := fmt.Sprintf("%-16s%-16s%-16s", "i-5", "i-4", "i-3"); body != want {
+				t.Errorf("%s: got %q, want %q", host(i), body, want)
+			}
+			if res, _ := d.get(c, callerAddress(i), "/none/"); res == nil || res.StatusCode != http.StatusNotFound {
+				t.Errorf("%s: got %+v for a path without route", host(i), res)
+			}
+		}
+	})
+}
+
+// TestGracefulStop guards against a host that cuts requests when it is asked to
+// stop, still counts as ready, or keeps callers on their connections.
+func TestGracefulStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		stop := d.start(0)
+		<-time.After(4 * time.Second)
+		d.slow.Store(int64(800 * time.Millisecond))
+		c := d.client()
+		var wait sync.WaitGroup
+		ask := func() {
+			wait.Go(func() {
+				if res, _ := d.get(c, callerAddress(0), "/q/1"); res == nil || res.StatusCode != http.StatusOK {
+					t.Errorf("got %+v", res)
+				}
+			})
+		}
+		ask()
+		<-time.After(100 * time.Millisecond)
+		stop()
+		synctest.Wait()
+		if res, _ := d.get(c, readyAddress(0), "/"); res == nil || res.StatusCode != http.StatusServiceUnavailable {
+			t.Error("a leaving host counts as ready")
+		}
+		// The load balancer sends requests for two more seconds.
+		<-time.After(1900 * time.Millisecond)
+		if res, _ := d.get(c, callerAddress(0), "/q/2"); res == nil || res.StatusCode != http.StatusOK || !res.Close {
+			t.Errorf("2 s after the stop: got %+v, want an answer that closes the connection", res)
+		}
+		wait.Wait()
+	})
+}
