fix(mirror): wait for news at one host only

Change: only the first host is asked to wait, one whose knowledge is too old answers at once, and hosts that failed are left out for 2 s.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -28,6 +28,9 @@
 	watchWait = 1200 * time.Millisecond
 	// followWait bounds one call to another host.
 	followWait = 800 * time.Millisecond
+	// avoidFor is how long a host that could not be followed is left out, unless
+	// the directory itself is out of reach too.
+	avoidFor = 2 * time.Second
 	// maxAge is how old the knowledge of another host may be before the directory
 	// is read instead: one watch, its answer and one call later, within the
 	// shortest time in which a change is due everywhere.
@@ -69,6 +72,8 @@
 type Mirror struct {
 	Parts
 
+	avoid map[core.HostID]time.Time // hosts that could not be followed; used by Run only
+
 	mu       sync.Mutex
 	trail    *trail.Trail
 	changed  chan struct{} // closed at the next change
@@ -89,7 +94,7 @@
 	if p.Gone == nil {
 		p.Gone = func(core.InstanceID) {}
 	}
-	return &Mirror{Parts: p, trail: trail.New(), changed: make(chan struct{})}
+	return &Mirror{Parts: p, avoid: make(map[core.HostID]time.Time), trail: trail.New(), changed: make(chan struct{})}
 }
 
 // Known reports whether the directory was read and holds a routing document.
@@ -122,12 +127,8 @@
 // step makes one call and applies what it brought.
 func (m *Mirror) step(ctx context.Context) (changed bool, err error) {
 	if m.Feeds != nil {
-		for _, h := range m.Feeds.Leaders(time.Now()) {
-			changed, err := m.follow(ctx, h)
-			if err == nil {
-				return changed, nil
-			}
-			m.Log.Info("mirror: host cannot be followed", "peer", h.ID(), "cause", err)
+		if changed, ok := m.followOne(ctx); ok {
+			return changed, nil
 		}
 	}
 	m.mu.Lock()
@@ -168,20 +169,39 @@
 	return true, nil
 }
 
+// followOne learns from the first host that knows the directory well. It waits
+// for news at one host only, and leaves out those that failed lately.
+func (m *Mirror) followOne(ctx context.Context) (changed, ok bool) {
+	now := time.Now()
+	wait := followWait
+	if m.holding(now) {
+		wait = watchGap // vanished entries expire soon
+	}
+	for _, h := range m.Feeds.Leaders(now) {
+		if now.Before(m.avoid[h.ID()]) {
+			continue
+		}
+		changed, err := m.follow(ctx, h, wait)
+		if err == nil {
+			return changed, true
+		}
+		m.avoid[h.ID()] = time.Now().Add(avoidFor)
+		wait = 0
+		m.Log.Info("mirror: host cannot be followed", "peer", h.ID(), "cause", err)
+	}
+	return false, false
+}
+
 // follow learns from another host.
-func (m *Mirror) follow(ctx context.Context, h core.Host) (changed bool, err error) {
+func (m *Mirror) follow(ctx context.Context, h core.Host, wait time.Duration) (changed bool, err error) {
 	m.mu.Lock()
-	after, wait := m.trail.Revision(), followWait
+	after := m.trail.Revision()
 	if !m.listed {
 		after = 0
 	}
-	if time.Now().Before(m.lapsing) {
-		wait = watchGap // vanished entries expire soon
-	}
 	m.mu.Unlock()
 	m.Meter.Count("directory_follows", 1)
-	asked := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, followWait+answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
 	feed, err := m.Feeds.Follow(ctx, h, after, wait)
 	if errors.Is(err, core.ErrHistoryGone) {
@@ -190,7 +210,7 @@
 	}
 	switch {
 	case err != nil:
-		if ctx.Err() != nil || time.Since(asked) < answerTimeout {
+		if ctx.Err() != nil {
 			m.Feeds.Lost(time.Now(), h)
 		}
 		return false, err
@@ -220,6 +240,9 @@
 	defer timer.Stop()
 	for last := false; ; {
 		feed, changed, err := m.changesSince(after)
+		if feed.Age > maxAge {
+			return feed, nil // the other host looks elsewhere
+		}
 		if err != nil || last || after == 0 || len(feed.News.Items) > 0 {
 			return feed, err
 		}
@@ -257,6 +280,7 @@
 // failed notes that the directory could not be read.
 func (m *Mirror) failed(err error) {
 	m.Meter.Count("directory_failures", 1)
+	clear(m.avoid)
 	m.mu.Lock()
 	first := !m.lost
 	m.lost = true
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -235,14 +237,28 @@
 
 // feeds follows another mirror.
 type feeds struct {
-	mu     sync.Mutex
-	leader *follower
-	mode   string
-	lost   int
+	leaders map[core.HostID]*follower
+
+	mu   sync.Mutex
+	mode string
+	lost int
+}
+
+func newFeeds(leaders ...*follower) *feeds {
+	f := &feeds{leaders: map[core.HostID]*follower{}}
+	for i, l := range leaders {
+		f.leaders[core.HostID(fmt.Sprint("host-", i+1))] = l
+	}
+	return f
 }
 
 func (f *feeds) Leaders(time.Time) []core.Host {
-	return []core.Host{core.NewHost("host-1", "a", "10.0.0.9:1")}
+	var hosts []core.Host
+	for id := range f.leaders {
+		hosts = append(hosts, core.NewHost(id, "a", "10.0.0.9:1"))
+	}
+	slices.SortFunc(hosts, func(a, b core.Host) int { return strings.Compare(string(a.ID()), string(b.ID())) })
+	return hosts
 }
 
 func (f *feeds) Lost(time.Time, core.Host) {
@@ -257,7 +273,7 @@
 	f.mode = mode
 }
 
-func (f *feeds) Follow(ctx context.Context, _ core.Host, after core.Revision, wait time.Duration) (core.FeedNews, error) {
+func (f *feeds) Follow(ctx context.Context, h core.Host, after core.Revision, wait time.Duration) (core.FeedNews, error) {
 	f.mu.Lock()
 	mode := f.mode
 	f.mu.Unlock()
@@ -268,7 +284,7 @@
 	case "refused":
 		return core.FeedNews{}, errors.New("refused")
 	}
-	return f.leader.Follow(ctx, after, wait)
+	return f.leaders[h.ID()].Follow(ctx, after, wait)
 }
 
 // TestFollower guards against a host that reads the directory although another
@@ -285,7 +301,7 @@
 				leader := run(t, reach, nil)
 				pass(time.Second)
 				own := &gatedDirectory{directory: d}
-				fd := &feeds{leader: leader}
+				fd := newFeeds(leader)
 				f := run(t, own, fd)
 				pass(5 * time.Second)
 				if own.count() != 0 {
@@ -311,6 +327,36 @@
 	}
 }
 
+// TestStaleLeaders is the load of several readers that are cut off from the
+// directory at once: a change is in force within 3 s at a host that follows them,
+// and the next one too, since it does not wait for each of them in turn.
+func TestStaleLeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory()
+		d.put(document(2))
+		var ways []*gatedDirectory
+		var leaders []*follower
+		for range 6 {
+			way := &gatedDirectory{directory: d}
+			ways = append(ways, way)
+			leaders = append(leaders, run(t, way, nil))
+		}
+		pass(time.Second)
+		f := run(t, &gatedDirectory{directory: d}, newFeeds(leaders...))
+		pass(5 * time.Second)
+		for _, way := range ways[:5] {
+			way.cut()
+		}
+		for _, v := range []uint64{5, 8, 11} {
+			d.put(document(v))
+			pass(3 * time.Second)
+			if got := f.versions(); got[len(got)-1] != v {
+				t.Errorf("3 s after version %d: got %v", v, got)
+			}
+		}
+	})
+}
+
 // gatedDirectory is one host's way to a directory.
 type gatedDirectory struct {
 	*directory
