--- a/core/routing.go
+++ b/core/routing.go
@@ -124,9 +124,9 @@
 // Feeds gives access to the directory as other hosts know it, so that few hosts
 // read the directory itself.
 type Feeds interface {
-	// Leaders returns the hosts to learn from, best first. It is empty for a host
-	// that is to read the directory itself.
-	Leaders(now time.Time) []Host
+	// Leaders returns the hosts to learn from, best first, and whether this host is
+	// to read the directory itself.
+	Leaders(now time.Time) (hosts []Host, reads bool)
 	// Follow returns the changes after a revision as Directory.Watch does, and
 	// everything for revision 0.
 	Follow(ctx context.Context, h Host, after Revision, wait time.Duration) (FeedNews, error)
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -197,25 +197,21 @@
 // Leaders implements core.Feeds. The first reader of the own data centre reads
 // the directory; all others follow it, or the next one, or those of other data
 // centres.
-func (f *Feeds) Leaders(now time.Time) []core.Host {
+func (f *Feeds) Leaders(now time.Time) (hosts []core.Host, reads bool) {
 	view := f.Views.Reachable(now)
-	own := f.Placer.Readers(view, f.Self.DataCentre(), 0, 0)
-	if len(own) == 0 || own[0] == f.Self.ID() {
-		return nil
-	}
-	ids := own
+	ids := f.Placer.Readers(view, f.Self.DataCentre(), 0, 0)
+	reads = len(ids) == 0 || ids[0] == f.Self.ID()
 	for _, dc := range dataCentres(view) {
 		if dc != f.Self.DataCentre() {
 			ids = append(ids, f.Placer.Readers(view, dc, 0, 0)[:1]...)
 		}
 	}
-	hosts := make([]core.Host, 0, len(ids))
 	for _, id := range ids {
 		if h, ok := view.Lookup(id); ok && id != f.Self.ID() {
 			hosts = append(hosts, h)
 		}
 	}
-	return hosts
+	return hosts, reads
 }
 
 // dataCentres returns the data centres of a view's hosts, in their order.
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -72,7 +72,10 @@
 type Mirror struct {
 	Parts
 
-	avoid map[core.HostID]time.Time // hosts that could not be followed; used by Run only
+	// Used by Run only: until when hosts that could not be followed, and the
+	// directory if it could not be read, are left out.
+	avoid     map[core.HostID]time.Time
+	readAgain time.Time
 
 	mu       sync.Mutex
 	trail    *trail.Trail
@@ -126,11 +129,31 @@
 
 // step makes one call and applies what it brought.
 func (m *Mirror) step(ctx context.Context) (changed bool, err error) {
+	var leaders []core.Host
+	reads := true
 	if m.Feeds != nil {
-		if changed, ok := m.followOne(ctx); ok {
+		leaders, reads = m.Feeds.Leaders(time.Now())
+	}
+	if !reads || time.Now().Before(m.readAgain) {
+		if changed, ok := m.followOne(ctx, leaders); ok {
 			return changed, nil
 		}
 	}
+	changed, err = m.read(ctx)
+	if err == nil || !reads {
+		return changed, err
+	}
+	// A reader that the directory refuses learns from the others meanwhile.
+	m.readAgain = time.Now().Add(avoidFor)
+	if changed, ok := m.followOne(ctx, leaders); ok {
+		m.Log.Info("mirror: directory cannot be read; following another host", "cause", err)
+		return changed, nil
+	}
+	return false, err
+}
+
+// read makes one call to the directory.
+func (m *Mirror) read(ctx context.Context) (changed bool, err error) {
 	m.mu.Lock()
 	listed, after, held := m.listed, m.trail.Revision(), time.Now().Before(m.lapsing)
 	m.mu.Unlock()
@@ -171,13 +194,13 @@
 
 // followOne learns from the first host that knows the directory well. It waits
 // for news at one host only, and leaves out those that failed lately.
-func (m *Mirror) followOne(ctx context.Context) (changed, ok bool) {
+func (m *Mirror) followOne(ctx context.Context, leaders []core.Host) (changed, ok bool) {
 	now := time.Now()
 	wait := followWait
 	if m.holding(now) {
 		wait = watchGap // vanished entries expire soon
 	}
-	for _, h := range m.Feeds.Leaders(now) {
+	for _, h := range leaders {
 		if now.Before(m.avoid[h.ID()]) {
 			continue
 		}
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -238,6 +238,7 @@
 // feeds follows another mirror.
 type feeds struct {
 	leaders map[core.HostID]*follower
+	reads   bool
 
 	mu   sync.Mutex
 	mode string
@@ -252,13 +253,12 @@
 	return f
 }
 
-func (f *feeds) Leaders(time.Time) []core.Host {
-	var hosts []core.Host
+func (f *feeds) Leaders(time.Time) (hosts []core.Host, reads bool) {
 	for id := range f.leaders {
 		hosts = append(hosts, core.NewHost(id, "a", "10.0.0.9:1"))
 	}
 	slices.SortFunc(hosts, func(a, b core.Host) int { return strings.Compare(string(a.ID()), string(b.ID())) })
-	return hosts
+	return hosts, f.reads
 }
 
 func (f *feeds) Lost(time.Time, core.Host) {
@@ -357,6 +357,29 @@
 	})
 }
 
+// TestRefusedReader guards against a reader that the directory refuses and that
+// learns nothing although other hosts know.
+func TestRefusedReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory()
+		d.put(document(2))
+		other := run(t, &gatedDirectory{directory: d}, nil)
+		pass(time.Second)
+		way, fd := &gatedDirectory{directory: d}, newFeeds(other)
+		fd.reads = true
+		f := run(t, way, fd)
+		pass(3 * time.Second)
+		way.cut()
+		for _, v := range []uint64{5, 8} {
+			d.put(document(v))
+			pass(3 * time.Second)
+			if got := f.versions(); got[len(got)-1] != v {
+				t.Errorf("3 s after version %d: got %v", v, got)
+			}
+		}
+	})
+}
+
 // gatedDirectory is one host's way to a directory.
 type gatedDirectory struct {
 	*directory
