feat(relay): ask refusing replicas again; owners share the minimum of extra calls

Ruled out: more replicas for a request (the route allows two). Change: a replica that refused is asked again after 3 and 6 ms, within the budget; of services that only owners call, each owner has 1/(2 x data centres) of the minimum, other hosts none. Test: TestShardsThatShed.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -173,17 +173,25 @@
 	return hosts[:min(n, len(hosts))]
 }
 
-// Mine reports whether this host calls the replicas of a service for queries over
-// all of the services. It is exact for data centres that hold a replica of every
-// shard, and a good guess for others.
-func (a *Assigner) Mine(v core.View, services []core.ServiceName, s core.ServiceName) bool {
+// Owned returns the services that this host calls for queries over all of the
+// services, and whether other hosts call the rest. It is exact for data centres
+// that hold a replica of every shard, and a good guess for others.
+func (a *Assigner) Owned(v core.View, services []core.ServiceName) (owned []core.ServiceName, divided bool) {
 	if len(services) <= directShards {
-		return true
+		return services, false
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	set := ownerSet(hostsOf(v, a.self.DataCentre()), len(services))
-	return len(set) == 0 || a.owner(set, a.self.DataCentre(), s).ID() == a.self.ID()
+	if len(set) == 0 {
+		return services, false
+	}
+	for _, s := range services {
+		if a.owner(set, a.self.DataCentre(), s).ID() == a.self.ID() {
+			owned = append(owned, s)
+		}
+	}
+	return owned, true
 }
 
 func (a *Assigner) owner(hosts []core.Host, dc core.DataCentre, s core.ServiceName) core.Host {
--- a/core/budget/extra.go
+++ b/core/budget/extra.go
@@ -31,14 +31,15 @@
 
 // Extra limits the extra calls of this host to each service in any window: to the
 // ratio of the requests of that window, the one before it or the one half a window
-// before it, whichever has most, and the minimum. The hosts share the minimum
-// equally, and each has the ratio of its own requests, so that the sum keeps to the
+// before it, whichever has most, and the minimum. Each host has its share of the
+// minimum, an equal one unless SetShare says otherwise, and each has the ratio of its own requests, so that the sum keeps to the
 // limits without any exchange. It is safe for concurrent use.
 type Extra struct {
 	mu       sync.Mutex
 	limits   ExtraLimits
 	start    time.Time // slices are counted from here by the steady clock
 	hosts    int
+	shares   map[core.ServiceName]float64
 	services map[core.ServiceName]*usage
 }
 
@@ -72,6 +73,22 @@
 	e.hosts = max(1, n)
 }
 
+// SetShares sets this host's shares of the minimum, 0 to 1, of services that only
+// some hosts call. All others are shared equally.
+func (e *Extra) SetShares(shares map[core.ServiceName]float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.shares = shares
+}
+
+// share returns this host's part of the minimum of a service.
+func (e *Extra) share(s core.ServiceName) float64 {
+	if share, ok := e.shares[s]; ok {
+		return share
+	}
+	return 1 / float64(e.hosts)
+}
+
 // Request notes one request for a service.
 func (e *Extra) Request(now time.Time, s core.ServiceName) {
 	e.mu.Lock()
@@ -84,7 +101,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u, at := e.usage(s), e.slice(now)
-	if float64(u.used(at)+1) > e.allowed(u, at) {
+	if float64(u.used(at)+1) > e.allowed(s, u, at) {
 		return false
 	}
 	u.extra.add(at)
@@ -96,17 +113,17 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u, at := e.usage(s), e.slice(now)
-	allowed := e.allowed(u, at)
+	allowed := e.allowed(s, u, at)
 	if allowed <= 0 {
 		return 0
 	}
 	return max(0, 1-float64(u.used(at))/allowed)
 }
 
-func (e *Extra) allowed(u *usage, at int64) float64 {
+func (e *Extra) allowed(s core.ServiceName, u *usage, at int64) float64 {
 	// An earlier life of this host may have spent its part of the minimum.
 	ramp := min(1, startShare+(1-startShare)*float64(at)/slices)
-	return headroom * (e.limits.Ratio*float64(u.earned(at)) + ramp*e.limits.Minimum/float64(e.hosts))
+	return headroom * (e.limits.Ratio*float64(u.earned(at)) + ramp*e.share(s)*e.limits.Minimum)
 }
 
 // used returns the extra calls of any window that ends now.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -289,6 +289,24 @@
 	return slices.ContainsFunc(t.byService[s], (*Replica).usable)
 }
 
+// Again returns the best of some replicas that were called before; nil when none
+// may get a call now.
+func (t *Table) Again(now time.Time, expected time.Duration, tried []*Replica) (best *Replica) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var bestCost float64
+	for _, r := range tried {
+		limit, limited := t.caps[r.inst.Service]
+		if !r.usable() || limited && r.running >= limit.Calls {
+			continue
+		}
+		if cost := r.cost(now, expected, t.home); best == nil || cost < bestCost {
+			best, bestCost = r, cost
+		}
+	}
+	return best
+}
+
 // Near reports whether a service has a usable replica in a data centre.
 func (t *Table) Near(s core.ServiceName, dc core.DataCentre) bool {
 	t.mu.Lock()
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -20,8 +20,9 @@
 // Table is one version of the routing document.
 type Table struct {
 	version   uint64
-	byHost    map[string][]*core.Route // longest prefix first
-	byService map[core.ServiceName][]*core.Route
+	byHost    map[string][]*core.Route  // longest prefix first
+	named     map[core.ServiceName]bool // by some route
+	queries   []*core.Route             // those that gather
 	upstreams map[core.ServiceName]core.Upstream
 	limits    core.CallerLimits
 }
@@ -31,7 +32,7 @@
 	t := &Table{
 		version:   doc.Version,
 		byHost:    make(map[string][]*core.Route),
-		byService: make(map[core.ServiceName][]*core.Route),
+		named:     make(map[core.ServiceName]bool),
 		upstreams: make(map[core.ServiceName]core.Upstream, len(doc.Upstreams)),
 		limits:    doc.Limits,
 	}
@@ -40,10 +41,13 @@
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], &r)
 		for _, s := range r.Gather {
-			t.byService[s] = append(t.byService[s], &r)
+			t.named[s] = true
 		}
 		for _, s := range r.Split {
-			t.byService[s.Service] = append(t.byService[s.Service], &r)
+			t.named[s.Service] = true
+		}
+		if len(r.Gather) > 0 {
+			t.queries = append(t.queries, &r)
 		}
 	}
 	for _, routes := range t.byHost {
@@ -71,10 +75,10 @@
 func (t *Table) Upstreams() []core.Upstream { return slices.Collect(maps.Values(t.upstreams)) }
 
 // Services returns the services that some route names, without order.
-func (t *Table) Services() []core.ServiceName { return slices.Collect(maps.Keys(t.byService)) }
+func (t *Table) Services() []core.ServiceName { return slices.Collect(maps.Keys(t.named)) }
 
-// RoutesOf returns the routes that name a service.
-func (t *Table) RoutesOf(s core.ServiceName) []*core.Route { return t.byService[s] }
+// Queries returns the routes that gather.
+func (t *Table) Queries() []*core.Route { return t.queries }
 
 // Match returns the route of the host with the longest prefix of the path.
 func (t *Table) Match(host, path string) (*core.Route, bool) {
--- a/io/assist/assist.go
+++ b/io/assist/assist.go
@@ -92,10 +92,21 @@
 	a.Log.Warn("relay: host does not carry out a task", "peer", h.ID(), "request", id, "cause", cause)
 }
 
-// Mine reports whether this host calls the replicas of a service for queries over
-// all of the services.
-func (a *Assistant) Mine(now time.Time, services []core.ServiceName, s core.ServiceName) bool {
-	return a.assigner.Mine(a.Views.View(now), services, s)
+// Owned returns the services that this host calls for queries over all of the
+// services, and whether other hosts call the rest.
+func (a *Assistant) Owned(now time.Time, services []core.ServiceName) (owned []core.ServiceName, divided bool) {
+	return a.assigner.Owned(a.Views.View(now), services)
+}
+
+// Roles returns a number that changes when other hosts may have come to call
+// other services, and the number of data centres with hosts.
+func (a *Assistant) Roles(now time.Time) (version uint64, dataCentres int) {
+	v := a.Views.View(now)
+	seen := make(map[core.DataCentre]bool)
+	for _, h := range v.Hosts() {
+		seen[h.DataCentre()] = true
+	}
+	return v.Version(), len(seen)
 }
 
 // Runner carries out a task; see relay.Relay.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -14,7 +14,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -98,8 +97,19 @@
 	Grace time.Duration
 }
 
-// Edge is one host.
+// roles is what this host calls in a view and a version of the document.
+type roles struct {
+	known  bool
+	view   uint64
+	table  *route.Table
+	shares map[core.ServiceName]float64
+}
+
+// Edge is one host. Its lock covers the roles; it is taken before those of the
+// budget and the assigner.
 type Edge struct {
+	mu      sync.Mutex
+	roles   roles
 	opts    Options
 	extra   *budget.Extra
 	grace   atomic.Int64 // nanoseconds
@@ -399,10 +409,38 @@
 // used reports whether this host calls the replicas of a service: some route
 // names it, and not only queries whose calls other hosts make.
 func (e *Edge) used(t *route.Table, s core.ServiceName) bool {
+	share, divided := e.shares(t)[s]
+	_, named := t.Upstream(s)
+	return named && (!divided || share > 0)
+}
+
+// shares returns this host's shares of the extra calls to services that only some
+// hosts call: none if this is not one of them. One host of each data centre calls
+// such a service; as many again are allowed for while that duty moves.
+func (e *Edge) shares(t *route.Table) map[core.ServiceName]float64 {
 	now := time.Now()
-	return slices.ContainsFunc(t.RoutesOf(s), func(r *core.Route) bool {
-		return len(r.Gather) == 0 || e.assist.Mine(now, r.Gather, s)
-	})
+	version, dataCentres := e.assist.Roles(now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.roles.known && e.roles.view == version && e.roles.table == t {
+		return e.roles.shares
+	}
+	shares := make(map[core.ServiceName]float64)
+	for _, r := range t.Queries() {
+		owned, divided := e.assist.Owned(now, r.Gather)
+		if !divided {
+			continue
+		}
+		for _, s := range r.Gather {
+			shares[s] = max(0, shares[s])
+		}
+		for _, s := range owned {
+			shares[s] = 1 / float64(2*max(1, dataCentres))
+		}
+	}
+	e.roles = roles{known: true, view: version, table: t, shares: shares}
+	e.extra.SetShares(shares)
+	return shares
 }
 
 func (e *Edge) warmOne(ctx context.Context, in core.Instance) {
@@ -451,6 +489,9 @@
 
 // share follows the number of hosts that share budget and connections.
 func (e *Edge) share() {
+	if t := e.relay.Table(); t != nil {
+		e.shares(t)
+	}
 	n := e.hosts()
 	if int64(n) == e.sharing.Swap(int64(n)) {
 		return
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -49,7 +50,11 @@
 	// busyWait is the delay before a leg that found all connections in use looks
 	// again.
 	busyWait = 4 * time.Millisecond
-	never    = 365 * 24 * time.Hour
+	// maxAgain calls go to replicas that refused before, after againAfter and
+	// twice that: a few slots of a busy replica are free again by then.
+	maxAgain   = 2
+	againAfter = 3 * time.Millisecond
+	never      = 365 * 24 * time.Hour
 )
 
 // leg is the part of a request that one service answers.
@@ -58,6 +63,8 @@
 	service  core.ServiceName
 	tried    []*fleet.Replica
 	attempts int
+	again    int       // calls to replicas that had refused
+	againAt  time.Time // zero unless such a call is due
 	running  int
 	hedgeAt  time.Time // zero when no hedge is due
 	retryAt  time.Time // zero unless all connections were in use
@@ -117,7 +124,7 @@
 
 func (j *job) setLegs(services []core.ServiceName) {
 	j.legs = make([]leg, len(services))
-	j.results = make(chan end, len(services)*max(1, j.route.Attempts))
+	j.results = make(chan end, len(services)*(max(1, j.route.Attempts)+maxAgain))
 	for i, s := range services {
 		j.legs[i] = leg{index: i, service: s}
 	}
@@ -149,7 +156,9 @@
 func (j *job) send(now time.Time, l *leg, replica *fleet.Replica) {
 	l.attempts++
 	l.running++
-	l.tried = append(l.tried, replica)
+	if !slices.Contains(l.tried, replica) {
+		l.tried = append(l.tried, replica)
+	}
 	l.hedgeAt = now.Add(j.hedgeDelay(now, l))
 	j.sent++
 	in := replica.Instance()
@@ -224,6 +233,12 @@
 				j.settle(l)
 			}
 		}
+		if !l.againAt.IsZero() && !now.Before(l.againAt) {
+			l.againAt = time.Time{}
+			if !j.tryAgain(now, l) && l.running == 0 {
+				j.settle(l)
+			}
+		}
 		if !l.hedgeAt.IsZero() && !now.Before(l.hedgeAt) {
 			l.hedgeAt = time.Time{}
 			if l.running > 0 && j.mayRepeat(l) {
@@ -234,6 +249,19 @@
 	}
 }
 
+// tryAgain sends the request to a replica that refused it: one that sheds a part of
+// its requests may take the next one, and the route limits the replicas, not the
+// calls.
+func (j *job) tryAgain(now time.Time, l *leg) bool {
+	replica := j.relay.Fleet.Again(now, j.usual, l.tried)
+	if replica == nil || !j.relay.Extra.Take(now, l.service) {
+		return false
+	}
+	j.extra++
+	j.send(now, l, replica)
+	return true
+}
+
 func (j *job) mayRepeat(l *leg) bool {
 	return j.route.Idempotent && l.attempts < j.route.Attempts
 }
@@ -259,7 +287,12 @@
 	if repeat && j.attempt(now, l) {
 		return
 	}
-	if l.running == 0 {
+	if res.NotRun && l.again < maxAgain && len(l.tried) > 0 && !l.ran {
+		l.againAt = now.Add(againAfter << l.again)
+		l.again++
+		return
+	}
+	if l.running == 0 && l.againAt.IsZero() {
 		j.settle(l)
 	}
 }
@@ -277,6 +310,9 @@
 		if !l.retryAt.IsZero() && l.retryAt.Before(last) {
 			last = l.retryAt
 		}
+		if !l.againAt.IsZero() && l.againAt.Before(last) {
+			last = l.againAt
+		}
 	}
 	return last
 }
--- a/io/relay/load_test.go
+++ b/io/relay/load_test.go
@@ -79,7 +79,11 @@
 		w.mu.Lock()
 		mode := w.modes[address]
 		w.sent++
-		if mode != "shed" {
+		switch mode {
+		case "shed":
+		case "shed once":
+			w.modes[address] = ""
+		default:
 			w.ran[address]++
 		}
 		w.mu.Unlock()
@@ -103,7 +107,7 @@
 		took = 120 * time.Millisecond
 	case "slow":
 		took = 8 * work
-	case "shed":
+	case "shed", "shed once":
 		status, extra, took = "503 Busy", "Not-Run: 1\r\n", time.Millisecond
 	case "unavailable":
 		status = "503 Unavailable"
@@ -293,6 +297,25 @@
 	}
 }
 
+// TestShardsThatShed is the load of a service whose replicas all shed a part of
+// their requests: a shard whose two replicas refuse is asked again, at no other
+// replica.
+func TestShardsThatShed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		r, _ := newRelay(t, w, 20, nil)
+		warmUp(r)
+		for s := range 6 {
+			w.set("shed once", address(s, 0), address(s, 1))
+		}
+		reply, took := ask(r, "/q/", 1)
+		if reply.Status != 200 || reply.Missing != 0 || took > 60*time.Millisecond {
+			t.Errorf("got %d with %d missing after %v", reply.Status, reply.Missing, took)
+		}
+		drain()
+	})
+}
+
 // TestCallerLeaves guards against replicas that work for a caller who has left.
 func TestCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
