--- a/core/iface.go
+++ b/core/iface.go
@@ -108,6 +108,11 @@
 	Snapshots(ctx context.Context, h Host, s ServiceName) ([]GroupSnapshot, error)
 }
 
+// BatchReader sends a batch to another host, as Peers does.
+type BatchReader interface {
+	Read(ctx context.Context, h Host, b ReadBatch, sink func(ShardResult)) error
+}
+
 // HostEntry is one line of the published host list.
 type HostEntry struct {
 	Host    Host
@@ -146,6 +151,12 @@
 	MarkDown(now time.Time, id HostID)
 }
 
+// Reach tells which hosts run, ready or not, and takes hints about lost ones.
+type Reach interface {
+	Reachable(now time.Time) View
+	MarkDown(now time.Time, id HostID)
+}
+
 // Locator finds a host that other hosts may still reach although it is not in
 // the view, such as a leaving one.
 type Locator interface {
--- a/core/routing.go
+++ b/core/routing.go
@@ -133,3 +133,10 @@
 	// Lost takes a hint that a host could not be reached.
 	Lost(now time.Time, h Host)
 }
+
+// FeedSource tells other hosts what this one knows of the directory.
+type FeedSource interface {
+	// Follow returns the changes after a revision as soon as there is one, or
+	// none at the end of wait; everything for revision 0.
+	Follow(ctx context.Context, after Revision, wait time.Duration) (FeedNews, error)
+}
--- a/core/task.go
+++ b/core/task.go
@@ -51,3 +51,10 @@
 	// when the task ended. A *CallError tells whether anything may have run.
 	Run(ctx context.Context, h Host, t Task, sink func(TaskResult)) error
 }
+
+// TaskRunner carries out the tasks of other hosts.
+type TaskRunner interface {
+	// Assist calls sink with what is there when the task is complete or its time
+	// to close has come, and with what comes later.
+	Assist(ctx context.Context, t Task, sink func(TaskResult)) error
+}
--- a/io/assist/assist.go
+++ b/io/assist/assist.go
@@ -26,17 +26,12 @@
 
 var errUnacknowledged = errors.New("assist: no acknowledgement")
 
-// Reader sends a batch to another host; see peer.Client.
-type Reader interface {
-	Read(ctx context.Context, h core.Host, b core.ReadBatch, sink func(core.ShardResult)) error
-}
-
 // Parts are what an assistant works with.
 type Parts struct {
 	Self  core.Host
 	Views core.Views
 	Near  func(core.ServiceName, core.DataCentre) bool
-	Peers Reader
+	Peers core.BatchReader
 	Log   *slog.Logger
 }
 
@@ -109,21 +104,16 @@
 	return v.Version(), len(seen)
 }
 
-// Runner carries out a task; see relay.Relay.
-type Runner interface {
-	Assist(ctx context.Context, t core.Task, sink func(core.TaskResult)) error
-}
-
 // Handler serves the tasks of other hosts.
 type Handler struct {
-	runner Runner
+	runner core.TaskRunner
 	log    *slog.Logger
 }
 
 var _ peer.Handler = (*Handler)(nil)
 
 // NewHandler returns a handler.
-func NewHandler(r Runner, log *slog.Logger) *Handler { return &Handler{runner: r, log: log} }
+func NewHandler(r core.TaskRunner, log *slog.Logger) *Handler { return &Handler{runner: r, log: log} }
 
 // Handle implements peer.Handler.
 func (h *Handler) Handle(ctx context.Context, f *wire.Frame, reply peer.Reply) {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -97,14 +97,6 @@
 	Grace time.Duration
 }
 
-// roles is what this host calls in a view and a version of the document.
-type roles struct {
-	known  bool
-	view   uint64
-	table  *route.Table
-	shares map[core.ServiceName]float64
-}
-
 // Edge is one host. Its lock covers the roles; it is taken before those of the
 // budget and the assigner.
 type Edge struct {
@@ -274,14 +266,6 @@
 		"extra_minimum", s.Extra.Minimum, "grace", s.Grace)
 }
 
-// emptied opens a connection again that the replica closed for want of use: its
-// set-up time would fall into the next query.
-func (e *Edge) emptied(id core.InstanceID) {
-	if in, ok := e.fleet.Chosen(id); ok {
-		e.appeared(in) // warm looks whether it is still used
-	}
-}
-
 // listeners are the sockets of a host.
 type listeners struct {
 	callers, checks, hosts, tasks net.Listener
@@ -367,169 +351,6 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// becomeReady waits for the directory and for warm connections.
-func (e *Edge) becomeReady(ctx context.Context) error {
-	ticker := time.NewTicker(tick / 4)
-	defer ticker.Stop()
-	bound := time.Now().Add(coverBound)
-	for !e.mirror.Known() || !e.covered() && time.Now().Before(bound) {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-	bounded, cancel := context.WithTimeout(ctx, warmBound)
-	defer cancel()
-	var group errgroup.Group
-	group.SetLimit(warmAtOnce)
-	for _, in := range e.fleet.Instances() {
-		group.Go(func() error {
-			e.warmOne(bounded, in)
-			return nil
-		})
-	}
-	_ = group.Wait() // warming reports no error
-	e.ready.Store(true)
-	e.crew.SetReady(true)
-	e.log.Info("node: host is ready", "host", e.opts.Host, "replicas", e.fleet.Size(), "connections", e.client.Connections())
-	return nil
-}
-
-// covered reports whether each service of the routes has a replica.
-func (e *Edge) covered() bool {
-	for _, s := range e.relay.Table().Services() {
-		if !e.fleet.Available(s) {
-			return false
-		}
-	}
-	return true
-}
-
-// used reports whether this host calls the replicas of a service: some route
-// names it, and not only queries whose calls other hosts make.
-func (e *Edge) used(t *route.Table, s core.ServiceName) bool {
-	share, divided := e.shares(t)[s]
-	_, named := t.Upstream(s)
-	return named && (!divided || share > 0)
-}
-
-// shares returns this host's shares of the extra calls to services that only some
-// hosts call: none if this is not one of them. One host of each data centre calls
-// such a service; as many again are allowed for while that duty moves.
-func (e *Edge) shares(t *route.Table) map[core.ServiceName]float64 {
-	now := time.Now()
-	version, dataCentres := e.assist.Roles(now)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.roles.known && e.roles.view == version && e.roles.table == t {
-		return e.roles.shares
-	}
-	shares := make(map[core.ServiceName]float64)
-	for _, r := range t.Queries() {
-		owned, divided := e.assist.Owned(now, r.Gather)
-		if !divided {
-			continue
-		}
-		for _, s := range r.Gather {
-			shares[s] = max(0, shares[s])
-		}
-		for _, s := range owned {
-			shares[s] = 1 / float64(2*max(1, dataCentres))
-		}
-	}
-	e.roles = roles{known: true, view: version, table: t, shares: shares}
-	e.extra.SetShares(shares)
-	return shares
-}
-
-func (e *Edge) warmOne(ctx context.Context, in core.Instance) {
-	t := e.relay.Table()
-	if t == nil {
-		return
-	}
-	if !e.used(t, in.Service) {
-		return
-	}
-	e.client.Warm(ctx, client.Target{ID: in.ID, Address: in.Address, Connections: e.relay.Share(t, in.Service).Calls})
-}
-
-// warm opens connections to replicas that appear while the host serves.
-func (e *Edge) warm(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case in := <-e.warming:
-			if e.ready.Load() {
-				e.warmOne(ctx, in)
-			}
-		}
-	}
-}
-
-// probe asks ejected replicas whether they are healthy again.
-func (e *Edge) probe(ctx context.Context) error {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	var running sync.WaitGroup
-	defer running.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		e.share()
-		for _, r := range e.fleet.Probes(time.Now()) {
-			running.Go(func() { e.probeOne(ctx, r) })
-		}
-	}
-}
-
-// share follows the number of hosts that share budget and connections.
-func (e *Edge) share() {
-	if t := e.relay.Table(); t != nil {
-		e.shares(t)
-	}
-	n := e.hosts()
-	if int64(n) == e.sharing.Swap(int64(n)) {
-		return
-	}
-	e.extra.SetHosts(n)
-	if t := e.relay.Table(); t != nil {
-		e.setCaps(t)
-	}
-	e.log.Info("node: limits are shared", "hosts", n)
-}
-
-func (e *Edge) probeOne(ctx context.Context, r *fleet.Replica) {
-	in := r.Instance()
-	t := e.relay.Table()
-	path := "/"
-	if u, ok := t.Upstream(in.Service); ok {
-		path = u.HealthPath
-	}
-	result := make(chan client.Result, 1)
-	call := e.client.Send(client.Target{ID: in.ID, Address: in.Address, Connections: e.relay.Share(t, in.Service).Calls},
-		client.Request{Method: http.MethodGet, URI: path, Host: in.Address},
-		func(res client.Result) { result <- res })
-	timer := time.NewTimer(probeTimeout)
-	defer timer.Stop()
-	healthy := false
-	select {
-	case res := <-result:
-		healthy = res.Err == nil && !res.Reply.Moved && (res.Reply.Status == http.StatusOK || res.NotRun)
-	case <-timer.C:
-		call.Abandon(0)
-	case <-ctx.Done():
-		call.Abandon(0)
-	}
-	if e.fleet.Probed(time.Now(), r, healthy) {
-		e.log.Info("relay: replica is back", "replica", in.ID, "service", in.Service)
-	}
-}
-
 // drain stops taking callers and lets the requests end that run.
 func (e *Edge) drain(server *http.Server) {
 	begin := time.Now()
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -39,13 +39,6 @@
 // ErrFollow is returned when another host does not answer.
 var ErrFollow = errors.New("feed: follow")
 
-// Source tells what this host knows.
-type Source interface {
-	// Follow returns the changes after a revision as soon as there is one, or
-	// none at the end of wait; everything for revision 0.
-	Follow(ctx context.Context, after core.Revision, wait time.Duration) (core.FeedNews, error)
-}
-
 // request and reply are the messages.
 type request struct {
 	After  core.Revision `json:"after"`
@@ -101,7 +94,7 @@
 
 // Server answers the hosts that follow this one.
 type Server struct {
-	source Source
+	source core.FeedSource
 	codec  *codec
 	drpc   *drpcserver.Server
 }
@@ -109,7 +102,7 @@
 var _ drpc.Description = (*Server)(nil)
 
 // NewServer returns a server of what a source knows.
-func NewServer(s Source) (*Server, error) {
+func NewServer(s core.FeedSource) (*Server, error) {
 	c, err := newCodec()
 	if err != nil {
 		return nil, err
@@ -153,19 +146,13 @@
 	return &reply{News: news.News, AgeMS: news.Age.Milliseconds(), LapsingMS: news.Lapsing.Milliseconds()}, nil
 }
 
-// Views tells which hosts run.
-type Views interface {
-	Reachable(now time.Time) core.View
-	MarkDown(now time.Time, id core.HostID)
-}
-
 // Dial opens a connection to another host.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Parts are what a feed works with.
 type Parts struct {
 	Self   core.Host
-	Views  Views
+	Views  core.Reach
 	Placer core.Placer
 	Dial   Dial
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -33,14 +33,9 @@
 	headerTimeout = 10 * time.Second
 )
 
-// Relayer serves one request.
-type Relayer interface {
-	Do(ctx context.Context, req relay.Request) relay.Reply
-}
-
 // Parts are what a front works with.
 type Parts struct {
-	Relay  Relayer
+	Relay  *relay.Relay
 	Names  core.HeaderNames
 	Limits func() core.CallerLimits
 }
--- /dev/null
+++ b/io/front/front_test.go
@@ -0,0 +1,127 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"oriolebarrow/core"
+	"oriolebarrow/core/budget"
+	"oriolebarrow/core/fleet"
+	"oriolebarrow/core/route"
+	"oriolebarrow/io/client"
+	"oriolebarrow/io/front"
+	"oriolebarrow/io/relay"
+)
+
+var names = core.HeaderNames{
+	RequestID: "Req-Id", Deadline: "Left-Ms", Stamp: "Stamp", Expect: "Expect-Instance", Instance: "Instance",
+	NotRun: "Not-Run", Load: "Load", Parts: "Parts", Missing: "Missing", RetryAfter: "Retry-After",
+}
+
+// newFront returns a front whose only service has one replica, which answers with
+// script and notes what it gets.
+func newFront(t *testing.T, script string, got chan<- *http.Request) *front.Front {
+	t.Helper()
+	f := fleet.New("host-0", "a")
+	f.Put(time.Now(), core.Instance{ID: "i-1", Service: "tickets", Address: "10.0.0.1:80", DataCentre: "a", Slots: 2})
+	c := client.New(client.Options{Names: names, Dial: func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer func() { _ = far.Close() }()
+			req, err := http.ReadRequest(bufio.NewReader(far))
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(req.Body)
+			req.Body = io.NopCloser(strings.NewReader(string(body)))
+			got <- req
+			_, _ = io.WriteString(far, script)
+		}()
+		return near, nil
+	}})
+	t.Cleanup(c.Close)
+	r := relay.New(relay.Parts{
+		Fleet: f, Client: c, Splitter: route.NewSplitter(0), Log: slog.New(slog.DiscardHandler), Hosts: func() int { return 1 },
+		Extra: budget.NewExtra(budget.ExtraLimits{Window: 10 * time.Second}, 1),
+	})
+	r.SetTable(route.New(core.Routing{
+		Version:   1,
+		Routes:    []core.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Timeout: time.Second, Target: time.Second, Attempts: 1, Split: []core.Share{{Service: "tickets", Weight: 1}}}},
+		Upstreams: []core.Upstream{{Name: "tickets", Connections: 26}},
+		Limits:    core.CallerLimits{BodyBytes: 10},
+	}))
+	return front.New(front.Parts{Relay: r, Names: names, Limits: func() core.CallerLimits { return r.Table().Limits() }})
+}
+
+func post(f *front.Front, target, body string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(http.MethodPost, target, strings.NewReader(body))
+	req.Host = "h.example"
+	req.Header = http.Header{
+		"Req-Id": {"r-1"}, "Left-Ms": {"800"}, "Expect-Instance": {"i-9"}, "X-Own": {"kept"},
+		"Connection": {"keep-alive, X-Hop"}, "X-Hop": {"dropped"}, "Te": {"trailers"},
+	}
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, req)
+	return w
+}
+
+// TestPassesOnUnchanged guards against requests and answers that are changed on
+// the way, and fields of one connection that reach the next one.
+func TestPassesOnUnchanged(t *testing.T) {
+	got := make(chan *http.Request, 1)
+	f := newFront(t, "HTTP/1.1 404 Not Found\r\nReq-Id: r-1\r\nStamp: s\r\nLoad: 1,0,2\r\nX-More: m\r\nKeep-Alive: timeout=5\r\nContent-Length: 3\r\n\r\nabc", got)
+	w := post(f, "/a/x%2Fy?q=%20", "0123456789")
+	req := <-got
+	body, _ := io.ReadAll(req.Body)
+	if req.Method != http.MethodPost || req.RequestURI != "/a/x%2Fy?q=%20" || req.Host != "h.example" || string(body) != "0123456789" {
+		t.Errorf("the replica got %s %s of %s with %q", req.Method, req.RequestURI, req.Host, body)
+	}
+	want := http.Header{"Req-Id": {"r-1"}, "X-Own": {"kept"}, "Expect-Instance": {"i-1"}, "Content-Length": {"10"}}
+	left := req.Header.Get("Left-Ms")
+	req.Header.Del("Left-Ms")
+	if diff := cmp.Diff(want, req.Header); diff != "" {
+		t.Error(diff)
+	}
+	if len(left) != 3 || left > "800" {
+		t.Errorf("the replica may take %q ms of 800", left)
+	}
+	if w.Code != http.StatusNotFound || w.Body.String() != "abc" {
+		t.Errorf("the caller got %d %q", w.Code, w.Body)
+	}
+	for name, value := range map[string]string{"Stamp": "s", "Req-Id": "r-1", "X-More": "m", "Load": "", "Keep-Alive": "", "Content-Length": "3"} {
+		if w.Header().Get(name) != value {
+			t.Errorf("%s: got %q, want %q", name, w.Header().Get(name), value)
+		}
+	}
+}
+
+// TestOwnAnswers guards against requests that are passed on although they must not
+// be, and a refusal without a time to come back.
+func TestOwnAnswers(t *testing.T) {
+	f := newFront(t, "", make(chan *http.Request, 1))
+	if w := post(f, "/b/", ""); w.Code != http.StatusNotFound {
+		t.Errorf("no route: got %d", w.Code)
+	}
+	if w := post(f, "/a/", "01234567890"); w.Code != http.StatusRequestEntityTooLarge {
+		t.Errorf("long body: got %d", w.Code)
+	}
+	unknown := relay.New(relay.Parts{Log: slog.New(slog.DiscardHandler)})
+	f = front.New(front.Parts{Relay: unknown, Names: names, Limits: func() core.CallerLimits { return core.CallerLimits{} }})
+	if w := post(f, "/a/", ""); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") != "0.050" {
+		t.Errorf("no document: got %d, %v", w.Code, w.Header())
+	}
+	f.Leave()
+	if w := post(f, "/a/", ""); w.Header().Get("Connection") != "close" {
+		t.Error("a leaving host keeps its callers")
+	}
+}
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -88,6 +88,8 @@
 	lapsing  time.Time // until then, vanished entries may come back
 }
 
+var _ core.FeedSource = (*Mirror)(nil)
+
 // New returns a mirror that knows nothing.
 func New(p Parts) *Mirror {
 	p.Meter = core.MeterOr(p.Meter)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -92,6 +92,8 @@
 	lag   time.Duration            // see noteLag
 }
 
+var _ core.TaskRunner = (*Relay)(nil)
+
 // New returns a relay without a routing document.
 func New(p Parts) *Relay {
 	p.Meter = core.MeterOr(p.Meter)
