fix(client): keep a connection whose answer is read before the write returns

Ruled out: an answer before the whole request was sent: large bodies keep their mark. Change: a request that goes out in one write counts as written from its start; the connection's next write waits for it.

--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -75,7 +75,9 @@
 		return
 	}
 	c.call = call
-	c.written = false
+	// A small request goes out in one write, and the next write waits for it: its
+	// answer may be read before the write returns.
+	c.written = len(call.request.Body) <= smallBody
 	c.mu.Unlock()
 	head := c.head(call)
 	if len(call.request.Body) > smallBody {
