fix(edge): connect only to services that a route names, and only as their owner

Cause: since a host counted a service as used if the document lists it; before, if a route names it. In a repartition the new shards are listed before a route names them, so all 63 hosts connected to all replicas (limit 54), and the resets failed the queries of two data centres. A second cause of resets is older: who owns a shard was taken from the hosts that are ready, so that in a cold start each host was the owner of everything. Change: route.Table.Names; owners are the hosts that run, ready or not; no connection to a divided service before another host is heard; replicas that a host comes to own are connected at once. Test: TestConnectionsFollowTheRoutes, TestColdStartOfOwners (both failed before).

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -61,10 +61,7 @@
 func (a *Assigner) Plan(v core.View, services []core.ServiceName, near func(core.ServiceName, core.DataCentre) bool) []core.TaskBatch {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if v.Version() != a.view {
-		clear(a.cache)
-		a.view = v.Version()
-	}
+	a.follow(v)
 	a.turn++
 	large := len(services) > directShards
 	var plan []core.TaskBatch
@@ -81,6 +78,14 @@
 	return plan
 }
 
+// follow forgets what an older view led to.
+func (a *Assigner) follow(v core.View) {
+	if v.Version() != a.view {
+		clear(a.cache)
+		a.view = v.Version()
+	}
+}
+
 // group is the shards of a query that are called from one data centre.
 type group struct {
 	dataCentre core.DataCentre
@@ -182,6 +187,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.follow(v)
 	set := ownerSet(hostsOf(v, a.self.DataCentre()), len(services))
 	if len(set) == 0 {
 		return services, false
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -77,6 +77,9 @@
 // Services returns the services that some route names, without order.
 func (t *Table) Services() []core.ServiceName { return slices.Collect(maps.Keys(t.named)) }
 
+// Names reports whether some route names a service.
+func (t *Table) Names(s core.ServiceName) bool { return t.named[s] }
+
 // Queries returns the routes that gather.
 func (t *Table) Queries() []*core.Route { return t.queries }
 
--- a/io/assist/assist.go
+++ b/io/assist/assist.go
@@ -30,6 +30,8 @@
 type Parts struct {
 	Self  core.Host
 	Views core.Views
+	// Reach tells which hosts will carry out tasks once they are ready.
+	Reach core.Reach
 	Near  func(core.ServiceName, core.DataCentre) bool
 	Peers core.BatchReader
 	Log   *slog.Logger
@@ -38,17 +40,20 @@
 // Assistant sends tasks to other hosts.
 type Assistant struct {
 	Parts
-	assigner *assign.Assigner
+	plans *assign.Assigner // over the hosts that are ready
+	roles *assign.Assigner // over all that run
 }
 
 var _ core.Helpers = (*Assistant)(nil)
 
 // New returns an assistant.
-func New(p Parts) *Assistant { return &Assistant{Parts: p, assigner: assign.New(p.Self)} }
+func New(p Parts) *Assistant { 
+	return &Assistant{Parts: p, plans: assign.New(p.Self), roles: assign.New(p.Self)}
+}
 
 // Plan implements core.Helpers.
 func (a *Assistant) Plan(now time.Time, services []core.ServiceName) []core.TaskBatch {
-	return a.assigner.Plan(a.Views.View(now), services, a.Near)
+	return a.plans.Plan(a.Views.View(now), services, a.Near)
 }
 
 // Run implements core.Helpers. A host that does not answer is left out of the
@@ -88,15 +93,16 @@
 }
 
 // Owned returns the services that this host calls for queries over all of the
-// services, and whether other hosts call the rest.
+// services, and whether other hosts call the rest. Hosts that are not ready yet
+// count: while many start, the few that are ready would own everything.
 func (a *Assistant) Owned(now time.Time, services []core.ServiceName) (owned []core.ServiceName, divided bool) {
-	return a.assigner.Owned(a.Views.View(now), services)
+	return a.roles.Owned(a.Reach.Reachable(now), services)
 }
 
 // Roles returns a number that changes when other hosts may have come to call
 // other services, and the number of data centres with hosts.
 func (a *Assistant) Roles(now time.Time) (version uint64, dataCentres int) {
-	v := a.Views.View(now)
+	v := a.Reach.Reachable(now)
 	seen := make(map[core.DataCentre]bool)
 	for _, h := range v.Hosts() {
 		seen[h.DataCentre()] = true
--- a/io/crew/crew.go
+++ b/io/crew/crew.go
@@ -88,16 +88,28 @@
 // Hosts returns how many hosts there are, this one included, as far as limits
 // that they share are concerned.
 func (c *Crew) Hosts(now time.Time) int {
+	n, known := c.most(now)
+	if !known {
+		return unknownHosts
+	}
+	return n
+}
+
+// Known reports whether another host was heard, or this one waited long enough to
+// believe that it is alone.
+func (c *Crew) Known(now time.Time) bool {
+	_, known := c.most(now)
+	return known
+}
+
+func (c *Crew) most(now time.Time) (hosts int, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	most := 0
+	hosts = 1
 	for _, n := range c.counts {
-		most = max(most, n.hosts)
-	}
-	if most > 1 || now.Sub(c.begin) > aloneAfter {
-		return max(1, most)
+		hosts = max(hosts, n.hosts)
 	}
-	return unknownHosts
+	return hosts, hosts > 1 || now.Sub(c.begin) > aloneAfter
 }
 
 // SetReady tells the others whether this host serves.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -98,7 +98,7 @@
 }
 
 // Edge is one host. Its lock covers the roles; it is taken before those of the
-// budget and the assigner.
+// budget, the assigner and the fleet.
 type Edge struct {
 	mu      sync.Mutex
 	roles   roles
@@ -150,7 +150,7 @@
 	e.extra = budget.NewExtra(o.Extra, e.hosts())
 	e.grace.Store(int64(o.Grace))
 	e.peers = peer.NewClient(o.Host, inc, taskDial(o.Dial, o.TaskPort))
-	e.assist = assist.New(assist.Parts{Self: self, Views: detector, Near: e.fleet.Near, Peers: e.peers, Log: log})
+	e.assist = assist.New(assist.Parts{Self: self, Views: detector, Reach: detector, Near: e.fleet.Near, Peers: e.peers, Log: log})
 	e.relay = relay.New(relay.Parts{
 		Self:     o.Host,
 		Helpers:  e.assist,
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,7 +25,11 @@
 	NotRun: "Not-Run", Load: "Load", Parts: "Parts", Missing: "Missing", RetryAfter: "Retry-After",
 }
 
-const shards = 6
+const (
+	shards = 6
+	// manyShards are divided among owner hosts.
+	manyShards = 48
+)
 
 // directory is a directory in memory that counts its readers' calls.
 type directory struct {
@@ -32,7 +37,19 @@
 
 	mu      sync.Mutex
 	news    core.DirectoryNews
-	changed chan struct{}
+	changed chan struct{} // closed by the next change
+}
+
+// publish adds or replaces an item.
+func (d *directory) publish(item core.DirectoryItem) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.news.Revision++
+	item.Revision = d.news.Revision
+	d.news.Items = slices.DeleteFunc(slices.Clone(d.news.Items), func(o core.DirectoryItem) bool { return o.ID == item.ID })
+	d.news.Items = append(d.news.Items, item)
+	close(d.changed)
+	d.changed = make(chan struct{})
 }
 
 func (d *directory) List(context.Context) (core.DirectoryNews, error) {
@@ -46,19 +63,34 @@
 	d.calls.Add(1)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return core.DirectoryNews{}, ctx.Err()
+	for {
+		d.mu.Lock()
+		news, changed := core.DirectoryNews{Revision: d.news.Revision}, d.changed
+		for _, item := range d.news.Items {
+			if item.Revision > after {
+				news.Items = append(news.Items, item)
+			}
+		}
+		d.mu.Unlock()
+		if len(news.Items) > 0 {
+			return news, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return news, nil
+		case <-ctx.Done():
+			return core.DirectoryNews{}, ctx.Err()
+		}
 	}
-	return core.DirectoryNews{Revision: after}, nil
 }
 
-// deployment is three hosts in two data centres before six shards.
+// deployment is hosts in two data centres before replicas in memory.
 type deployment struct {
 	t         *testing.T
 	network   *network
 	directory *directory
+	doc       core.Routing
 	slow      atomic.Int64 // nanoseconds that a replica takes
 	stops     map[string]func()
 }
@@ -71,7 +103,7 @@
 
 func peerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:8002", i) }
 
-func newDeployment(t *testing.T) *deployment {
+func newDeployment(t *testing.T, shards int) *deployment {
 	d := &deployment{t: t, network: newNetwork(), directory: &directory{changed: make(chan struct{})}, stops: map[string]func(){}}
 	d.slow.Store(int64(5 * time.Millisecond))
 	doc := core.Routing{Version: 3, Routes: []core.Route{{
@@ -87,6 +119,7 @@
 		d.directory.news.Items = append(d.directory.news.Items, core.DirectoryItem{ID: id, Revision: 5, Instance: &in})
 		d.replica(in)
 	}
+	d.doc = doc
 	d.directory.news.Items = append(d.directory.news.Items, core.DirectoryItem{Revision: 6, Routing: &doc})
 	return d
 }
@@ -168,7 +201,7 @@
 // the directory all by themselves, or lose parts that another host calls.
 func TestHostsServeTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
+		d := newDeployment(t, shards)
 		for i := range 5 {
 			d.start(i)
 		}
@@ -202,7 +235,7 @@
 // stop, still counts as ready, or keeps callers on their connections.
 func TestGracefulStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
+		d := newDeployment(t, shards)
 		stop := d.start(0)
 		<-time.After(4 * time.Second)
 		d.slow.Store(int64(800 * time.Millisecond))
@@ -231,3 +264,70 @@
 		wait.Wait()
 	})
 }
+
+// TestConnectionsFollowTheRoutes is the load of a repartition: replicas of the new
+// shards appear before any route names them. It guards against connections of hosts
+// that do not call them, which exceed the replicas' limits, and against a first
+// request that has to open its connection once a route does.
+func TestConnectionsFollowTheRoutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, shards)
+		d.start(0)
+		<-time.After(4 * time.Second)
+		const address = "10.0.1.99:80"
+		in := core.Instance{ID: "i-99", Service: "next", Address: address, DataCentre: "a", Slots: 2}
+		d.replica(in)
+		doc := d.doc
+		doc.Version++
+		doc.Upstreams = append(slices.Clone(doc.Upstreams), core.Upstream{Name: in.Service, HealthPath: "/healthz", Connections: 26})
+		d.directory.publish(core.DirectoryItem{Routing: &doc})
+		d.directory.publish(core.DirectoryItem{ID: in.ID, Instance: &in})
+		<-time.After(4 * time.Second)
+		if n := d.network.dialled(address); n != 0 {
+			t.Errorf("%d connections to a service that no route names", n)
+		}
+		named := doc
+		named.Version++
+		named.Routes = append(slices.Clone(doc.Routes), core.Route{
+			Name: "next", Host: "h", Prefix: "/n/", Idempotent: true, Timeout: time.Second, Attempts: 1, Split: []core.Share{{Service: in.Service, Weight: 1}},
+		})
+		d.directory.publish(core.DirectoryItem{Routing: &named})
+		<-time.After(time.Second)
+		if n := d.network.dialled(address); n != 1 {
+			t.Errorf("%d connections 1 s after a route names the service, want 1", n)
+		}
+		if res, _ := d.get(d.client(), callerAddress(0), "/n/1"); res == nil || res.StatusCode != http.StatusOK {
+			t.Errorf("got %+v", res)
+		}
+		if n := d.network.dialled(address); n != 1 {
+			t.Errorf("%d connections after one request, want 1", n)
+		}
+	})
+}
+
+// TestColdStartOfOwners is the load of a large deployment in which all hosts start
+// at once: while none is ready, each must not take itself for the owner of all
+// shards and connect to every replica.
+func TestColdStartOfOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, limit = 10, 8 // connections of a replica
+		d := newDeployment(t, manyShards)
+		for i := range d.doc.Upstreams {
+			d.doc.Upstreams[i].Connections = limit
+		}
+		d.directory.publish(core.DirectoryItem{Routing: &d.doc})
+		for i := range hosts {
+			d.start(i)
+		}
+		<-time.After(6 * time.Second)
+		for s := range manyShards {
+			if n := d.network.dialled(fmt.Sprintf("10.0.1.%d:80", s)); n > limit {
+				t.Errorf("shard %d: %d connections, its limit is %d", s, n, limit)
+			}
+		}
+		res, _ := d.get(d.client(), callerAddress(3), "/q/1")
+		if res == nil || res.StatusCode != http.StatusOK || res.Header.Get(names.Missing) != "0" {
+			t.Errorf("got %+v", res)
+		}
+	})
+}
--- a/io/edge/network_test.go
+++ b/io/edge/network_test.go
@@ -15,10 +15,11 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	packets   map[string]*packets
+	dials     map[string]int // by address
 }
 
 func newNetwork() *network {
-	return &network{listeners: map[string]*listener{}, packets: map[string]*packets{}}
+	return &network{listeners: map[string]*listener{}, packets: map[string]*packets{}, dials: map[string]int{}}
 }
 
 func (n *network) listen(_, address string) (net.Listener, error) {
@@ -32,6 +33,7 @@
 func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.listeners[address]
+	n.dials[address]++
 	n.mu.Unlock()
 	if l == nil {
 		return nil, errors.New("connection refused")
@@ -47,6 +49,13 @@
 	}
 }
 
+// dialled returns how many connections were tried to an address.
+func (n *network) dialled(address string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials[address]
+}
+
 type listener struct {
 	network *network
 	address string
--- a/io/edge/roles.go
+++ b/io/edge/roles.go
@@ -16,11 +16,11 @@
 }
 
 // used reports whether this host calls the replicas of a service: some route
-// names it, and not only queries whose calls other hosts make.
+// names it, and not only queries whose calls other hosts make. Who makes them is
+// unknown until other hosts are.
 func (e *Edge) used(t *route.Table, s core.ServiceName) bool {
 	share, divided := e.shares(t)[s]
-	_, named := t.Upstream(s)
-	return named && (!divided || share > 0)
+	return t.Names(s) && (!divided || share > 0 && e.crew.Known(time.Now()))
 }
 
 // shares returns this host's shares of the extra calls to services that only some
@@ -49,6 +49,9 @@
 	}
 	e.roles = roles{known: true, view: version, table: t, shares: shares}
 	e.extra.SetShares(shares)
+	for _, in := range e.fleet.Instances() {
+		e.appeared(in) // this host may have come to call it
+	}
 	return shares
 }
 
