fix(entry,gossip): keep listening to a late owner; admit callers of a cold start only when informed

Ruled out: shutdown of the owner (no host was leaving), lost results. Change: a batch goes on after a late acknowledgement while the standby is asked, and the first rows count; a host of a cold start joins the view, waits until it is informed and then admits callers.

--- a/io/assist/assist.go
+++ b/io/assist/assist.go
@@ -47,7 +47,7 @@
 var _ core.Helpers = (*Assistant)(nil)
 
 // New returns an assistant.
-func New(p Parts) *Assistant { 
+func New(p Parts) *Assistant {
 	return &Assistant{Parts: p, plans: assign.New(p.Self), roles: assign.New(p.Self)}
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -9,13 +9,13 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"oriolebarrow/core"
 	"oriolebarrow/core/merge"
 	"oriolebarrow/core/order"
@@ -40,6 +40,8 @@
 	silentKeep = time.Second
 )
 
+var errUnacknowledged = errors.New("no acknowledgement")
+
 // Parts are the dependencies of an Entry.
 type Parts struct {
 	Self        core.HostID
@@ -194,60 +196,57 @@
 	return parts
 }
 
-// send asks the owner and, when it is lost, the standbys for what is missing.
+// send asks the owner for its part, and the standbys for what is missing when the
+// owner is lost or does not acknowledge in time. Such an owner may only be busy: its
+// results still count, and the first one for a shard decides.
 func (e *Entry) send(ctx context.Context, q core.Query, pin core.Pin, m *merge.Merge, p *part) {
-	var mu sync.Mutex // guards decided
-	decided := make(map[core.ShardID]bool)
-	asked := make(map[core.ShardID]bool, len(p.shards))
-	for _, ref := range p.shards {
-		asked[ref.Shard] = true
-	}
-	sink := func(r core.ShardResult) {
-		v := merge.WrongShard
-		if asked[r.Shard] {
-			v = m.Add(r)
-		}
-		e.Meter.Count("entry_shards_"+string(v), 1)
-		if v == merge.WrongSnapshot || v == merge.WrongShard || v == merge.NoRows && r.Missing == "" {
-			e.rejected.Add(1)
-			e.Log.Warn("entry: shard result rejected", "request_id", q.ID, "shard", r.Shard, "verdict", v)
-			return // the standby is asked for the shard if the owner is lost
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := newRound(p, cancel)
+	sink := func(res core.ShardResult) { e.take(q, pin, m, r, res) }
+	var wait sync.WaitGroup
+	failover := sync.OnceFunc(func() {
+		left := r.failOver(p.shards)
+		for _, ref := range left { // until a host says more
+			m.Add(core.ShardResult{Shard: ref.Shard, Missing: core.ReasonOwnerLost})
 		}
-		if r.Missing == core.ReasonSnapshotGone {
-			e.Table.Drop(q.Service, pin.Group(r.Shard), pin.Snapshot())
+		for id, refs := range p.standby {
+			refs = r.open(refs)
+			if len(refs) == 0 {
+				continue
+			}
+			e.Log.Info("entry: batch planned", "request_id", q.ID, "service", q.Service,
+				"owner", id, "shards", len(refs), "reason", "standby")
+			wait.Go(func() { _ = e.ask(ctx, id, q, pin, refs, sink, func() {}) })
 		}
-		mu.Lock()
-		decided[r.Shard] = true
-		mu.Unlock()
-	}
-	if e.ask(ctx, p.owner, q, pin, p.shards, sink) == nil {
-		return
-	}
-	open := func(refs []core.ShardRef) []core.ShardRef {
-		mu.Lock()
-		defer mu.Unlock()
-		return slices.DeleteFunc(slices.Clone(refs), func(ref core.ShardRef) bool { return decided[ref.Shard] })
+	})
+	if e.ask(ctx, p.owner, q, pin, p.shards, sink, failover) != nil && ctx.Err() == nil {
+		failover()
 	}
-	if ctx.Err() != nil {
-		return
+	wait.Wait()
+}
+
+// take merges a result.
+func (e *Entry) take(q core.Query, pin core.Pin, m *merge.Merge, r *round, res core.ShardResult) {
+	v := merge.WrongShard
+	if r.asked(res.Shard) {
+		v = m.Add(res)
 	}
-	for _, ref := range open(p.shards) { // until a standby says more
-		m.Add(core.ShardResult{Shard: ref.Shard, Missing: core.ReasonOwnerLost})
+	e.Meter.Count("entry_shards_"+string(v), 1)
+	if v == merge.WrongSnapshot || v == merge.WrongShard || v == merge.NoRows && res.Missing == "" {
+		e.rejected.Add(1)
+		e.Log.Warn("entry: shard result rejected", "request_id", q.ID, "shard", res.Shard, "verdict", v)
+		return // the standby is asked for the shard if the owner is lost
 	}
-	var wait sync.WaitGroup
-	for id, refs := range p.standby {
-		left := open(refs)
-		if len(left) == 0 {
-			continue
-		}
-		e.Log.Info("entry: batch planned", "request_id", q.ID, "service", q.Service,
-			"owner", id, "shards", len(left), "reason", "standby")
-		wait.Go(func() { _ = e.ask(ctx, id, q, pin, left, sink) })
+	if res.Missing == core.ReasonSnapshotGone {
+		e.Table.Drop(q.Service, pin.Group(res.Shard), pin.Snapshot())
 	}
-	wait.Wait()
+	r.decide(res)
 }
 
-func (e *Entry) ask(ctx context.Context, id core.HostID, q core.Query, pin core.Pin, refs []core.ShardRef, sink func(core.ShardResult)) error {
+// ask sends a batch to a host. late is called when the host does not acknowledge in
+// time; the batch goes on.
+func (e *Entry) ask(ctx context.Context, id core.HostID, q core.Query, pin core.Pin, refs []core.ShardRef, sink func(core.ShardResult), late func()) error {
 	b := core.ReadBatch{Query: q, Snapshot: pin.Snapshot(), Shards: refs}
 	if id == e.Self {
 		e.Local.Read(ctx, b, sink)
@@ -257,18 +256,31 @@
 	if !ok {
 		return &core.CallError{Op: "read", Target: string(id), Reason: core.ReasonNoOwner, NotRun: true}
 	}
-	err := e.Peers.Read(ctx, host, b, sink)
-	if ctx.Err() != nil {
-		return err
+	b.Unacknowledged = func() {
+		e.lost(q.ID, id, &core.CallError{Op: "read", Target: string(id), Reason: core.ReasonOwnerLost, Cause: errUnacknowledged})
+		late()
 	}
-	if err != nil {
-		e.Meter.Count("entry_owners_lost", 1)
-		e.Log.Warn("entry: owner lost", "request_id", q.ID, "owner", id, "err", err)
+	var answered atomic.Bool
+	err := e.Peers.Read(ctx, host, b, func(res core.ShardResult) {
+		answered.Store(true)
+		sink(res)
+	})
+	switch {
+	case err == nil || ctx.Err() != nil && answered.Load():
+		e.down(time.Now(), id, nil)
+	case ctx.Err() == nil:
+		e.lost(q.ID, id, err)
 	}
+	return err
+}
+
+// lost notes that a host failed a batch, or did not acknowledge it in time.
+func (e *Entry) lost(req core.RequestID, id core.HostID, err error) {
+	e.Meter.Count("entry_owners_lost", 1)
+	e.Log.Warn("entry: owner lost", "request_id", req, "owner", id, "err", err)
 	if now := time.Now(); e.down(now, id, err) {
 		e.Views.MarkDown(now, id)
 	}
-	return err
 }
 
 // down reports whether a host must leave the view after a batch: at once when
--- a/io/entry/query_test.go
+++ b/io/entry/query_test.go
@@ -293,6 +293,61 @@
 	}
 }
 
+// Guards against a busy owner that is given up at its late acknowledgement, against
+// a standby that is asked only when the owner is lost for good, and against an
+// answer that waits for an owner that stays silent.
+func TestLateAcknowledgement(t *testing.T) {
+	for name, c := range map[string]struct {
+		owner, standby time.Duration // until their results; 0 never
+		took           time.Duration
+	}{
+		"owner and standby busy": {40 * time.Millisecond, 60 * time.Millisecond, 40 * time.Millisecond},
+		"owner silent":           {0, 5 * time.Millisecond, ackTime + 5*time.Millisecond},
+		"standby silent":         {70 * time.Millisecond, 0, 70 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tier := newTier(41)
+				tier.read = func(ctx context.Context, _ core.HostID, b core.ReadBatch, sink func(core.ShardResult)) error {
+					takes := c.standby
+					if len(b.Shards) == 2 { // an owner; standbys get one
+						takes = c.owner
+					}
+					began := time.Now()
+					wait := func(until time.Duration) bool {
+						select {
+						case <-time.After(until - time.Since(began)):
+							return true
+						case <-ctx.Done():
+							return false
+						}
+					}
+					if takes == 0 {
+						takes = 2 * queryTime
+					}
+					if takes > ackTime && wait(ackTime) {
+						if b.Unacknowledged == nil {
+							return failed(false)
+						}
+						b.Unacknowledged()
+					}
+					if !wait(takes) {
+						return ctx.Err()
+					}
+					answerAll(b, sink)
+					return nil
+				}
+				began := time.Now()
+				expect(t, tier.ask(t), core.Complete, 41, shards, "")
+				if took := time.Since(began); took != c.took {
+					t.Errorf("took %v, want %v", took, c.took)
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // Guards against one late acknowledgement that moves all groups of an owner,
 // and against an owner that stays in the view although it is lost.
 func TestSilentOwner(t *testing.T) {
--- a/io/gossip/config.go
+++ b/io/gossip/config.go
@@ -204,7 +204,7 @@
 // last reply ends the exchange; there is always one.
 func (a *Agent) SectionsReplies(get *wire.SectionsGet) ([]*wire.SectionsReply, error) {
 	// Read before the sections, so that a reply never claims more than it brings.
-	ready, document := a.Ready(), a.Ledger.HasDocument()
+	ready, document := a.joined.Load(), a.Ledger.HasDocument()
 	var out []*wire.SectionsReply
 	for _, set := range chunk(a.Ledger.Differing(get.Buckets)) {
 		raw, err := a.packer.Pack(set)
@@ -276,14 +276,7 @@
 		rule := a.readiness.Check(a.Ledger.HasDocument(), known, roster, dead)
 		a.mu.Unlock()
 		if rule != member.NotReady {
-			if rule == member.Compared {
-				a.awaitInformed(ctx)
-			}
-			// The view holds this host before callers are admitted.
-			a.setReady(true)
-			a.ready.Store(true)
-			a.Log.Info("node: host is ready", "rule", rule, "revision", a.Ledger.Revision())
-			a.announce()
+			a.join(ctx, rule)
 			return a.syncStates(ctx)
 		}
 		pause(ctx, jitter(delay))
@@ -295,6 +288,23 @@
 	return nil
 }
 
+// join takes this host into the view and then admits callers. It learns what it
+// needs to answer from the owners in the view, which without ready hosts are those
+// that just joined, this one included.
+func (a *Agent) join(ctx context.Context, rule member.Rule) {
+	if rule == member.Compared {
+		a.awaitInformed(ctx)
+	}
+	a.joined.Store(true)
+	a.setStatus()
+	if rule != member.Compared {
+		a.awaitInformed(ctx)
+	}
+	a.ready.Store(true)
+	a.Log.Info("node: host is ready", "rule", rule, "revision", a.Ledger.Revision())
+	a.announce()
+}
+
 // awaitInformed waits until this host knows what it needs to answer, for as long
 // as owners that are lost stay in the view at most.
 func (a *Agent) awaitInformed(ctx context.Context) {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -83,7 +83,8 @@
 	readiness *member.Readiness
 	duty      duty
 
-	ready     atomic.Bool
+	joined    atomic.Bool // in the view of owners
+	ready     atomic.Bool // admits callers
 	sent      atomic.Uint64
 	sentBytes atomic.Uint64
 	received  atomic.Uint64
@@ -158,15 +159,13 @@
 	}
 }
 
-func (a *Agent) setStatus() { a.setReady(a.Ready()) }
-
-func (a *Agent) setReady(ready bool) {
+func (a *Agent) setStatus() {
 	a.onDuty()
 	a.mu.Lock()
 	version := a.hosts.Version()
 	a.mu.Unlock()
 	a.Detector.SetStatus(member.Status{
-		Ready:          ready,
+		Ready:          a.joined.Load(),
 		LedgerDigest:   a.Ledger.Digest(),
 		LedgerRevision: a.Ledger.Revision(),
 		HostsVersion:   version,
