feat(explain): one line a decision, and the life of a request over the logs of several hosts

Ruled out: a line at the time of each decision: under load it would push out those of failed requests; decisions are kept and written with the answer. Test: TestEachOutcomeIsExplained, TestFailuresAreLoggedFirst, TestStoryOfAQuery, TestExplain, FuzzRead (9 s, 222,718 inputs).

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -49,6 +49,7 @@
 		"check":   {"validate a configuration document", "FILE", check},
 		"query":   {"send one query", "", query},
 		"order":   {"send one order", "", order},
+		"explain": {"print the life of one request from logs", "LOGFILE... ID", explain},
 		"status":  {"compare several hosts", "", status},
 		"version": {"print the version", "", version},
 	}
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -44,6 +44,8 @@
 		want string
 	}{
 		{[]string{"start"}, nil, `unknown command "start"`},
+		{[]string{"explain", "r1"}, nil, "want one log file or more and the id of a request"},
+		{[]string{"explain", "-before", "-1s", "a.log", "r1"}, nil, "-before: want 0 or more"},
 		{serve("-colour"), nil, "flag provided but not defined: -colour"},
 		{serve("extra"), nil, `unexpected argument "extra"`},
 		{serve("-token-max", "x"), nil, `invalid value "x" for flag -token-max`},
@@ -269,3 +271,19 @@
 		t.Errorf("only %d flags found in\n%s", len(flags), help)
 	}
 }
+
+// Guards against a story of a request that leaves out a log, and against a missing
+// log or request that passes for an empty story.
+func TestExplain(t *testing.T) {
+	first := write(t, `{"time":"2026-12-04T10:00:06.050Z","level":"INFO","msg":"relay: answered","request":"r1","status":502}`+"\n")
+	second := write(t, `time=2026-12-04T10:00:06.045Z level=INFO msg="owner: call starts" request_id=r1 shard=3`+"\n")
+	code, out, errOut := run("explain", first, second, "r1")
+	if code != cmd.ExitOK || !strings.Contains(out, "relay: answered status=502") || !strings.Contains(out, "owner: call starts shard=3") {
+		t.Errorf("exit code %d, %q, %q", code, out, errOut)
+	}
+	for _, args := range [][]string{{"explain", first, "r2"}, {"explain", first + ".old", "r1"}} {
+		if code, out, errOut := run(args...); code != cmd.ExitFault || out != "" || strings.Count(errOut, "\n") != 1 {
+			t.Errorf("%v: exit code %d, %q, %q", args, code, out, errOut)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/explain.go
@@ -0,0 +1,47 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"oriolebarrow/io/story"
+)
+
+// explain prints the life of one request from the logs of several hosts.
+func explain(_ context.Context, e env, args []string) int {
+	fs := flag.NewFlagSet("explain", flag.ContinueOnError)
+	before := fs.Duration("before", 0, "time before the request from which changes of state are shown; 0 for 3s")
+	if code, ok := parse(e, fs, args); !ok {
+		return code
+	}
+	if fs.NArg() < 2 {
+		return reject(e, fs, "want one log file or more and the id of a request")
+	}
+	if *before < 0 {
+		return reject(e, fs, "-before: want 0 or more, got %v", *before)
+	}
+	files, id := fs.Args()[:fs.NArg()-1], fs.Arg(fs.NArg()-1)
+	s := story.New(id, story.Options{Before: *before})
+	for _, name := range files {
+		if err := readLog(s, name); err != nil {
+			_, _ = fmt.Fprintf(e.err, "oriolebarrow explain: %v\n", err)
+			return ExitFault
+		}
+	}
+	if err := s.Write(e.out); err != nil {
+		_, _ = fmt.Fprintf(e.err, "oriolebarrow explain: %v\n", err)
+		return ExitFault
+	}
+	return ExitOK
+}
+
+func readLog(s *story.Story, name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }() // read only
+	return s.Read(name, file)
+}
--- a/core/core.go
+++ b/core/core.go
@@ -86,4 +86,5 @@
 	ReasonNoRoute        Reason = "no_route"
 	ReasonBudget         Reason = "retry_budget"
 	ReasonCallerLeft     Reason = "caller_left"
+	ReasonUnreadable     Reason = "unreadable_body" // cut or malformed
 )
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -79,11 +79,6 @@
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	body, status := f.body(r)
-	if status != 0 {
-		f.write(w, r, relay.Reply{Status: status})
-		return
-	}
 	req := relay.Request{
 		ID:      core.RequestID(r.Header.Get(f.parts.Names.RequestID)),
 		Method:  r.Method,
@@ -91,11 +86,16 @@
 		Path:    r.URL.EscapedPath(),
 		Host:    r.Host,
 		Fields:  f.fields(r.Header),
-		Body:    body,
 		Left:    f.left(r.Header),
 		Arrived: arrived,
 		First:   first(r.Context()),
 	}
+	body, fault := f.body(r)
+	if fault != nil {
+		f.write(w, r, f.parts.Relay.Reject(req, *fault))
+		return
+	}
+	req.Body = body
 	f.write(w, r, f.parts.Relay.Do(r.Context(), req))
 }
 
@@ -106,9 +106,10 @@
 	return r.URL.RequestURI()
 }
 
-func (f *Front) body(r *http.Request) (body []byte, status int) {
+// body reads a request's body, or returns the answer to one that cannot be taken.
+func (f *Front) body(r *http.Request) (body []byte, fault *relay.Reply) {
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, 0
+		return nil, nil
 	}
 	limit := f.parts.Limits().BodyBytes
 	if limit <= 0 {
@@ -116,12 +117,12 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
 	if err != nil {
-		return nil, http.StatusBadRequest
+		return nil, &relay.Reply{Status: http.StatusBadRequest, Reason: core.ReasonUnreadable}
 	}
 	if len(body) > limit {
-		return nil, http.StatusRequestEntityTooLarge
+		return nil, &relay.Reply{Status: http.StatusRequestEntityTooLarge, Reason: core.ReasonTooLarge}
 	}
-	return body, 0
+	return body, nil
 }
 
 func (f *Front) left(h http.Header) time.Duration {
--- a/io/relay/gather.go
+++ b/io/relay/gather.go
@@ -29,6 +29,7 @@
 		if !now.Before(closeAt) && !j.closing {
 			j.closing = true
 			j.relay.noteLag(now.Sub(closeAt))
+			j.noteOpen(now)
 		}
 		if j.query.Settled() || !j.query.Possible() || j.query.Enough() && !now.Before(closeAt) || !now.Before(j.deadline.Add(-answerMargin)) {
 			return j.gathered()
@@ -55,7 +56,7 @@
 // begin starts the first call of each shard that this host calls itself.
 func (j *job) begin(now time.Time) {
 	for i := range j.legs {
-		if l := &j.legs[i]; !l.delegated && !l.settled && !j.attempt(now, l) {
+		if l := &j.legs[i]; !l.delegated && !l.settled && !j.attempt(now, l, retrySent) {
 			j.missing(l)
 		}
 	}
@@ -100,11 +101,12 @@
 	}
 	res := e.result
 	if !usablePart(res) {
-		j.failed(now, l, res)
+		j.failed(now, e)
 		return false
 	}
 	if !j.query.Add(l.index, res.Reply.Stamp, res.Reply.Body) {
 		l.reason = core.ReasonWrongAnswer
+		j.note(now, l, callFailed, e.replica, "stamp stands twice, or records cannot be read")
 		j.settle(l)
 		return false
 	}
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"oriolebarrow/core"
@@ -81,9 +80,10 @@
 
 // end is the end of one call.
 type end struct {
-	leg    *leg
-	result client.Result
-	task   *taskEvent // set instead for an event of a delegated part
+	leg     *leg
+	replica *fleet.Replica
+	result  client.Result
+	task    *taskEvent // set instead for an event of a delegated part
 }
 
 // job is one request while it is served, by one goroutine.
@@ -106,6 +106,7 @@
 	tasks     chan taskEvent
 	delegated int  // parts that other hosts carry out
 	closing   bool // the time to answer with what is there has come
+	events    events
 }
 
 func newJob(r *Relay, t *route.Table, rt *core.Route, req Request) *job {
@@ -130,8 +131,9 @@
 	}
 }
 
-// attempt sends the leg's next call, if there is a replica for it.
-func (j *job) attempt(now time.Time, l *leg) bool {
+// attempt sends the leg's next call, if there is a replica for it. why is noted of
+// a call beyond the first.
+func (j *job) attempt(now time.Time, l *leg, why string) bool {
 	l.retryAt = time.Time{}
 	replica, busy := j.relay.Fleet.Pick(now, l.service, j.usual, l.tried)
 	if replica == nil {
@@ -145,9 +147,11 @@
 	} else {
 		if !j.relay.Extra.Take(now, l.service) {
 			l.reason = core.ReasonBudget
+			j.note(now, l, noBudget, replica, "")
 			return false
 		}
 		j.extra++
+		j.note(now, l, why, replica, "")
 	}
 	j.send(now, l, replica)
 	return true
@@ -201,7 +205,7 @@
 		r.Client.Reset(in.ID)
 		r.Log.Warn("relay: replica ejected", "replica", in.ID, "service", in.Service, "request", j.req.ID, "cause", errText(res.Err))
 	}
-	j.results <- end{leg: l, result: res}
+	j.results <- end{leg: l, replica: replica, result: res}
 }
 
 func errText(err error) string {
@@ -229,7 +233,7 @@
 			continue
 		}
 		if !l.retryAt.IsZero() && !now.Before(l.retryAt) {
-			if !j.attempt(now, l) && l.running == 0 {
+			if !j.attempt(now, l, retrySent) && l.running == 0 {
 				j.settle(l)
 			}
 		}
@@ -242,7 +246,7 @@
 		if !l.hedgeAt.IsZero() && !now.Before(l.hedgeAt) {
 			l.hedgeAt = time.Time{}
 			if l.running > 0 && j.mayRepeat(l) {
-				j.attempt(now, l)
+				j.attempt(now, l, hedgeSent)
 				l.retryAt = time.Time{}
 			}
 		}
@@ -254,10 +258,15 @@
 // calls.
 func (j *job) tryAgain(now time.Time, l *leg) bool {
 	replica := j.relay.Fleet.Again(now, j.usual, l.tried)
-	if replica == nil || !j.relay.Extra.Take(now, l.service) {
+	if replica == nil {
+		return false
+	}
+	if !j.relay.Extra.Take(now, l.service) {
+		j.note(now, l, noBudget, replica, "")
 		return false
 	}
 	j.extra++
+	j.note(now, l, againSent, replica, "")
 	j.send(now, l, replica)
 	return true
 }
@@ -276,15 +285,18 @@
 
 // failed handles a call that brought no usable answer: the leg tries another
 // replica, or is settled when none is running.
-func (j *job) failed(now time.Time, l *leg, res client.Result) {
+func (j *job) failed(now time.Time, e end) {
+	l, res := e.leg, e.result
 	l.reason = core.ReasonBackendError
+	what := callFailed
 	if res.NotRun {
-		l.reason = core.ReasonBusy
+		l.reason, what = core.ReasonBusy, callRefused
 	} else {
 		l.ran = true
 	}
+	j.note(now, l, what, e.replica, cause(res))
 	repeat := l.attempts < j.route.Attempts && (j.route.Idempotent || res.NotRun)
-	if repeat && j.attempt(now, l) {
+	if repeat && j.attempt(now, l, retrySent) {
 		return
 	}
 	if res.NotRun && l.again < maxAgain && len(l.tried) > 0 && !l.ran {
@@ -357,25 +369,3 @@
 		c.Abandon(lingerAfter)
 	}
 }
-
-// missed names the services that brought no answer, with the reason.
-func (j *job) missed() string {
-	var b strings.Builder
-	for i := range j.legs {
-		l := &j.legs[i]
-		if j.query != nil && j.query.Included(i) || j.query == nil && l.last != nil {
-			continue
-		}
-		if b.Len() > 0 {
-			b.WriteByte(' ')
-		}
-		b.WriteString(string(l.service))
-		if l.reason != "" {
-			b.WriteString("=" + string(l.reason))
-		}
-		for _, r := range l.tried {
-			b.WriteString("/" + string(r.Instance().ID))
-		}
-	}
-	return b.String()
-}
--- /dev/null
+++ b/io/relay/notes_test.go
@@ -0,0 +1,136 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"oriolebarrow/core"
+	"oriolebarrow/io/relay"
+)
+
+// lines returns the logged lines of a request, by message.
+func lines(t *testing.T, log *bytes.Buffer, request string) map[string][]map[string]any {
+	t.Helper()
+	found := map[string][]map[string]any{}
+	for raw := range strings.Lines(log.String()) {
+		var l map[string]any
+		if err := json.Unmarshal([]byte(raw), &l); err != nil {
+			t.Fatalf("%q: %v", raw, err)
+		}
+		if l["request"] == request {
+			message := l["msg"].(string)
+			found[message] = append(found[message], l)
+		}
+	}
+	return found
+}
+
+// TestEachOutcomeIsExplained guards against an answer whose cause cannot be found
+// in the log by the request's id.
+func TestEachOutcomeIsExplained(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		modes      [2]string // of the two replicas of the first shard
+		gone       int       // shards without replicas
+		leaves     bool
+		status     int
+		reason     core.Reason
+		decisions  []string
+		missed     string // part of the field
+	}{
+		{name: "no route", path: "/none/", status: 404, reason: core.ReasonNoRoute},
+		{name: "service without replicas", path: "/o/", gone: 1, status: 503, reason: core.ReasonNoReplica, missed: "shard-0=no_replica"},
+		{name: "too few shards", path: "/q/", gone: 9, status: 503, reason: core.ReasonNoReplica, missed: "shard-8=no_replica"},
+		{name: "all refuse", path: "/o/", modes: [2]string{"shed", "shed"}, status: 503, reason: core.ReasonBusy, decisions: []string{"relay: call refused", "relay: retry sent", "relay: replica that refused is asked again"}, missed: "shard-0=busy"},
+		{name: "answer lost", path: "/o/", modes: [2]string{"lost", "lost"}, status: 502, reason: core.ReasonBackendError, decisions: []string{"relay: call failed"}, missed: "shard-0=backend_error"},
+		{name: "replica fails", path: "/o/", modes: [2]string{"failing", "failing"}, status: 500, decisions: []string{"relay: call failed"}},
+		{name: "silent", path: "/o/", modes: [2]string{"dark", "dark"}, status: 504, reason: core.ReasonDeadline, missed: "shard-0/" + address(0, 0)},
+		{name: "shard lost", path: "/q/", modes: [2]string{"dark", "dark"}, status: 200, decisions: []string{"relay: hedge sent", "relay: parts are open at the closing time"}, missed: "shard-0"},
+		{name: "hedge wins", path: "/q/", modes: [2]string{"paused", ""}, status: 200, decisions: []string{"relay: hedge sent"}},
+		{name: "caller leaves", path: "/o/", modes: [2]string{"dark", "dark"}, leaves: true, status: 504, reason: core.ReasonCallerLeft},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld()
+				r, f := newRelay(t, w, 20, nil)
+				warmUp(r)
+				<-time.After(time.Second) // the lines of the next second
+				var log bytes.Buffer
+				r.Log = slog.New(slog.NewJSONHandler(&log, nil))
+				w.set(c.modes[0], address(0, 0))
+				w.set(c.modes[1], address(0, 1))
+				for s := range c.gone {
+					f.Remove(time.Now(), core.InstanceID(address(s, 0)), false)
+					f.Remove(time.Now(), core.InstanceID(address(s, 1)), false)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				if c.leaves {
+					time.AfterFunc(50*time.Millisecond, cancel)
+				}
+				reply, _ := askFor(ctx, r, c.path, 1)
+				cancel()
+				drain()
+				if reply.Status != c.status {
+					t.Errorf("status %d, want %d", reply.Status, c.status)
+				}
+				found := lines(t, &log, "r1")
+				answers := found["relay: answered"]
+				if len(answers) != 1 || answers[0]["reason"] != string(c.reason) || answers[0]["status"] != float64(c.status) {
+					t.Fatalf("answers %v, want one with %d, %q", answers, c.status, c.reason)
+				}
+				if missed, _ := answers[0]["missed"].(string); !strings.Contains(missed, c.missed) {
+					t.Errorf("missed %q, want %q", missed, c.missed)
+				}
+				for _, d := range c.decisions {
+					if len(found[d]) == 0 {
+						t.Errorf("no line %q in %v", d, found)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestNotReadyIsExplained is TestEachOutcomeIsExplained before the first document.
+func TestNotReadyIsExplained(t *testing.T) {
+	var log bytes.Buffer
+	r := relay.New(relay.Parts{Log: slog.New(slog.NewJSONHandler(&log, nil))})
+	r.Do(t.Context(), relay.Request{ID: "r1", Path: "/", Arrived: time.Now()})
+	if got := lines(t, &log, "r1")["relay: answered"]; len(got) != 1 || got[0]["reason"] != string(core.ReasonNotReady) {
+		t.Errorf("got %v", got)
+	}
+}
+
+// TestFailuresAreLoggedFirst guards against lines of complete answers that leave no
+// room for those of failed ones, and against a log without bound.
+func TestFailuresAreLoggedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		r, _ := newRelay(t, w, 1, nil)
+		warmUp(r)
+		<-time.After(time.Second)
+		var log bytes.Buffer
+		r.Log = slog.New(slog.NewJSONHandler(&log, nil))
+		for range 50 {
+			ask(r, "/q/", 1)
+		}
+		w.set("lost", address(0, 0), address(0, 1))
+		for range 20 {
+			ask(r, "/o/", 2)
+		}
+		drain()
+		// 50 answers take half a second; 10 lines a second are kept of them.
+		if n := len(lines(t, &log, "r1")["relay: answered"]); n == 0 || n > 20 {
+			t.Errorf("%d lines of 50 complete answers, want 10 a second", n)
+		}
+		if n := len(lines(t, &log, "r2")["relay: answered"]); n != 20 {
+			t.Errorf("%d lines of 20 failed orders", n)
+		}
+	})
+}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -33,10 +33,6 @@
 	// retryDark is the hint when a service has no usable replica: probes of
 	// ejected replicas are that far apart.
 	retryDark = 400 * time.Millisecond
-	// goodLines and badLines are the log lines a second of complete answers and of
-	// all others; each takes about 20 us of a small host.
-	goodLines = 10
-	badLines  = 100
 )
 
 // Request is a caller's request.
@@ -116,11 +112,11 @@
 func (r *Relay) Do(ctx context.Context, req Request) Reply {
 	table := r.table.Load()
 	if table == nil {
-		return refuse(core.ReasonNotReady, retrySoon)
+		return r.Reject(req, refuse(core.ReasonNotReady, retrySoon))
 	}
 	rt, ok := table.Match(req.Host, req.Path)
 	if !ok {
-		return Reply{Status: http.StatusNotFound, Reason: core.ReasonNoRoute}
+		return r.Reject(req, Reply{Status: http.StatusNotFound, Reason: core.ReasonNoRoute})
 	}
 	j := newJob(r, table, rt, req)
 	var reply Reply
@@ -129,7 +125,7 @@
 	} else {
 		reply = j.single(ctx)
 	}
-	r.note(j, reply)
+	r.write(j, reply)
 	return reply
 }
 
@@ -137,50 +133,6 @@
 	return Reply{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: after}
 }
 
-// note writes the decision line of a request.
-func (r *Relay) note(j *job, reply Reply) {
-	took := time.Since(j.start)
-	r.Meter.Count("relay_answers_"+outcome(reply), 1)
-	r.Meter.Observe("relay_answer_us", took.Microseconds())
-	lines := r.good
-	if reply.Status >= http.StatusInternalServerError || reply.Missing > 0 {
-		lines = r.bad
-	}
-	skipped, ok := lines.Allow(time.Now())
-	if !ok {
-		r.Meter.Count("relay_lines_left_out", 1)
-		return
-	}
-	r.Log.LogAttrs(context.Background(), slog.LevelInfo, "relay: answered",
-		slog.String("request", string(j.req.ID)),
-		slog.String("route", j.route.Name),
-		slog.Uint64("version", j.table.Version()),
-		slog.Int("status", reply.Status),
-		slog.String("reason", string(reply.Reason)),
-		slog.Int("missing", reply.Missing),
-		slog.Int("calls", j.sent),
-		slog.Int("extra", j.extra),
-		slog.Int("tasks", j.delegated),
-		slog.Int64("left_ms", j.req.Left.Milliseconds()),
-		slog.Int64("took_us", took.Microseconds()),
-		slog.String("missed", j.missed()),
-		slog.Int64("left_out", skipped),
-	)
-}
-
-func outcome(r Reply) string {
-	switch {
-	case r.Status < http.StatusMultipleChoices && r.Missing > 0:
-		return "partial"
-	case r.Status < http.StatusMultipleChoices:
-		return "success"
-	case r.Reason == "":
-		return "replica_failure"
-	default:
-		return string(r.Reason)
-	}
-}
-
 // timesOf returns what is learnt of a route: the usual time of a call and the
 // delay of its hedge.
 func (r *Relay) timesOf(rt *core.Route) (usual, hedge time.Duration) {
--- a/io/relay/single.go
+++ b/io/relay/single.go
@@ -18,7 +18,7 @@
 	}
 	j.setLegs([]core.ServiceName{service})
 	l := &j.legs[0]
-	if !j.attempt(time.Now(), l) {
+	if !j.attempt(time.Now(), l, retrySent) {
 		l.reason = core.ReasonNoReplica
 		return refuse(core.ReasonNoReplica, retryDark)
 	}
@@ -36,7 +36,7 @@
 		now = time.Now()
 		if got {
 			l.running--
-			if reply, final := j.judge(now, l, e.result); final {
+			if reply, final := j.judge(now, e); final {
 				return reply
 			}
 		}
@@ -46,14 +46,15 @@
 }
 
 // judge returns the caller's answer if a replica's answer is final.
-func (j *job) judge(now time.Time, l *leg, res client.Result) (Reply, bool) {
+func (j *job) judge(now time.Time, e end) (Reply, bool) {
+	l, res := e.leg, e.result
 	if res.Err == nil && !res.Reply.NotRun && !encoded(res.Reply) && res.Reply.Stamp != "" {
 		l.last = &res.Reply
 		if res.Reply.Status < http.StatusInternalServerError && !promisesNotRun(res.Reply.Status) {
 			return passOn(res.Reply), true
 		}
 	}
-	j.failed(now, l, res)
+	j.failed(now, e)
 	return Reply{}, false
 }
 
--- a/io/relay/task.go
+++ b/io/relay/task.go
@@ -90,11 +90,16 @@
 		j.merge(e.batch, e.result)
 		return
 	}
+	lost := 0
 	for _, s := range e.batch.Shards {
 		if l := &j.legs[s]; !l.settled {
+			lost++
 			j.takeBack(now, l, e.err)
 		}
 	}
+	if lost > 0 {
+		j.noteTask(now, e.batch.Host.ID(), lost, e.err)
+	}
 }
 
 // merge adds the parts of a result. If one of them cannot be added, none is: the
@@ -127,7 +132,7 @@
 		l.reason = core.ReasonBackendError
 	}
 	l.ran = l.ran || !notRun
-	if !notRun || !j.attempt(now, l) {
+	if !notRun || !j.attempt(now, l, retrySent) {
 		j.settle(l)
 	}
 }
@@ -164,6 +169,7 @@
 	defer j.abandon()
 	j.begin(now)
 	j.assist(ctx, now.Add(time.Duration(t.CloseUS)*time.Microsecond), sink)
+	r.writeTask(j)
 	return nil
 }
 
--- /dev/null
+++ b/io/story/story_test.go
@@ -0,0 +1,88 @@
+package story_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"oriolebarrow/io/story"
+)
+
+const (
+	entryLog = `
+-3.1 villa-2 {"time":"2026-12-04T10:00:00.000Z","level":"INFO","msg":"node: host starts","host":"host-2"}
+-2.0 villa-2 {"time":"2026-12-04T10:00:05.000Z","level":"WARN","msg":"relay: replica ejected","replica":"i-1","service":"s1","request":"other"}
+-1.9 villa-2 {"time":"2026-12-04T10:00:05.100Z","level":"WARN","msg":"relay: replica ejected","replica":"i-9","service":"s9","request":"other"}
+not a line of the program
+-1.0 villa-2 {"time":"2026-12-04T10:00:06.050Z","level":"INFO","msg":"relay: parts are open at the closing time","request":"r1","at_us":39000,"missed":"s1=busy/i-1/i-2 s2"}
+-1.0 villa-2 {"time":"2026-12-04T10:00:06.050Z","level":"INFO","msg":"relay: answered","request":"r1","status":200,"missing":2,"took_us":40000,"missed":"s1=busy/i-1/i-2 s2"}
+-0.9 villa-2 {"time":"2026-12-04T10:00:06.060Z","level":"INFO","msg":"relay: answered","request":"r2","status":200,"took_us":40000}
+-0.8 villa-2 {"time":"2026-12-04T10:00:09.000Z","level":"INFO","msg":"relay: replica is back","replica":"i-1","service":"s1"}
+`
+	helperLog = `time=2026-12-04T10:00:06.045Z level=INFO msg="relay: hedge sent" request=r1 at_us=9000 service=s2 replica=i-7 cause=""
+time=2026-12-04T10:00:06.045Z level=INFO msg="relay: task ended" request=r1 shards=3 took_us=30000 missed="s2/i-6/i-7"
+time=2026-12-04T10:00:06.046Z level=INFO msg="mirror: entry removed" replica=i-7 service=s2
+`
+)
+
+// Guards against a story that lacks a host, puts things in the order of their lines
+// instead of their times, or drowns in changes that the request never met.
+func TestStoryOfAQuery(t *testing.T) {
+	s := story.New("r1", story.Options{})
+	for name, log := range map[string]string{"entry.log": entryLog, "helper.log": helperLog} {
+		if err := s.Read(name, strings.NewReader(log)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out strings.Builder
+	if err := s.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	at := 0
+	for _, want := range []string{
+		"request r1",
+		"* ", "host-2", "relay: replica ejected replica=i-1",
+		"helper.log", "relay: hedge sent service=s2 replica=i-7", // 24 ms after the request
+		"helper.log", "relay: task ended",
+		"* ", "mirror: entry removed",
+		"host-2", "relay: parts are open",
+		"host-2", "relay: answered status=200 missing=2",
+	} {
+		i := strings.Index(out.String()[at:], want)
+		if i < 0 {
+			t.Fatalf("no %q after byte %d of\n%s", want, at, out.String())
+		}
+		at += i + len(want)
+	}
+	for _, other := range []string{"i-9", "r2", "host starts", "is back", "level="} {
+		if strings.Contains(out.String(), other) {
+			t.Errorf("%q stands in\n%s", other, out.String())
+		}
+	}
+}
+
+// Guards against a story made of nothing.
+func TestUnknownRequest(t *testing.T) {
+	s := story.New("r3", story.Options{})
+	if err := s.Read("entry.log", strings.NewReader(entryLog)); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Write(&strings.Builder{}); !errors.Is(err, story.ErrUnknown) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Guards against an operator's file that ends the program.
+func FuzzRead(f *testing.F) {
+	f.Add(entryLog)
+	f.Add(helperLog)
+	f.Add(`{"time":"x"}{"time":`)
+	f.Add(`time= msg="`)
+	f.Fuzz(func(t *testing.T, log string) {
+		s := story.New("r1", story.Options{})
+		if err := s.Read("a", strings.NewReader(log)); err != nil {
+			t.Skip(err)
+		}
+		_ = s.Write(&strings.Builder{}) // an unknown request is no fault
+	})
+}
