fix(edge): a service without replicas does not keep hosts out of service after a start

Ruled out: directory or connections (all known 0.1 s after the start). Change: ready once each query reaches its minimum, most other services have a replica, and other hosts were heard; 3 s stay the bound. Test: TestCovered, TestReadyWithoutEveryService (failed before: not ready after 1.5 s).

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -83,6 +83,37 @@
 // Queries returns the routes that gather.
 func (t *Table) Queries() []*core.Route { return t.queries }
 
+// Covered reports whether a host can serve what the document routes, if available
+// tells which services have a replica: each query reaches its minimum, and most of
+// the other services have one. A service without any replica must not keep hosts from
+// serving the others.
+func (t *Table) Covered(available func(core.ServiceName) bool) bool {
+	gathered := make(map[core.ServiceName]bool)
+	for _, r := range t.queries {
+		n := 0
+		for _, s := range r.Gather {
+			gathered[s] = true
+			if available(s) {
+				n++
+			}
+		}
+		if n == 0 || float64(n) < r.MinRatio*float64(len(r.Gather)) {
+			return false
+		}
+	}
+	others, served := 0, 0
+	for s := range t.named {
+		if gathered[s] {
+			continue
+		}
+		others++
+		if available(s) {
+			served++
+		}
+	}
+	return 2*served >= others
+}
+
 // Match returns the route of the host with the longest prefix of the path.
 func (t *Table) Match(host, path string) (*core.Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -83,3 +84,33 @@
 		t.Errorf("got %v", first)
 	}
 }
+
+// TestCovered is the start of a host whose document routes a service that has no
+// replica anywhere, and of one whose entries have lapsed: the first must not wait, the
+// second cannot serve.
+func TestCovered(t *testing.T) {
+	table := route.New(core.Routing{Version: 1, Routes: []core.Route{
+		{Name: "query", MinRatio: 0.75, Gather: []core.ServiceName{"s-0", "s-1", "s-2", "s-3"}},
+		{Name: "order", Split: []core.Share{{Service: "orders", Weight: 9}, {Service: "orders-next", Weight: 1}}},
+		{Name: "added", Split: []core.Share{{Service: "empty", Weight: 1}}},
+		{Name: "view", Split: []core.Share{{Service: "views", Weight: 1}}},
+	}})
+	all := []core.ServiceName{"s-0", "s-1", "s-2", "s-3", "orders", "orders-next", "views"}
+	for _, c := range []struct {
+		name string
+		gone []core.ServiceName
+		want bool
+	}{
+		{"a service without replicas", nil, true},
+		{"a shard less", []core.ServiceName{"s-2"}, true},
+		{"two shards less", []core.ServiceName{"s-2", "s-0"}, false},
+		{"half of the others", []core.ServiceName{"orders-next"}, true},
+		{"most of the others", []core.ServiceName{"orders-next", "orders"}, false},
+		{"nothing known", all, false},
+	} {
+		available := func(s core.ServiceName) bool { return slices.Contains(all, s) && !slices.Contains(c.gone, s) }
+		if got := table.Covered(available); got != c.want {
+			t.Errorf("%s: covered %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -42,8 +42,8 @@
 	// warmBound ends the wait for connections before readiness: a replica that
 	// does not answer must not keep the host from serving.
 	warmBound = 700 * time.Millisecond
-	// coverBound ends the wait for replicas of every service before readiness:
-	// the others are served meanwhile.
+	// coverBound ends the wait for replicas before readiness: entries that lapsed
+	// while the directory was away are back about 2 s after its return.
 	coverBound = 3 * time.Second
 	// warmAtOnce limits the connections that are opened at the same time.
 	warmAtOnce = 16
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -331,3 +331,31 @@
 		}
 	})
 }
+
+// TestReadyWithoutEveryService guards against hosts that stay out of service for
+// seconds after a restart because some routed service has no replica anywhere.
+func TestReadyWithoutEveryService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, shards)
+		doc := d.doc
+		doc.Routes = append(slices.Clone(doc.Routes),
+			core.Route{Name: "order", Host: "h", Prefix: "/o/", Timeout: time.Second, Attempts: 1, Split: []core.Share{{Service: "shard-0", Weight: 1}}},
+			core.Route{Name: "added", Host: "h", Prefix: "/a/", Timeout: time.Second, Attempts: 1, Split: []core.Share{{Service: "orders", Weight: 1}}},
+			core.Route{Name: "empty", Host: "h", Prefix: "/e/", Timeout: time.Second, Attempts: 1, Split: []core.Share{{Service: "empty", Weight: 1}}},
+		)
+		d.directory.publish(core.DirectoryItem{Routing: &doc})
+		in := core.Instance{ID: "i-98", Service: "orders", Address: "10.0.1.98:80", DataCentre: "a", Slots: 2}
+		d.replica(in)
+		d.directory.publish(core.DirectoryItem{ID: in.ID, Instance: &in})
+		for i := range 3 {
+			d.start(i)
+		}
+		<-time.After(1500 * time.Millisecond)
+		c := d.client()
+		for i := range 3 {
+			if res, _ := d.get(c, readyAddress(i), "/"); res == nil || res.StatusCode != http.StatusOK {
+				t.Errorf("%s is not ready 1.5 s after its start", host(i))
+			}
+		}
+	})
+}
--- a/io/edge/warm.go
+++ b/io/edge/warm.go
@@ -21,12 +21,13 @@
 	}
 }
 
-// becomeReady waits for the directory and for warm connections.
+// becomeReady waits for the directory, for the other hosts, with whom calls and limits
+// are shared, and for warm connections.
 func (e *Edge) becomeReady(ctx context.Context) error {
 	ticker := time.NewTicker(tick / 4)
 	defer ticker.Stop()
 	bound := time.Now().Add(coverBound)
-	for !e.mirror.Known() || !e.covered() && time.Now().Before(bound) {
+	for !e.mirror.Known() || !e.prepared() && time.Now().Before(bound) {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -46,18 +47,23 @@
 	_ = group.Wait() // warming reports no error
 	e.ready.Store(true)
 	e.crew.SetReady(true)
-	e.log.Info("node: host is ready", "host", e.opts.Host, "replicas", e.fleet.Size(), "connections", e.client.Connections())
+	e.log.Info("node: host is ready", "host", e.opts.Host, "replicas", e.fleet.Size(), "connections", e.client.Connections(),
+		"without_replica", e.uncovered())
 	return nil
 }
 
-// covered reports whether each service of the routes has a replica.
-func (e *Edge) covered() bool {
+func (e *Edge) prepared() bool {
+	return e.crew.Known(time.Now()) && e.relay.Table().Covered(e.fleet.Available)
+}
+
+// uncovered returns the services of the routes that have no replica.
+func (e *Edge) uncovered() (services []core.ServiceName) {
 	for _, s := range e.relay.Table().Services() {
 		if !e.fleet.Available(s) {
-			return false
+			services = append(services, s)
 		}
 	}
-	return true
+	return services
 }
 
 func (e *Edge) warmOne(ctx context.Context, in core.Instance) {
