fix(cmd): take SIGHUP from the first statement on; soak: no reload of a program that has just started

Change: the handler is set before flags are read; the soak sends SIGHUP from 200 ms after a start on, since no program handles signals before its runtime runs.

--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -11,6 +11,10 @@
 	"github.com/pkg/errors"
 )
 
+// signalsAfter a start, a program has told the system which signals it handles; until
+// then any program is ended by SIGHUP.
+const signalsAfter = 200 * time.Millisecond
+
 // process is one host of the product as a process of its own. It is started again
 // after its end; its log is appended to one file.
 type process struct {
@@ -20,6 +24,7 @@
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
+	started  time.Time
 	exited   chan struct{}
 	asked    bool // to end, by a signal of the soak
 	killed   bool
@@ -51,6 +56,7 @@
 		return errors.Wrapf(err, "soak: start %s", p.name)
 	}
 	p.cmd, p.exited, p.asked, p.killed = cmd, make(chan struct{}), false, false
+	p.started = time.Now()
 	go p.wait(cmd, p.exited)
 	return nil
 }
@@ -84,6 +90,10 @@
 			return // a second one would mean to end at once
 		}
 		p.asked = true
+	case syscall.SIGHUP:
+		if time.Since(p.started) < signalsAfter {
+			return
+		}
 	}
 	_ = p.cmd.Process.Signal(s) // it may have ended this moment, which wait notes
 }
--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -8,9 +8,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +32,8 @@
 // gateway runs one host on the platform: it passes callers' requests on to the
 // replicas that the platform's store publishes.
 func gateway(ctx context.Context, e env, args []string) int {
+	reload, release := hangups()
+	defer release()
 	fs := flag.NewFlagSet("gateway", flag.ContinueOnError)
 	path := fs.String("settings", os.Getenv(platform.SettingsVariable), "settings file of the platform")
 	port := fs.Int("metrics-port", 0, "port of the metrics at the host's address; 0 for none")
@@ -52,9 +52,6 @@
 	if err != nil {
 		return reject(e, fs, "-settings %q: %v", *path, err)
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	metrics := telem.NewRegistry()
 	handler := telem.NewHandler(e.out, telem.Options{Format: "json", Level: lowest, Metrics: metrics})
 	defer closeLog(handler)
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -44,6 +44,8 @@
 }
 
 func serve(ctx context.Context, e env, args []string) int {
+	hangup, release := hangups()
+	defer release()
 	f := new(serveFlags)
 	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
 	fs.StringVar(&f.id, "id", "", "name of this host, unique in the fleet")
@@ -66,10 +68,10 @@
 	if fault := f.check(); fault != "" {
 		return reject(e, fs, "%s", fault)
 	}
-	return f.run(ctx, e)
+	return f.run(ctx, e, hangup)
 }
 
-func (f *serveFlags) run(ctx context.Context, e env) int {
+func (f *serveFlags) run(ctx context.Context, e env, hangup <-chan os.Signal) int {
 	level, _ := telem.ParseLevel(f.logLevel)
 	metrics := telem.NewRegistry()
 	handler := telem.NewHandler(e.err, telem.Options{Format: f.logFormat, Level: level, Metrics: metrics})
@@ -103,9 +105,6 @@
 		_, _ = fmt.Fprintf(e.err, "oriolebarrow serve: %v\n", err)
 		return ExitFault
 	}
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	go noReload(ctx, hangup, slog.New(handler))
 	if err := n.Run(ctx); err != nil {
 		_, _ = fmt.Fprintf(e.err, "oriolebarrow serve: %v\n", err)
@@ -114,6 +113,14 @@
 	return ExitOK
 }
 
+// hangups returns the signals to reload. It is called first: a host that has not
+// asked for them yet would be ended by one.
+func hangups() (<-chan os.Signal, func()) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c, func() { signal.Stop(c) }
+}
+
 // noReload answers requests to reload: sections come from the platform when they
 // change, and flags hold for the life of the process. Without it SIGHUP would end the
 // host.
