perf(assist): tasks for starting hosts while most start; connect when the view is stable

Ruled out: the directory (documents and entries known 0.1 s after the start). Change: while fewer than half of the running hosts are ready, queries are planned over all that run; a host knows the others once nothing was new for 200 ms.

--- a/io/assist/assist.go
+++ b/io/assist/assist.go
@@ -41,7 +41,7 @@
 type Assistant struct {
 	Parts
 	plans *assign.Assigner // over the hosts that are ready
-	roles *assign.Assigner // over all that run
+	roles *assign.Assigner // over all that run; a cache holds for one kind of view
 }
 
 var _ core.Helpers = (*Assistant)(nil)
@@ -51,9 +51,15 @@
 	return &Assistant{Parts: p, plans: assign.New(p.Self), roles: assign.New(p.Self)}
 }
 
-// Plan implements core.Helpers.
+// Plan implements core.Helpers. While fewer than half of the hosts are ready, those
+// that start count too: the few would get all tasks, or this host would call every
+// replica itself. One that cannot serve a task yet refuses it at once.
 func (a *Assistant) Plan(now time.Time, services []core.ServiceName) []core.TaskBatch {
-	return a.plans.Plan(a.Views.View(now), services, a.Near)
+	ready, running := a.Views.View(now), a.Reach.Reachable(now)
+	if 2*len(ready.Hosts()) < len(running.Hosts()) {
+		return a.roles.Plan(running, services, a.Near)
+	}
+	return a.plans.Plan(ready, services, a.Near)
 }
 
 // Run implements core.Helpers. A host that does not answer is left out of the
--- a/io/crew/crew.go
+++ b/io/crew/crew.go
@@ -38,6 +38,9 @@
 	// countWindow is how long a host that was lost still counts: what it used
 	// lies within the window of the budget of extra calls.
 	countWindow = 12 * time.Second
+	// settleFor without news, a starting host knows the others: seeds introduce all
+	// they know within one tick.
+	settleFor = 200 * time.Millisecond
 	// aloneAfter is how long a host waits for an answer of a seed before it
 	// believes that it is alone.
 	aloneAfter     = 20 * time.Second
@@ -61,6 +64,8 @@
 	known  map[core.HostID]bool
 	counts []count
 	begin  time.Time
+	// settled is set once the others are known.
+	settled bool
 }
 
 // count is the number of hosts from a time on.
@@ -95,11 +100,18 @@
 	return n
 }
 
-// Known reports whether another host was heard, or this one waited long enough to
-// believe that it is alone.
+// Known reports whether this host knows the others: it heard of some, and of no more
+// for a while, or it waited long enough to believe that it is alone. It never becomes
+// false again.
 func (c *Crew) Known(now time.Time) bool {
-	_, known := c.most(now)
-	return known
+	_, heard := c.most(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := len(c.counts)
+	if heard && (n == 0 || now.Sub(c.counts[n-1].at) >= settleFor) {
+		c.settled = true
+	}
+	return c.settled
 }
 
 func (c *Crew) most(now time.Time) (hosts int, known bool) {
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -320,9 +320,11 @@
 			d.start(i)
 		}
 		<-time.After(6 * time.Second)
+		// One owner in each of two data centres, and another while that duty moves.
+		const most = 2 * 2
 		for s := range manyShards {
-			if n := d.network.dialled(fmt.Sprintf("10.0.1.%d:80", s)); n > limit {
-				t.Errorf("shard %d: %d connections, its limit is %d", s, n, limit)
+			if n := d.network.dialled(fmt.Sprintf("10.0.1.%d:80", s)); n > most {
+				t.Errorf("shard %d: %d connections, want %d at most", s, n, most)
 			}
 		}
 		res, _ := d.get(d.client(), callerAddress(3), "/q/1")
