test(soak): callers keep connections of hosts that leave; a query without an answer needs a cause

Change: only new connections need a ready host; a query that gets no answer from a host that nothing disturbed breaks a promise.

--- a/bench/soak/gateway.go
+++ b/bench/soak/gateway.go
@@ -16,7 +16,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	pkgerrors "github.com/pkg/errors"
@@ -58,7 +57,7 @@
 	procs    []*process
 	replicas []*replica
 	journal  *journal
-	requests atomic.Int64
+	callers  *http.Transport
 
 	mu      sync.Mutex
 	version uint64
@@ -75,6 +74,7 @@
 
 func newGateway(o Options, r *Report) (world, error) {
 	g := &gateway{opts: o, report: r, names: platform.Names(), store: stand.New(), journal: newJournal()}
+	g.callers = newTransport(g, func() []string { return addresses(g.fronts) })
 	if err := g.build(); err != nil {
 		g.close()
 		return nil, err
@@ -285,7 +285,7 @@
 	req.GetBody = nil // the transport must not send an order twice
 	req.Header.Set(g.names.RequestID, id)
 	req.Header.Set(g.names.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
-	res, err := transport.RoundTrip(req)
+	res, err := g.callers.RoundTrip(req)
 	if err == nil {
 		a.status, a.header = res.StatusCode, res.Header
 		a.body, err = io.ReadAll(res.Body)
@@ -295,17 +295,9 @@
 	return a
 }
 
-// transport keeps connections open, as callers do until a host closes them.
-var transport = &http.Transport{MaxIdleConnsPerHost: callers, DisableCompression: true}
-
 func (g *gateway) request(ctx context.Context, c *caller) {
 	host := c.rng.IntN(len(g.procs))
-	if !c.strict && !g.procs[host].disturbed(time.Now(), time.Now()) && !g.ready(host) {
-		pause(ctx, 20*time.Millisecond) // a load balancer chooses another one
-		return
-	}
 	id := fmt.Sprintf("r%d-%d-%d", g.opts.Seed, c.id, c.n)
-	g.requests.Add(1)
 	if c.rng.IntN(3) == 0 {
 		g.order(ctx, c, host, id)
 	} else {
@@ -318,7 +310,9 @@
 	p := g.procs[host]
 	body := []byte("order of " + id)
 	a := g.send(ctx, host, http.MethodPost, "/o/"+id, id, orderTime, body)
-	g.note("order", p, c, a, orderTime)
+	if !g.note("order", p, c, a, orderTime) {
+		return
+	}
 	o := order{id: id, host: p.name, status: a.status, graceful: !p.disturbed(a.begin, a.end)}
 	if a.err != nil {
 		o.status = 0
@@ -341,7 +335,12 @@
 func (g *gateway) query(ctx context.Context, c *caller, host int, id string) {
 	p := g.procs[host]
 	a := g.send(ctx, host, http.MethodGet, "/q/"+id, id, queryTime, nil)
-	g.note("query", p, c, a, queryTime)
+	if !g.note("query", p, c, a, queryTime) {
+		return
+	}
+	if a.err != nil && !p.disturbed(a.begin, a.end) {
+		g.report.broke("query %s at %s: no answer although nothing disturbed the host: %v", id, p.name, a.err)
+	}
 	if a.err != nil || a.status != http.StatusOK {
 		return
 	}
@@ -384,8 +383,11 @@
 	return ""
 }
 
-// note checks what holds for all answers.
-func (g *gateway) note(kind string, p *process, c *caller, a answered, left time.Duration) {
+// note checks what holds for all answers. It reports whether the request was sent.
+func (g *gateway) note(kind string, p *process, c *caller, a answered, left time.Duration) bool {
+	if errors.Is(a.err, errNoHost) && !c.strict {
+		return false
+	}
 	outcome := strconv.Itoa(a.status)
 	if a.err != nil {
 		outcome = "no answer"
@@ -393,7 +395,7 @@
 	g.report.outcome(kind + " " + outcome)
 	took := a.end.Sub(a.begin)
 	if p.disturbed(a.begin, a.end) {
-		return
+		return true
 	}
 	if took > left+slack && !errors.Is(a.err, context.Canceled) {
 		g.report.broke("%s at %s: %v after %v, the caller waits for %v", kind, p.name, outcome, took, left)
@@ -401,6 +403,7 @@
 	if c.strict && (a.err != nil || a.status != http.StatusOK) {
 		g.report.broke("%s at %s in the calm end: %s, %v", kind, p.name, outcome, a.err)
 	}
+	return true
 }
 
 // final checks how often each order ran, and what each query may have used.
@@ -454,5 +457,5 @@
 	for _, p := range g.procs {
 		_ = p.log.Close()
 	}
-	transport.CloseIdleConnections()
+	g.callers.CloseIdleConnections()
 }
--- a/bench/soak/serve.go
+++ b/bench/soak/serve.go
@@ -47,6 +47,7 @@
 	stores   []*proxy // the way of each host to the platform
 	fronts   []*proxy // the way of the callers to each host
 	procs    []*process
+	callers  *http.Transport
 
 	mu      sync.Mutex
 	queries []verify.Query
@@ -58,6 +59,7 @@
 		opts: o, report: r, platform: plat.New(listLag),
 		fleet: server.NewFleet(server.Options{MeanService: usualWork, Seed: o.Seed}),
 	}
+	s.callers = newTransport(s, func() []string { return addresses(s.fronts) })
 	if err := s.build(); err != nil {
 		s.close()
 		return nil, err
@@ -249,7 +251,7 @@
 		return begin, time.Now(), err
 	}
 	req.Header.Set("Content-Type", "application/json")
-	res, err := transport.RoundTrip(req)
+	res, err := s.callers.RoundTrip(req)
 	if err != nil {
 		return begin, time.Now(), err
 	}
@@ -258,18 +260,8 @@
 	return begin, time.Now(), err
 }
 
-func (s *serve) pick(c *caller) (host int, ok bool) {
-	host = c.rng.IntN(len(s.procs))
-	now := time.Now()
-	return host, c.strict || s.procs[host].disturbed(now, now) || s.ready(host)
-}
-
 func (s *serve) request(ctx context.Context, c *caller) {
-	host, ok := s.pick(c)
-	if !ok {
-		pause(ctx, 20*time.Millisecond) // a load balancer chooses another one
-		return
-	}
+	host := c.rng.IntN(len(s.procs))
 	if c.rng.IntN(3) == 0 {
 		s.order(ctx, c, host)
 	} else {
@@ -289,6 +281,12 @@
 func (s *serve) query(ctx context.Context, c *caller, host int) {
 	var reply load.Reply
 	begin, end, err := s.post(ctx, host, "/v1/query", map[string]any{"caller": "dispatch", "service": "kiln"}, &reply)
+	if errors.Is(err, errNoHost) && !c.strict {
+		return
+	}
+	if err != nil && !s.procs[host].disturbed(begin, end) {
+		s.report.broke("query at host-%d: no answer although nothing disturbed the host: %v", host, err)
+	}
 	q := verify.Query{Took: s.took(host, begin, end), Deadline: serveDeadline + slack}
 	if err == nil {
 		q.RequestID, q.Outcome, q.Snapshot = reply.RequestID, reply.Outcome, reply.Snapshot
@@ -323,6 +321,10 @@
 		begin, end, err := s.post(ctx, host, "/v1/orders", map[string]any{
 			"caller": "dispatch", "service": "kiln", "token": o.Token, "key": fmt.Sprint(c.id, "-", c.n),
 		}, &reply)
+		if errors.Is(err, errNoHost) && !c.strict {
+			host = c.rng.IntN(len(s.procs))
+			continue
+		}
 		if err != nil {
 			reply.Outcome = ""
 		}
@@ -372,5 +374,5 @@
 	for _, p := range s.procs {
 		_ = p.log.Close()
 	}
-	transport.CloseIdleConnections()
+	s.callers.CloseIdleConnections()
 }
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -14,8 +14,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -191,6 +194,35 @@
 	}
 }
 
+// errNoHost is the error of a caller whom the load balancer gives no connection.
+var errNoHost = errors.New("soak: host is not ready")
+
+// newTransport returns the connections of the callers. Like a load balancer it opens
+// new ones to a host only while that is ready or was disturbed before it noticed; open
+// ones are used until the host closes them.
+func newTransport(w world, hosts func() []string) *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 2 * callers, DisableCompression: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			i := slices.Index(hosts(), address)
+			now := time.Now()
+			if i < 0 || !w.hosts()[i].disturbed(now, now) && !w.ready(i) {
+				return nil, errNoHost
+			}
+			return new(net.Dialer).DialContext(ctx, network, address)
+		},
+	}
+}
+
+// addresses returns where proxies listen.
+func addresses(proxies []*proxy) []string {
+	out := make([]string, len(proxies))
+	for i, p := range proxies {
+		out[i] = p.listener.Addr().String()
+	}
+	return out
+}
+
 // drive has callers send requests while something else goes on.
 func drive(ctx context.Context, w world, o Options, phase uint64, strict bool, meanwhile func(context.Context)) {
 	stop := make(chan struct{})
