feat(fleet): use the pace that a replica states for its machine

Change: while it is fresh (100 ms), a stated pace above what was learnt raises the cost of a call. Test: TestStatedPace, TestLoad.

--- a/core/fleet/load_test.go
+++ b/core/fleet/load_test.go
@@ -255,3 +255,30 @@
 		}
 	}
 }
+
+// TestStatedPace is the load of machines that slow down for moments: a replica that
+// says so in a quick answer is left at once, and tried again when that is old.
+func TestStatedPace(t *testing.T) {
+	now := time.Now()
+	f := replicas(t, now, 1)
+	end := func(pace int) func(core.InstanceID) fleet.End {
+		return func(core.InstanceID) fleet.End {
+			return fleet.End{Took: usual, Load: &fleet.Load{Running: 1, Slots: 2, Pace: pace}}
+		}
+	}
+	pick := func(at time.Time, pace int) core.InstanceID {
+		return call(f, at, service(0), nil, end(pace)).Instance().ID
+	}
+	if id := pick(now, 100); id != "0-home" {
+		t.Fatalf("first call on %s", id)
+	}
+	if id := pick(now.Add(20*time.Millisecond), 600); id != "0-home" {
+		t.Errorf("a usual pace sends calls to %s", id)
+	}
+	if id := pick(now.Add(40*time.Millisecond), 100); id != "0-away" {
+		t.Errorf("a call goes to %s although its machine is slow now", id)
+	}
+	if id := pick(now.Add(time.Second), 100); id != "0-home" {
+		t.Errorf("1 s later a call goes to %s", id)
+	}
+}
--- a/core/fleet/replica.go
+++ b/core/fleet/replica.go
@@ -24,6 +24,8 @@
 	// ordinary variation of service times does not send calls away.
 	remoteCost  = 4 * time.Millisecond
 	remoteShare = 0.8
+	// usualPace is the stated pace of a machine that nothing slows.
+	usualPace = 100
 	// loadAge is how long a reported load is used; later it says nothing.
 	loadAge = 100 * time.Millisecond
 	// stuckFactor times the expected time, a call counts as stuck: the replica
@@ -48,6 +50,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	Pace    int // time of work in percent of the usual time; 0 when not stated
 }
 
 // End tells how a call ended.
@@ -110,6 +113,7 @@
 	busy := r.running
 	if now.Sub(r.loadAt) < loadAge {
 		busy = max(busy, r.load.Running+r.load.Waiting)
+		slow = max(slow, float64(r.load.Pace)/usualPace)
 	}
 	cost := base * slow * (1 + float64(busy)/float64(slots))
 	cost += base * failureCost * r.fails * fade
--- a/io/client/answer.go
+++ b/io/client/answer.go
@@ -182,21 +182,28 @@
 	return 0
 }
 
-// parseLoad reads "running,waiting,slots"; further figures are ignored.
+// parseLoad reads "running,waiting,slots" and, from some replicas, the pace; further
+// figures are ignored.
 func parseLoad(text string) *fleet.Load {
-	parts := strings.Split(text, ",")
-	if len(parts) < 3 {
-		return nil
-	}
-	var n [3]int
-	for i := range n {
-		v, err := strconv.Atoi(strings.TrimSpace(parts[i]))
-		if err != nil {
+	const needed = 3
+	var l fleet.Load
+	figures := []*int{&l.Running, &l.Waiting, &l.Slots, &l.Pace}
+	n := 0
+	for part := range strings.SplitSeq(text, ",") {
+		if n == len(figures) {
+			break
+		}
+		v, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil || v < 0 {
 			return nil
 		}
-		n[i] = v
+		*figures[n] = v
+		n++
+	}
+	if n < needed {
+		return nil
 	}
-	return &fleet.Load{Running: n[0], Waiting: n[1], Slots: n[2]}
+	return &l
 }
 
 func shorten(s string) string {
--- a/io/client/client_test.go
+++ b/io/client/client_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/fleet"
 	"oriolebarrow/io/client"
 )
 
@@ -130,6 +131,30 @@
 	}
 }
 
+// TestLoad guards against a load that is read wrongly or taken from a broken field.
+func TestLoad(t *testing.T) {
+	for field, want := range map[string]*fleet.Load{
+		"1,2,3":        {Running: 1, Waiting: 2, Slots: 3},
+		"1, 2, 3, 250": {Running: 1, Waiting: 2, Slots: 3, Pace: 250},
+		"1,2,3,100,7":  {Running: 1, Waiting: 2, Slots: 3, Pace: 100},
+		"1,2":          nil,
+		"1,2,x":        nil,
+		"1,-2,3":       nil,
+		"":             nil,
+	} {
+		t.Run(field, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := &replica{scripts: []string{strings.Replace(answer, "1,2,3", field, 1)}}
+				cl := client.New(client.Options{Names: names, Dial: r.dial})
+				defer cl.Close()
+				if diff := cmp.Diff(want, send(cl, "r").Reply.Load); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
 // TestConnectionLimit guards against more connections to a replica than this
 // host's part.
 func TestConnectionLimit(t *testing.T) {
