--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -281,7 +281,7 @@
 	if code != cmd.ExitOK || !strings.Contains(out, "relay: answered status=502") || !strings.Contains(out, "owner: call starts shard=3") {
 		t.Errorf("exit code %d, %q, %q", code, out, errOut)
 	}
-	for _, args := range [][]string{{"explain", first, "r2"}, {"explain", first + ".old", "r1"}} {
+	for _, args := range [][]string{{"explain", first, "r2"}, {"explain", first, first + ".old", "r1"}} {
 		if code, out, errOut := run(args...); code != cmd.ExitFault || out != "" || strings.Count(errOut, "\n") != 1 {
 			t.Errorf("%v: exit code %d, %q, %q", args, code, out, errOut)
 		}
--- a/io/story/story_test.go
+++ b/io/story/story_test.go
@@ -19,9 +19,9 @@
 -0.9 villa-2 {"time":"2026-12-04T10:00:06.060Z","level":"INFO","msg":"relay: answered","request":"r2","status":200,"took_us":40000}
 -0.8 villa-2 {"time":"2026-12-04T10:00:09.000Z","level":"INFO","msg":"relay: replica is back","replica":"i-1","service":"s1"}
 `
-	helperLog = `time=2026-12-04T10:00:06.045Z level=INFO msg="relay: hedge sent" request=r1 at_us=9000 service=s2 replica=i-7 cause=""
-time=2026-12-04T10:00:06.045Z level=INFO msg="relay: task ended" request=r1 shards=3 took_us=30000 missed="s2/i-6/i-7"
-time=2026-12-04T10:00:06.046Z level=INFO msg="mirror: entry removed" replica=i-7 service=s2
+	helperLog = `time=2026-12-04T10:00:06.055Z level=INFO msg="relay: hedge sent" request=r1 at_us=9000 service=s2 replica=i-7 cause=""
+time=2026-12-04T10:00:06.055Z level=INFO msg="relay: task ended" request=r1 shards=3 took_us=45000 missed="s2/i-6/i-7"
+time=2026-12-04T10:00:06.020Z level=INFO msg="mirror: entry removed" replica=i-7 service=s2
 `
 )
 
@@ -42,11 +42,11 @@
 	for _, want := range []string{
 		"request r1",
 		"* ", "host-2", "relay: replica ejected replica=i-1",
-		"helper.log", "relay: hedge sent service=s2 replica=i-7", // 24 ms after the request
-		"helper.log", "relay: task ended",
+		"helper.log", "relay: hedge sent service=s2 replica=i-7", // written 36 ms later
 		"* ", "mirror: entry removed",
 		"host-2", "relay: parts are open",
 		"host-2", "relay: answered status=200 missing=2",
+		"helper.log", "relay: task ended",
 	} {
 		i := strings.Index(out.String()[at:], want)
 		if i < 0 {
