--- a/io/client/client_test.go
+++ b/io/client/client_test.go
@@ -76,6 +76,21 @@
 	}
 }
 
+// sendOrLeave is send by a caller who leaves when there is no answer.
+func sendOrLeave(c *client.Client, id string) client.Result {
+	results := make(chan client.Result, 1)
+	call := c.Send(target, client.Request{ID: core.RequestID(id), Method: "GET", URI: "/a?b", Host: "h", Left: time.Second},
+		func(r client.Result) { results <- r })
+	synctest.Wait()
+	select {
+	case r := <-results:
+		return r
+	default:
+		call.Abandon(0)
+		return client.Result{Err: context.DeadlineExceeded}
+	}
+}
+
 const (
 	answer  = "HTTP/1.1 200 OK\r\nReq-Id: r\r\nStamp: s\r\nLoad: 1,2,3\r\nContent-Length: 2\r\n\r\nok"
 	chunked = "HTTP/1.1 200 OK\r\nReq-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n"
@@ -218,3 +233,36 @@
 		}
 	})
 }
+
+// FuzzAnswer guards against bytes of a replica that end the program, keep a caller
+// waiting, or are served to a later request.
+func FuzzAnswer(f *testing.F) {
+	for _, script := range []string{
+		answer, chunked, foreign + answer, answer + "HTTP/1.1 200",
+		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+		"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 304 Not Modified\r\n\r\n", "\r\n\r\n", "HTTP/1.1 200\n\n",
+	} {
+		f.Add(script)
+	}
+	f.Fuzz(func(t *testing.T, script string) {
+		if script == "" || script == "silent" || strings.Contains(script, "\r\nX-Cut") {
+			t.Skip("means something to the replica of the tests")
+		}
+		synctest.Test(t, func(t *testing.T) {
+			r := &replica{scripts: []string{script, answer, answer}}
+			cl := client.New(client.Options{Names: names, Dial: r.dial})
+			defer cl.Close()
+			first := sendOrLeave(cl, "r")
+			if first.Err == nil && (first.Reply.Status < 200 || first.Reply.Status > 999) {
+				t.Errorf("status %d is taken for an answer", first.Reply.Status)
+			}
+			synctest.Wait()
+			second := sendOrLeave(cl, "r")
+			if second.Err == nil && string(second.Reply.Body) != "ok" {
+				t.Errorf("a later request got %q", second.Reply.Body)
+			}
+		})
+	})
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -51,6 +51,9 @@
 	warmQueue = 1024
 	// tick is the interval of probes and checks.
 	tick = 100 * time.Millisecond
+	// idleCheck is the interval of looking for idle callers: by so much more than
+	// the document's limit a connection may be idle.
+	idleCheck = time.Second
 	// probeTimeout bounds one health check; pauses of a replica are shorter.
 	probeTimeout = 300 * time.Millisecond
 	// notReadyFor is how long a leaving host still takes new connections: the
@@ -320,6 +323,7 @@
 	group.Go(func() error { return e.becomeReady(work) })
 	group.Go(func() error { return e.warm(work) })
 	group.Go(func() error { return e.probe(work) })
+	group.Go(func() error { return e.closeIdle(work) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -335,6 +339,20 @@
 	return err
 }
 
+// closeIdle closes callers' connections at the limit of the document in force.
+func (e *Edge) closeIdle(ctx context.Context) error {
+	ticker := time.NewTicker(idleCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			e.front.CloseIdle(now)
+		}
+	}
+}
+
 func serve(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "edge: serve")
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -361,3 +361,36 @@
 		}
 	})
 }
+
+// TestIdleCallers guards against connections that stay open beyond the limit of the
+// document, and against ones that are closed within it, also after the limit changed.
+func TestIdleCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, shards)
+		doc := d.doc
+		doc.Limits.IdleTimeout = 20 * time.Second
+		d.directory.publish(core.DirectoryItem{Routing: &doc})
+		d.start(0)
+		<-time.After(4 * time.Second)
+		c := d.client()
+		ask := func(after time.Duration, dials int) {
+			t.Helper()
+			<-time.After(after)
+			if res, _ := d.get(c, callerAddress(0), "/q/1"); res == nil || res.StatusCode != http.StatusOK {
+				t.Errorf("got %+v", res)
+			}
+			if n := d.network.dialled(callerAddress(0)); n != dials {
+				t.Errorf("after %v without a request: %d connections, want %d", after, n, dials)
+			}
+		}
+		ask(0, 1)
+		ask(16*time.Second, 1) // callers may reuse connections until four fifths of the limit
+		ask(22*time.Second, 2)
+		shorter := doc
+		shorter.Version++
+		shorter.Limits.IdleTimeout = 5 * time.Second
+		d.directory.publish(core.DirectoryItem{Routing: &shorter})
+		ask(4*time.Second, 2)
+		ask(7*time.Second, 3)
+	})
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -43,13 +43,14 @@
 // Front serves callers.
 type Front struct {
 	parts   Parts
+	idle    *idle
 	leaving atomic.Bool
 }
 
 var _ http.Handler = (*Front)(nil)
 
 // New returns a front.
-func New(p Parts) *Front { return &Front{parts: p} }
+func New(p Parts) *Front { return &Front{parts: p, idle: newIdle()} }
 
 // Server returns a server for the front.
 func (f *Front) Server() *http.Server {
@@ -58,6 +59,7 @@
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 			return context.WithValue(ctx, usedKey{}, new(atomic.Bool))
 		},
+		ConnState:         f.idle.note,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    defaultHeaderBytes,
 	}
