--- a/bench/soak/disturb.go
+++ b/bench/soak/disturb.go
@@ -16,7 +16,7 @@
 	// host for lost.
 	shortest, longest = 150 * time.Millisecond, 2500 * time.Millisecond
 	maxRepeats        = 3
-	// stopShare of the series hit a process with a signal.
+	// signalShare of the series hit a process with a signal.
 	signalShare = 0.45
 )
 
@@ -40,7 +40,7 @@
 	length  time.Duration
 	gap     time.Duration
 	repeats int
-	play1   func(ctx context.Context, length time.Duration, r *Report)
+	once    func(ctx context.Context, length time.Duration, r *Report)
 }
 
 func newSeries(rng *rand.Rand, w world, o Options) series {
@@ -55,14 +55,14 @@
 		p := w.hosts()[rng.IntN(len(w.hosts()))]
 		kind := []string{"pause", "kill", "stop", "reload"}[rng.IntN(4)]
 		s.name = p.name + " " + kind
-		s.play1 = func(ctx context.Context, length time.Duration, r *Report) { hit(ctx, p, kind, length, r) }
+		s.once = func(ctx context.Context, length time.Duration, r *Report) { hit(ctx, p, kind, length, r) }
 		return s
 	}
 	targets := w.targets()
 	t := targets[rng.IntN(len(targets))]
 	trouble := t.troubles[rng.IntN(len(t.troubles))]
 	s.name = t.name + " " + trouble
-	s.play1 = func(ctx context.Context, length time.Duration, _ *Report) {
+	s.once = func(ctx context.Context, length time.Duration, _ *Report) {
 		if t.host != nil {
 			defer t.host.disturb()()
 		}
@@ -80,7 +80,7 @@
 func (s series) play(ctx context.Context, r *Report) {
 	pause(ctx, s.at)
 	for range s.repeats {
-		s.play1(ctx, s.length, r)
+		s.once(ctx, s.length, r)
 		pause(ctx, s.gap)
 	}
 }
--- a/bench/soak/gateway.go
+++ b/bench/soak/gateway.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -18,7 +17,7 @@
 	"sync"
 	"time"
 
-	pkgerrors "github.com/pkg/errors"
+	"github.com/pkg/errors"
 
 	"oriolebarrow/core"
 	"oriolebarrow/platform"
@@ -58,6 +57,7 @@
 	replicas []*replica
 	journal  *journal
 	callers  *http.Transport
+	checks   sync.WaitGroup
 
 	mu      sync.Mutex
 	version uint64
@@ -86,7 +86,7 @@
 	storeAddress := g.opts.ip(1) + ":7000"
 	l, err := net.Listen("tcp", storeAddress)
 	if err != nil {
-		return pkgerrors.Wrap(err, "soak: store")
+		return errors.Wrap(err, "soak: store")
 	}
 	g.server = &http.Server{Handler: g.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = g.server.Serve(l) }() // ends by close
@@ -145,7 +145,7 @@
 	})
 	path := filepath.Join(g.opts.Dir, fmt.Sprintf("host-%d.yaml", i))
 	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return pkgerrors.Wrap(err, "soak: settings")
+		return errors.Wrap(err, "soak: settings")
 	}
 	p, err := newProcess(g.opts.Dir, fmt.Sprint("host-", i), func() *exec.Cmd {
 		return exec.Command(g.opts.Program, "gateway", "-settings", path)
@@ -241,7 +241,7 @@
 		r.calm()
 	}
 	g.publish("b")
-	go g.checkVersion()
+	g.checks.Go(g.checkVersion)
 }
 
 // checkVersion asks each host for the newest version, once it is due.
@@ -408,6 +408,7 @@
 
 // final checks how often each order ran, and what each query may have used.
 func (g *gateway) final() {
+	g.checks.Wait()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, o := range g.orders {
--- a/core/budget/extra.go
+++ b/core/budget/extra.go
@@ -32,8 +32,9 @@
 // Extra limits the extra calls of this host to each service in any window: to the
 // ratio of the requests of that window, the one before it or the one half a window
 // before it, whichever has most, and the minimum. Each host has its share of the
-// minimum, an equal one unless SetShare says otherwise, and each has the ratio of its own requests, so that the sum keeps to the
-// limits without any exchange. It is safe for concurrent use.
+// minimum, an equal one unless SetShares says otherwise, and the ratio of its own
+// requests, so that the sum keeps to the limits without any exchange. It is safe for
+// concurrent use.
 type Extra struct {
 	mu       sync.Mutex
 	limits   ExtraLimits
--- a/io/entry/refresh.go
+++ b/io/entry/refresh.go
@@ -47,8 +47,9 @@
 }
 
 // due reports whether a service must be refreshed now: at each tick while it is
-// queried here or some of its groups are not known, else every idleInterval. Without the distinction a host would ask
-// the owners of all services four times a second, whatever its callers use.
+// queried here or some of its groups are not known, else every idleInterval. Without
+// the distinction a host would ask the owners of all services four times a second,
+// whatever its callers use.
 func (e *Entry) due(now time.Time, s core.ServiceName) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
