--- a/io/telem/log.go
+++ b/io/telem/log.go
@@ -52,6 +52,7 @@
 	stopOnce sync.Once
 	ended    chan struct{}
 	level    slog.LevelVar
+	waiting  atomic.Int64 // lines that were taken and not written yet
 	pending  atomic.Int64 // dropped lines that no log line has reported yet
 	written  metrics.Counter
 	dropped  metrics.Counter
@@ -64,6 +65,7 @@
 type batch struct {
 	to     io.Writer
 	text   []byte
+	lines  int64 // that were taken from the queue
 	failed metrics.Counter
 }
 
@@ -73,13 +75,14 @@
 	return len(text), nil
 }
 
-// flush writes what was collected. A log that cannot be written has no place to
-// say so but the metrics.
-func (b *batch) flush() {
+// flush writes what was collected and returns how many lines of the queue that were. A
+// log that cannot be written has no place to say so but the metrics.
+func (b *batch) flush() (lines int64) {
 	if _, err := b.to.Write(b.text); err != nil {
 		b.failed.Inc(1)
 	}
-	b.text = b.text[:0]
+	lines, b.lines, b.text = b.lines, 0, b.text[:0]
+	return lines
 }
 
 // Handler is a slog.Handler that never blocks its caller. It hides secrets and
@@ -131,9 +134,16 @@
 		return nil
 	default:
 	}
+	// One line may be on its way out, in the batch that is written or not.
+	if h.queue.waiting.Add(1) > int64(cap(h.queue.lines))+1 {
+		h.queue.waiting.Add(-1)
+		h.queue.drop()
+		return nil
+	}
 	select {
 	case h.queue.lines <- line{to: h.inner, record: r}:
 	default:
+		h.queue.waiting.Add(-1)
 		h.queue.drop()
 	}
 	return nil
@@ -229,8 +239,9 @@
 		r.AddAttrs(slog.Int64("lines", n), slog.String("reason", "queue_full"))
 		_ = own.Handle(context.Background(), r)
 	}
+	q.out.lines++
 	if len(q.lines) == 0 || len(q.out.text) >= batchBytes {
-		q.out.flush()
+		q.waiting.Add(-q.out.flush())
 	}
 }
 
