--- a/bench/soak/disturb.go
+++ b/bench/soak/disturb.go
@@ -92,7 +92,7 @@
 		p.signal(syscall.SIGHUP)
 		return
 	case "pause":
-		defer p.disturb()()
+		defer p.paused()()
 		p.signal(syscall.SIGSTOP)
 		pause(ctx, length)
 		p.signal(syscall.SIGCONT)
--- a/bench/soak/gateway.go
+++ b/bench/soak/gateway.go
@@ -183,13 +183,7 @@
 
 // ready asks the process itself, not through a proxy.
 func (g *gateway) ready(i int) bool {
-	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	res, err := c.Get(fmt.Sprintf("http://%s:%d/v1/readyz", g.hostIP(i), checkPort))
-	if err != nil {
-		return false
-	}
-	_ = res.Body.Close()
-	return res.StatusCode == http.StatusOK
+	return answersOK(fmt.Sprintf("http://%s:%d/v1/readyz", g.hostIP(i), checkPort))
 }
 
 func (g *gateway) targets() []target {
@@ -221,7 +215,7 @@
 }
 
 func troubleNames() []string {
-	return []string{string(Delay), string(Reset), string(CutTo), string(CutOut), string(Silent)}
+	return []string{string(Delay), string(Reset), string(CutTo), string(CutFrom), string(Silent)}
 }
 
 func proxyTarget(name string, p *proxy, host *process) target {
@@ -256,7 +250,11 @@
 		}
 		id := fmt.Sprintf("version-%d", i)
 		a := g.send(context.Background(), i, http.MethodPost, path, id, orderTime, nil)
-		if a.err == nil && a.status == http.StatusNotFound {
+		switch {
+		case errors.Is(a.err, errNoHost): // told by the recovery
+		case a.err != nil:
+			g.report.broke("host-%d: %s in the calm end: %v", i, path, a.err)
+		case a.status == http.StatusNotFound:
 			g.report.broke("host-%d: %s is not in force %v after its publication", i, path, configBound)
 		}
 	}
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -34,7 +34,10 @@
 }
 
 // span is a time in which a process could not answer as it should.
-type span struct{ begin, end time.Time }
+type span struct {
+	begin, end time.Time
+	paused     bool // by SIGSTOP
+}
 
 func newProcess(dir, name string, command func() *exec.Cmd) (*process, error) {
 	log, err := os.Create(filepath.Join(dir, name+".log"))
@@ -70,7 +73,7 @@
 	case !p.asked:
 		p.faults = append(p.faults, p.name+" ended by itself: "+cmd.ProcessState.String())
 	case p.killed, err == nil:
-	case cmd.ProcessState.ExitCode() == 1 && p.overlaps(p.askedAt, time.Now()):
+	case cmd.ProcessState.ExitCode() == 1 && p.overlaps(p.askedAt, time.Now(), span.wasPaused):
 		// Paused beyond the bound of its shutdown, a host cuts requests and says so.
 	default:
 		p.faults = append(p.faults, p.name+" did not end well after SIGTERM: "+cmd.ProcessState.String())
@@ -120,10 +123,15 @@
 
 // disturb notes that the process cannot answer as it should from now on; the
 // returned function ends that.
-func (p *process) disturb() (over func()) {
+func (p *process) disturb() (over func()) { return p.note(span{begin: time.Now()}) }
+
+// paused is disturb for a process that SIGSTOP stops.
+func (p *process) paused() (over func()) { return p.note(span{begin: time.Now(), paused: true}) }
+
+func (p *process) note(s span) (over func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.disturbs = append(p.disturbs, span{begin: time.Now()})
+	p.disturbs = append(p.disturbs, s)
 	i := len(p.disturbs) - 1
 	return func() {
 		p.mu.Lock()
@@ -136,12 +144,14 @@
 func (p *process) disturbed(begin, end time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.overlaps(begin, end)
+	return p.overlaps(begin, end, func(span) bool { return true })
 }
 
-func (p *process) overlaps(begin, end time.Time) bool {
+func (s span) wasPaused() bool { return s.paused }
+
+func (p *process) overlaps(begin, end time.Time, counts func(span) bool) bool {
 	for _, s := range p.disturbs {
-		if s.begin.Before(end) && (s.end.IsZero() || s.end.After(begin)) {
+		if counts(s) && s.begin.Before(end) && (s.end.IsZero() || s.end.After(begin)) {
 			return true
 		}
 	}
--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -14,12 +14,12 @@
 // Troubles of a connection. What is held back is delivered when the trouble ends, as
 // after a loss of packets.
 const (
-	Clear  Trouble = ""
-	Delay  Trouble = "delay"  // each chunk waits for delayBy
-	Reset  Trouble = "reset"  // all connections, the new ones too
-	CutTo  Trouble = "cut_to" // nothing reaches the target
-	CutOut Trouble = "cut_from"
-	Silent Trouble = "silent" // nothing passes either way
+	Clear   Trouble = ""
+	Delay   Trouble = "delay"    // each chunk waits for delayBy
+	Reset   Trouble = "reset"    // all connections, the new ones too
+	CutTo   Trouble = "cut_to"   // nothing reaches the target
+	CutFrom Trouble = "cut_from" // nothing comes back from it
+	Silent  Trouble = "silent"   // nothing passes either way
 )
 
 const (
@@ -117,7 +117,7 @@
 	defer p.remove(far)
 	var both sync.WaitGroup
 	both.Go(func() { p.pump(near, far, CutTo) })
-	both.Go(func() { p.pump(far, near, CutOut) })
+	both.Go(func() { p.pump(far, near, CutFrom) })
 	both.Wait()
 }
 
--- a/bench/soak/serve.go
+++ b/bench/soak/serve.go
@@ -166,13 +166,7 @@
 func (s *serve) hosts() []*process { return s.procs }
 
 func (s *serve) ready(i int) bool {
-	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	res, err := c.Get(fmt.Sprintf("http://127.0.0.1:%d/readyz", s.adminPort(i)))
-	if err != nil {
-		return false
-	}
-	_ = res.Body.Close()
-	return res.StatusCode == http.StatusOK
+	return answersOK(fmt.Sprintf("http://127.0.0.1:%d/readyz", s.adminPort(i)))
 }
 
 func (s *serve) targets() []target {
@@ -313,6 +307,9 @@
 	}
 	if _, _, err := s.post(ctx, host, "/v1/tokens", map[string]any{}, &token); err != nil || token.Token == "" {
 		s.report.outcome("token none")
+		if c.strict {
+			s.report.broke("token at host-%d in the calm end: none, %v", host, err)
+		}
 		return
 	}
 	o := verify.Order{Token: token.Token, Deadline: serveDeadline + slack}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -197,8 +197,8 @@
 // errNoHost is the error of a caller whom the load balancer gives no connection.
 var errNoHost = errors.New("soak: host is not ready")
 
-// newTransport returns the connections of the callers. Like a load balancer it opens
-// new ones to a host only while that is ready or was disturbed before it noticed; open
+// newTransport returns the connections of the callers. As behind a load balancer, new
+// ones go to hosts that are ready, or disturbed without the balancer's knowledge; open
 // ones are used until the host closes them.
 func newTransport(w world, hosts func() []string) *http.Transport {
 	return &http.Transport{
@@ -273,6 +273,17 @@
 	}
 }
 
+// answersOK reports whether a readiness check is answered with 200.
+func answersOK(url string) bool {
+	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := c.Get(url)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -51,7 +51,7 @@
 		{soak.Clear, true, false},
 		{soak.Delay, false, false},
 		{soak.CutTo, false, false},
-		{soak.CutOut, false, false},
+		{soak.CutFrom, false, false},
 		{soak.Silent, false, false},
 		{soak.Reset, false, true},
 	} {
--- a/io/edge/roles.go
+++ b/io/edge/roles.go
@@ -25,7 +25,8 @@
 
 // shares returns this host's shares of the extra calls to services that only some
 // hosts call: none if this is not one of them. One host of each data centre calls
-// such a service; as many again are allowed for while that duty moves.
+// such a service; as many again are allowed for while that duty moves. When the view or
+// the document changed, the budget gets the new shares and replicas are connected.
 func (e *Edge) shares(t *route.Table) map[core.ServiceName]float64 {
 	now := time.Now()
 	version, dataCentres := e.assist.Roles(now)
@@ -41,7 +42,7 @@
 			continue
 		}
 		for _, s := range r.Gather {
-			shares[s] = max(0, shares[s])
+			shares[s] = max(0, shares[s]) // 0: only other hosts call it
 		}
 		for _, s := range owned {
 			shares[s] = 1 / float64(2*max(1, dataCentres))
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -198,7 +198,8 @@
 
 // send asks the owner for its part, and the standbys for what is missing when the
 // owner is lost or does not acknowledge in time. Such an owner may only be busy: its
-// results still count, and the first one for a shard decides.
+// results still count, and the first one for a shard decides. A shard that the standbys
+// miss waits for a silent owner until the deadline.
 func (e *Entry) send(ctx context.Context, q core.Query, pin core.Pin, m *merge.Merge, p *part) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/io/front/idle.go
+++ b/io/front/idle.go
@@ -28,26 +28,22 @@
 	}
 }
 
-// expired returns the connections that were idle for longer than limit.
-func (i *idle) expired(now time.Time, limit time.Duration) (conns []net.Conn) {
+// closeAfter closes the connections that were idle for longer than limit. The lock is
+// held meanwhile: a connection that is just taken into use is left alone.
+func (i *idle) closeAfter(now time.Time, limit time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c, since := range i.since {
 		if now.Sub(since) > limit {
-			conns = append(conns, c)
+			_ = c.Close() // the server notices, and note forgets the connection
 		}
 	}
-	return conns
 }
 
 // CloseIdle closes the callers' connections that carried no request for longer than
 // the document's limits allow.
 func (f *Front) CloseIdle(now time.Time) {
-	limit := f.parts.Limits().IdleTimeout
-	if limit <= 0 {
-		return
-	}
-	for _, c := range f.idle.expired(now, limit) {
-		_ = c.Close() // the server notices and forgets the connection
+	if limit := f.parts.Limits().IdleTimeout; limit > 0 {
+		f.idle.closeAfter(now, limit)
 	}
 }
--- a/io/relay/notes.go
+++ b/io/relay/notes.go
@@ -126,9 +126,8 @@
 // Reject notes a request that is answered without any work, and returns the answer.
 func (r *Relay) Reject(req Request, reply Reply) Reply {
 	r.Meter.Count("relay_answers_"+outcome(reply), 1)
-	skipped, ok := r.bad.Allow(time.Now())
+	skipped, ok := r.allow(false)
 	if !ok {
-		r.Meter.Count("relay_lines_left_out", 1)
 		return reply
 	}
 	r.Log.LogAttrs(context.Background(), slog.LevelInfo, "relay: answered",
