fix(conns): answer the first request of a connection that is opened just before a shutdown

Change: io/conns stops accepting, serves young connections with an answer that ends them, closes unused ones after 500 ms, then waits as before. Used by both interfaces.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -145,7 +145,7 @@
 		opts:    o,
 		log:     log,
 		fleet:   fleet.New(o.Host, o.DataCentre),
-		crew:    crew.New(crew.Parts{Self: self, Detector: detector, Seeds: o.PeerSeeds, Log: log, Meter: o.Meter}),
+		crew:    crew.New(crew.Parts{Detector: detector, Seeds: o.PeerSeeds, Log: log, Meter: o.Meter}),
 		feeds:   feeds,
 		warming: make(chan core.Instance, warmQueue),
 	}
@@ -314,7 +314,7 @@
 	defer stop()
 	group, work := errgroup.WithContext(work)
 	server, checker := e.front.Server(), &http.Server{Handler: http.HandlerFunc(e.check), ReadHeaderTimeout: time.Second}
-	group.Go(func() error { return serve(server, l.callers) })
+	group.Go(func() error { return e.front.Serve(server, l.callers) })
 	group.Go(func() error { return serve(checker, l.checks) })
 	group.Go(func() error { return e.feed.Serve(work, l.hosts) })
 	group.Go(func() error { return e.tasks.Serve(work, l.tasks) })
@@ -329,7 +329,7 @@
 		case <-ctx.Done():
 		case <-work.Done():
 		}
-		e.drain(server)
+		e.drain(server, l.callers)
 		stop()
 		_ = checker.Close() // checks that run get no answer, which says the same
 		return nil
@@ -370,7 +370,7 @@
 }
 
 // drain stops taking callers and lets the requests end that run.
-func (e *Edge) drain(server *http.Server) {
+func (e *Edge) drain(server *http.Server, callers net.Listener) {
 	begin := time.Now()
 	e.leaving.Store(true)
 	e.front.Leave()
@@ -382,7 +382,7 @@
 	<-timer.C
 	ctx, cancel := context.WithTimeout(context.Background(), grace-graceMargin-time.Since(begin))
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	if err := e.front.Shutdown(ctx, server, callers); err != nil {
 		e.log.Warn("node: requests still run at the end of the drain", "cause", err)
 		_ = server.Close() // cuts what still runs, as logged
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -6,7 +6,8 @@
 //
 //	f := front.New(front.Parts{Relay: r, Names: names})
 //	server := f.Server()
-//	err := server.Serve(listener)
+//	err := f.Serve(server, listener)
+//	err = f.Shutdown(ctx, server, listener)
 package front
 
 import (
@@ -20,6 +21,7 @@
 	"time"
 
 	"oriolebarrow/core"
+	"oriolebarrow/io/conns"
 	"oriolebarrow/io/relay"
 )
 
@@ -43,14 +45,14 @@
 // Front serves callers.
 type Front struct {
 	parts   Parts
-	idle    *idle
+	conns   *conns.Set
 	leaving atomic.Bool
 }
 
 var _ http.Handler = (*Front)(nil)
 
 // New returns a front.
-func New(p Parts) *Front { return &Front{parts: p, idle: newIdle()} }
+func New(p Parts) *Front { return &Front{parts: p, conns: conns.New()} }
 
 // Server returns a server for the front.
 func (f *Front) Server() *http.Server {
@@ -59,12 +61,28 @@
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 			return context.WithValue(ctx, usedKey{}, new(atomic.Bool))
 		},
-		ConnState:         f.idle.note,
+		ConnState:         f.conns.Note,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    defaultHeaderBytes,
 	}
 }
 
+// Serve serves a listener with a server of this front until its shutdown.
+func (f *Front) Serve(s *http.Server, l net.Listener) error { return f.conns.Serve(s, l) }
+
+// Shutdown stops accepting connections and waits for the requests that run.
+func (f *Front) Shutdown(ctx context.Context, s *http.Server, l net.Listener) error {
+	return f.conns.Shutdown(ctx, s, l)
+}
+
+// CloseIdle closes the callers' connections that carried no request for longer than
+// the document's limits allow.
+func (f *Front) CloseIdle(now time.Time) {
+	if limit := f.parts.Limits().IdleTimeout; limit > 0 {
+		f.conns.CloseIdle(now, limit)
+	}
+}
+
 // usedKey is the context key of a mark that a connection carried a request.
 type usedKey struct{}
 
--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -11,6 +11,7 @@
 
 	"oriolebarrow/core"
 	"oriolebarrow/io/caller"
+	"oriolebarrow/io/conns"
 	"oriolebarrow/io/gossip"
 	"oriolebarrow/io/peer"
 )
@@ -58,8 +59,8 @@
 func (n *Node) serving() bool { return n.gate.Open() && n.agent.Ready() }
 
 // drain ends the service without interrupting a request. It returns ErrCut when
-// the bound or abort came first.
-func (n *Node) drain(callers *http.Server, peers *peer.Server) error {
+// the bound or abort came first. shutdown ends the interface for callers.
+func (n *Node) drain(shutdown func(context.Context) error, peers *peer.Server) error {
 	deadline := n.largestDeadline()
 	bound := n.opts.ShutdownBound
 	if bound == 0 {
@@ -78,7 +79,7 @@
 	n.leaving.Store(true)
 	n.opts.Announcer.Leave(ctx)
 	wait(ctx, n.opts.LBLag)
-	_ = callers.Shutdown(ctx)
+	_ = shutdown(ctx) // what still runs is counted below
 	n.awaitTokens(ctx, deadline)
 	exchanges := peers.Drain(ctx)
 	issued, orders, _ := n.tokens.Unfinished(time.Now(), n.opts.TokenLifetime)
@@ -129,18 +130,14 @@
 		return err
 	}
 	server.SetMeter(n.meter())
+	open := conns.New()
 	h := caller.NewServer(n.front)
+	h.ConnState = open.Note
 	// The parts outlive ctx: they serve until the drain has ended.
 	group, work, stop := newGroup()
 	defer stop()
 	group.Go(func() error { return server.Serve(work, peers) })
-	group.Go(func() error {
-		err := h.Serve(callers)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
+	group.Go(func() error { return open.Serve(h, callers) })
 	group.Go(func() error { return n.serveAdmin(work) })
 	group.Go(func() error { return n.owner.Run(work) })
 	group.Go(func() error { return n.entry.Run(work) })
@@ -151,7 +148,7 @@
 		defer func() { _ = h.Close() }()
 		select {
 		case <-ctx.Done():
-			return n.drain(h, server)
+			return n.drain(func(ctx context.Context) error { return open.Shutdown(ctx, h, callers) }, server)
 		case <-work.Done():
 			return nil
 		}
