perf(member): hosts compare who runs instead of telling each other everything

Cause: a host that heard another for the first time sent it all it knew, n hosts x n others x n entries. Change: the failure detector greets the seeds and pulls from one host at a time, mostly of its own data centre, what differs by digests of a few hosts each; the interval grows from 0.2 to 10 s while nothing differs. Entries are not spread further, and since pulls repair what is missed an update is sent a third as often. Updates in packets are compact (shared name prefix, data centres by number, binary address, incarnation against the sender's): 28 to 34 bytes instead of about 80.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -83,6 +83,14 @@
 	return !p.down && !p.leaving && p.state != core.PeerLeaving && p.state != core.PeerDead
 }
 
+// readiness returns the state of a host that is taken to run.
+func (p *peer) readiness() core.PeerState {
+	if p.ready {
+		return core.PeerAlive
+	}
+	return core.PeerJoining
+}
+
 // usable reports whether the host belongs to the view.
 func (p *peer) usable() bool { return p.ready && p.reachable() }
 
@@ -110,6 +118,7 @@
 	dirty       bool      // view and reach are out of date
 	view        core.View
 	reach       core.View
+	exchange    *exchange // nil unless the others are found without a host list
 }
 
 var _ core.Views = (*Detector)(nil)
@@ -207,7 +216,12 @@
 
 // announce spreads the state of this host.
 func (d *Detector) announce() {
-	d.news.add(Update{Host: d.self, Incarnation: d.incarnation, State: d.ownState()})
+	d.news.add(d.own())
+}
+
+// own returns the state of this host.
+func (d *Detector) own() Update {
+	return Update{Host: d.self, Incarnation: d.incarnation, State: d.ownState()}
 }
 
 func (d *Detector) ownState() core.PeerState {
@@ -374,5 +388,9 @@
 }
 
 func (d *Detector) retransmits() int {
-	return retransmitFactor * bits.Len(uint(len(d.peers)+1))
+	factor := retransmitFactor
+	if d.exchange != nil {
+		factor = repairedFactor
+	}
+	return factor * bits.Len(uint(len(d.peers)+1))
 }
--- a/core/member/packet.go
+++ b/core/member/packet.go
@@ -15,6 +15,8 @@
 	Ping Kind = iota
 	PingReq
 	Ack
+	Pull    // asks for the hosts that differ
+	Entries // answers a pull
 )
 
 // Update is one host's state as another host knows it.
@@ -38,6 +40,7 @@
 	Status      Status
 	Target      core.HostID // PingReq: host to ping; Ack: host that a relay reached
 	Updates     []Update
+	Buckets     []uint32 // Pull: digests of the hosts that the sender knows
 }
 
 // state returns what the sender says about itself.
@@ -62,8 +65,12 @@
 const maxUpdates = 8
 
 // retransmitFactor times the bit length of the fleet size is how often one
-// update is sent: gossip reaches a fleet in a logarithmic number of rounds.
-const retransmitFactor = 3
+// update is sent: gossip reaches a fleet in a logarithmic number of rounds. Where pulls
+// repair what is missed, once is enough.
+const (
+	retransmitFactor = 3
+	repairedFactor   = 1
+)
 
 type queued struct {
 	update Update
@@ -83,6 +90,8 @@
 	b.queue[u.Host.ID()] = &queued{update: u}
 }
 
+func (b *broadcasts) has(id core.HostID) bool { return b.queue[id] != nil }
+
 func (b *broadcasts) drop(id core.HostID) { delete(b.queue, id) }
 
 // take returns the n updates that were sent least and drops those that were
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -49,6 +49,10 @@
 			}
 		}
 	}
+	if d.exchange != nil {
+		out = d.greet(now, out)
+		out = d.pull(now, out)
+	}
 	for seq, r := range d.relayed {
 		if now.Sub(r.started) > probeTimeout {
 			delete(d.relayed, seq)
@@ -143,6 +147,13 @@
 		updates = append(updates, Update{Host: to.host, Incarnation: to.incarnation, State: to.state})
 		n--
 	}
+	p := d.header(k, seq)
+	p.Updates = append(updates, d.news.take(n, d.retransmits())...)
+	return p
+}
+
+// header returns a packet without updates.
+func (d *Detector) header(k Kind, seq uint64) Packet {
 	return Packet{
 		Kind:        k,
 		Seq:         seq,
@@ -150,7 +161,6 @@
 		Incarnation: d.incarnation,
 		Leaving:     d.leaving,
 		Status:      d.status,
-		Updates:     append(updates, d.news.take(n, d.retransmits())...),
 	}
 }
 
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -15,8 +15,12 @@
 	}
 	d.observe(now)
 	d.apply(now, Update{Host: in.From, Incarnation: in.Incarnation, State: in.state()})
-	for _, u := range in.Updates[:min(len(in.Updates), maxUpdates)] {
-		d.apply(now, u)
+	if in.Kind == Entries {
+		d.takeEntries(now, in)
+	} else {
+		for _, u := range in.Updates[:min(len(in.Updates), maxUpdates)] {
+			d.apply(now, u)
+		}
 	}
 	from := d.peers[in.From.ID()]
 	if from == nil {
@@ -30,6 +34,8 @@
 		return d.relay(now, in)
 	case Ack:
 		return d.acked(in)
+	case Pull:
+		return d.answerPull(in)
 	}
 	return nil
 }
@@ -82,7 +88,7 @@
 func (d *Detector) Updates() []Update {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := []Update{{Host: d.self, Incarnation: d.incarnation, State: d.ownState()}}
+	out := []Update{d.own()}
 	for _, p := range d.shuffled(d.peers, func(*peer) bool { return true }) {
 		out = append(out, Update{Host: p.host, Incarnation: p.incarnation, State: p.state})
 	}
@@ -167,19 +173,3 @@
 	d.dirty = true
 	d.news.add(Update{Host: p.host, Incarnation: inc, State: s})
 }
-
-// Greeting returns a ping to an address whose host is not known.
-func (d *Detector) Greeting(address string) Send {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.seq++
-	return Send{To: core.NewHost("", "", address), Packet: d.packet(Ping, d.seq, nil)}
-}
-
-// Knows reports whether a packet of this incarnation of a host came before.
-func (d *Detector) Knows(id core.HostID, inc core.Incarnation) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p := d.peers[id]
-	return p != nil && p.incarnation >= inc && !p.heard.IsZero()
-}
--- a/io/crew/crew.go
+++ b/io/crew/crew.go
@@ -1,10 +1,9 @@
-// Package crew finds the other hosts without a host list: a host greets the
-// seeds of its settings, learns of the others from them, and keeps track of them
-// with the failure detector over UDP.
+// Package crew runs the failure detector of hosts without a host list over UDP: a host
+// greets the seeds of its settings, learns of the others, and keeps track of them.
 //
 // # Usage
 //
-//	c := crew.New(crew.Parts{Self: self, Detector: d, Placer: placer, Seeds: seeds, Log: log})
+//	c := crew.New(crew.Parts{Detector: d, Seeds: seeds, Log: log})
 //	err := c.Run(ctx, conn)
 //	hosts := c.Hosts(now)
 package crew
@@ -25,31 +24,28 @@
 )
 
 const (
-	// greetSoon and greetLater are the intervals of greetings to the seeds while
-	// no other host is known, and afterwards. Later greetings join the parts of
-	// a fleet whose seeds were down.
-	greetSoon  = 300 * time.Millisecond
-	greetLater = 5 * time.Second
-	// updatesPerPacket keeps a packet below the path's packet size.
-	updatesPerPacket = 15
 	// unknownHosts is assumed while no other host was heard: too many leaves
 	// limits unused, too few exceeds them.
 	unknownHosts = 32
 	// countWindow is how long a host that was lost still counts: what it used
 	// lies within the window of the budget of extra calls.
 	countWindow = 12 * time.Second
-	// settleFor without news, a starting host knows the others: seeds introduce all
-	// they know within one tick.
-	settleFor = 200 * time.Millisecond
+	// settleFor without news, a starting host that agrees with another one on who runs
+	// knows the others: two intervals of its comparisons.
+	settleFor = 400 * time.Millisecond
+	// agreeWithin is how long a host that heard of others waits for such an agreement:
+	// in a fleet that changes all the time there may be none.
+	agreeWithin = 3 * time.Second
 	// aloneAfter is how long a host waits for an answer of a seed before it
 	// believes that it is alone.
 	aloneAfter     = 20 * time.Second
 	datagramBuffer = 2048
+	// receivePause after a failed read keeps a broken socket from taking the processor.
+	receivePause = 300 * time.Millisecond
 )
 
 // Parts are what a crew works with.
 type Parts struct {
-	Self     core.Host
 	Detector *member.Detector
 	Seeds    []string // addresses
 	Log      *slog.Logger
@@ -77,6 +73,7 @@
 // New returns a crew that is not running yet.
 func New(p Parts) *Crew {
 	p.Meter = core.MeterOr(p.Meter)
+	p.Detector.Join(p.Seeds)
 	return &Crew{Parts: p, known: make(map[core.HostID]bool), begin: time.Now()}
 }
 
@@ -100,15 +97,16 @@
 	return n
 }
 
-// Known reports whether this host knows the others: it heard of some, and of no more
-// for a while, or it waited long enough to believe that it is alone. It never becomes
+// Known reports whether this host knows the others: it heard of some, agreed with one of
+// them on who runs, and heard of no more for a while, or it waited long enough to believe that it is alone. It never becomes
 // false again.
 func (c *Crew) Known(now time.Time) bool {
 	_, heard := c.most(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := len(c.counts)
-	if heard && (n == 0 || now.Sub(c.counts[n-1].at) >= settleFor) {
+	agreed := c.Detector.Matched() || now.Sub(c.begin) >= agreeWithin
+	if heard && agreed && (n == 0 || now.Sub(c.counts[n-1].at) >= settleFor) {
 		c.settled = true
 	}
 	return c.settled
@@ -133,18 +131,10 @@
 func (c *Crew) tick(ctx context.Context, conn net.PacketConn) error {
 	ticker := time.NewTicker(member.TickInterval)
 	defer ticker.Stop()
-	var greetAt time.Time
 	for {
 		now := time.Now()
 		c.send(conn, c.Detector.Tick(now))
-		alone := c.observe(now)
-		if !now.Before(greetAt) {
-			c.greet(conn)
-			greetAt = now.Add(greetLater)
-			if alone {
-				greetAt = now.Add(greetSoon)
-			}
-		}
+		c.observe(now)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -154,7 +144,7 @@
 }
 
 // observe notes the number of hosts and the ones that came or went.
-func (c *Crew) observe(now time.Time) (alone bool) {
+func (c *Crew) observe(now time.Time) {
 	view := c.Detector.Reachable(now)
 	hosts := view.Hosts()
 	c.mu.Lock()
@@ -168,7 +158,6 @@
 	for len(c.counts) > 1 && now.Sub(c.counts[1].at) > countWindow {
 		c.counts = c.counts[1:]
 	}
-	return n <= 1
 }
 
 // noteHosts logs the hosts that came or went.
@@ -188,14 +177,6 @@
 	c.known = now
 }
 
-func (c *Crew) greet(conn net.PacketConn) {
-	for _, address := range c.Seeds {
-		if address != c.Self.Address() {
-			c.send(conn, []member.Send{c.Detector.Greeting(address)})
-		}
-	}
-}
-
 func (c *Crew) send(conn net.PacketConn, sends []member.Send) {
 	for _, s := range sends {
 		to, err := netip.ParseAddrPort(s.To.Address())
@@ -226,7 +207,7 @@
 			select {
 			case <-ctx.Done():
 				return nil
-			case <-time.After(greetSoon):
+			case <-time.After(receivePause):
 			}
 			continue
 		}
@@ -235,24 +216,6 @@
 			c.Meter.Count("crew_malformed_packets", 1)
 			continue
 		}
-		now := time.Now()
-		first := !c.Detector.Knows(packet.From.ID(), packet.Incarnation)
-		c.send(conn, c.Detector.Receive(now, packet))
-		if first {
-			c.introduce(conn, packet.From)
-		}
-	}
-}
-
-// introduce tells a host that was unknown of all others.
-func (c *Crew) introduce(conn net.PacketConn, to core.Host) {
-	updates := c.Detector.Updates()
-	for len(updates) > 0 {
-		n := min(len(updates), updatesPerPacket)
-		packet := c.Detector.Greeting(to.Address()).Packet
-		packet.Kind = member.Ack
-		packet.Updates = updates[:n]
-		updates = updates[n:]
-		c.send(conn, []member.Send{{To: to, Packet: packet}})
+		c.send(conn, c.Detector.Receive(time.Now(), packet))
 	}
 }
--- a/io/gossip/packet.go
+++ b/io/gossip/packet.go
@@ -38,10 +38,16 @@
 		w.Body = &wire.Packet_PingReq{PingReq: &wire.PingReq{Seq: p.Seq, Target: string(p.Target)}}
 	case member.Ack:
 		w.Body = &wire.Packet_Ack{Ack: &wire.Ack{Seq: p.Seq, Target: string(p.Target)}}
+	case member.Pull:
+		w.Body = &wire.Packet_Pull{Pull: &wire.Pull{Buckets: p.Buckets}}
+	case member.Entries:
+		w.Body = &wire.Packet_Entries{Entries: &wire.Entries{}}
 	}
+	c := &compactor{sender: p.Incarnation}
 	for _, u := range p.Updates {
-		w.Updates = append(w.Updates, update(u))
+		w.Updates = append(w.Updates, c.update(u))
 	}
+	w.Places = c.places
 	for proto.Size(w) > maxPacketBytes && len(w.Updates) > 0 {
 		w.Updates = w.Updates[:len(w.Updates)-1]
 	}
@@ -77,21 +83,26 @@
 		p.Kind, p.Seq, p.Target = member.PingReq, body.PingReq.Seq, core.HostID(body.PingReq.Target)
 	case *wire.Packet_Ack:
 		p.Kind, p.Seq, p.Target = member.Ack, body.Ack.Seq, core.HostID(body.Ack.Target)
+	case *wire.Packet_Pull:
+		p.Kind, p.Buckets = member.Pull, body.Pull.Buckets
+	case *wire.Packet_Entries:
+		p.Kind = member.Entries
 	default:
 		return member.Packet{}, ErrMalformed
 	}
+	e := &expander{sender: p.Incarnation, places: w.Places}
 	for _, u := range w.Updates {
-		h, ok := host(u.Host, u.DataCentre, u.Address)
-		if !ok || u.State < int32(core.PeerJoining) || u.State > int32(core.PeerDead) {
+		next, ok := e.update(u)
+		if !ok {
 			return member.Packet{}, ErrMalformed
 		}
-		p.Updates = append(p.Updates, member.Update{
-			Host: h, Incarnation: core.Incarnation(u.Incarnation), State: core.PeerState(u.State),
-		})
+		p.Updates = append(p.Updates, next)
 	}
 	return p, nil
 }
 
+func knownState(s int32) bool { return s >= int32(core.PeerJoining) && s <= int32(core.PeerDead) }
+
 func update(u core.PeerUpdate) *wire.Update {
 	return &wire.Update{
 		Host:        string(u.Host.ID()),
--- a/io/gossip/packet_test.go
+++ b/io/gossip/packet_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -16,8 +17,8 @@
 // itself is kept.
 func TestPacketIsBounded(t *testing.T) {
 	p := member.Packet{Kind: member.Ack, Seq: 7, Target: "h2", From: core.NewHost("h1", "x", "10.0.0.1:1"), Incarnation: 9}
-	for range 8 {
-		long := core.HostID(strings.Repeat("h", 300))
+	for i := range 8 {
+		long := core.HostID(strings.Repeat(string(rune('a'+i)), 300))
 		p.Updates = append(p.Updates, member.Update{Host: core.NewHost(long, "x", "10.0.0.2:1"), State: core.PeerDead})
 	}
 	raw, err := Encode(p)
@@ -38,15 +39,20 @@
 func TestMalformedPacketsAreDropped(t *testing.T) {
 	ping := &wire.Packet_Ping{Ping: &wire.Ping{}}
 	update := func(u *wire.Update) *wire.Packet {
-		return &wire.Packet{Body: ping, Host: "h", Address: "10.0.0.1:1", Updates: []*wire.Update{u}}
+		return &wire.Packet{Body: ping, Host: "h", Address: "10.0.0.1:1", Updates: []*wire.Update{u}, Places: []string{"x"}}
 	}
 	for name, w := range map[string]*wire.Packet{
 		"no body":    {Host: "h", Address: "10.0.0.1:1"},
 		"no host":    {Body: ping, Address: "10.0.0.1:1"},
 		"no address": {Body: ping, Host: "h"},
-		"state":      update(&wire.Update{Host: "i", Address: "10.0.0.2:1", State: 5}),
-		"no state":   update(&wire.Update{Host: "i", Address: "10.0.0.2:1", State: -1}),
-		"update":     update(&wire.Update{Host: "i", Address: "nowhere"}),
+		"state":      update(&wire.Update{Host: "i", Address: "10.0.0.2:1", Place: 1, State: 5}),
+		"no state":   update(&wire.Update{Host: "i", Address: "10.0.0.2:1", Place: 1, State: -1}),
+		"update":     update(&wire.Update{Host: "i", Place: 1, Address: "nowhere"}),
+		"no place":   update(&wire.Update{Host: "i", Address: "10.0.0.2:1"}),
+		"place":      update(&wire.Update{Host: "i", Place: 2, Address: "10.0.0.2:1"}),
+		"prefix":     update(&wire.Update{Host: "i", Shared: 1, Place: 1, Address: "10.0.0.2:1"}),
+		"endpoint":   update(&wire.Update{Host: "i", Place: 1, Endpoint: []byte{10, 0, 0, 2, 1}}),
+		"short":      update(&wire.Update{Host: "i", Place: 1, Endpoint: []byte{10}}),
 		"too large":  {Body: ping, Host: strings.Repeat("h", maxPacketBytes), Address: "10.0.0.1:1"},
 	} {
 		raw, err := proto.Marshal(w)
@@ -64,3 +70,35 @@
 		}
 	}
 }
+
+// Guards against a compact update that is read as another host, and against one that is
+// not compact: a start of a large fleet sends as many as it has hosts to each of them.
+func TestUpdatesAreCompact(t *testing.T) {
+	const updates, most = 30, 34
+	p := member.Packet{Kind: member.Entries, From: core.NewHost("edge-c-east-1", "c-east", "10.1.0.1:7000"), Incarnation: 1 << 60}
+	empty, err := Encode(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range updates {
+		h := core.NewHost(core.HostID(fmt.Sprintf("edge-c-%s-%d", []string{"east", "west"}[i%2], i)),
+			core.DataCentre([]string{"c-east", "c-west"}[i%2]), fmt.Sprintf("10.1.0.%d:7000", i))
+		inc := core.Incarnation(1<<60 + i*10_000_000 - 150_000_000)
+		p.Updates = append(p.Updates, member.Update{Host: h, Incarnation: inc, State: core.PeerState(i % 5)})
+	}
+	p.Updates[3].Host = core.NewHost("x", "", "[2001:db8::1]:80")
+	raw, err := Encode(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if each := (len(raw) - len(empty)) / updates; each > most {
+		t.Errorf("an update takes %d bytes, want at most %d", each, most)
+	}
+	got, err := Decode(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(p, got, cmp.AllowUnexported(core.Host{})); diff != "" {
+		t.Error(diff)
+	}
+}
