fix(client,front): bounds on bytes that are no answer and come without end

Cause: a replica that sends without end until its caller closes was read for up to 64 KB of head and 8 MB of body a connection, without bound on interim answers, and the memory for a body was taken as its head promised: 90 parts of a query could hold 720 MB on a host of 184 MB. Change: heads have 16 KB, four interim answers and a second from their first byte; memory for bodies grows as bytes come, and all that are being read hold at most an eighth of the memory; a part of a query is bounded by 64 times what parts of its route weigh (64 KB to 1 MB). The connection is closed and the call counts as failed. Callers get 408 (not run) for a body that does not come within 10 s or their deadline. Heads of the store: 16 KB.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -27,6 +27,11 @@
 	// fileCheck is how often the settings file is looked at: it may change
 	// without a signal.
 	fileCheck = 2 * time.Second
+	// storeHeadBytes bounds the head of an answer of the store; usual ones have a few
+	// hundred bytes.
+	storeHeadBytes = 16 << 10
+	// heldShare divides the memory of a host for answers of replicas that are being read.
+	heldShare = 8
 )
 
 // gateway runs one host on the platform: it passes callers' requests on to the
@@ -69,6 +74,7 @@
 		PeerSeeds:     settings.PeerSeeds,
 		TaskPort:      settings.FreePorts[0],
 		Meter:         metrics,
+		HeldBytes:     settings.MemoryBytes / heldShare,
 	}, store, log)
 	if err != nil {
 		_, _ = fmt.Fprintf(e.err, "oriolebarrow gateway: %v\n", err)
@@ -166,5 +172,7 @@
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount,
 		},
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: storeHeadBytes,
+	}}
 }
--- a/io/client/answer.go
+++ b/io/client/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -34,10 +33,12 @@
 }
 
 // readAnswer reads one answer. An answer without a length ends with its
-// connection.
-func readAnswer(r *bufio.Reader, method string, maxHead, maxBody int) (answer, error) {
-	for {
-		head, err := readHead(r, maxHead)
+// connection. bound limits the time for a head and returns how to lift the limit.
+func readAnswer(r *bufio.Reader, method string, l limits, bound func() (lift func())) (answer, error) {
+	for range maxInterim + 1 {
+		lift := bound()
+		head, err := readHead(r, maxHeadBytes)
+		lift()
 		if err != nil {
 			return answer{}, err
 		}
@@ -46,12 +47,13 @@
 			return answer{}, err
 		}
 		if a.status >= 200 {
-			return a, a.readBody(r, head, method, maxBody)
+			return a, a.readBody(r, head, method, l)
 		}
 		if a.status == http.StatusSwitchingProtocols {
 			return answer{}, errors.New("unexpected change of the protocol")
 		}
 	}
+	return answer{}, errors.New("too many interim answers")
 }
 
 // readHead returns the lines up to the empty one.
@@ -116,7 +118,7 @@
 
 // readBody reads the body. The rare framings without a plain length are left to
 // net/http.
-func (a *answer) readBody(r *bufio.Reader, head, method string, limit int) error {
+func (a *answer) readBody(r *bufio.Reader, head, method string, l limits) error {
 	if method == http.MethodHead || a.status == http.StatusNoContent || a.status == http.StatusNotModified {
 		return nil
 	}
@@ -125,13 +127,15 @@
 		return err
 	}
 	if !plain {
-		return a.readFramed(r, head, method, limit)
+		return a.readFramed(r, head, method, l)
+	}
+	if length > l.body {
+		return errTooLong
 	}
-	if length > limit {
-		return errors.New("body is too long")
+	a.body, err = l.read(r, length)
+	if err == nil && len(a.body) < length {
+		err = io.ErrUnexpectedEOF
 	}
-	a.body = make([]byte, length)
-	_, err = io.ReadFull(r, a.body)
 	return errors.Wrap(err, "read body")
 }
 
@@ -151,18 +155,16 @@
 	return n, plain, nil
 }
 
-func (a *answer) readFramed(r *bufio.Reader, head, method string, limit int) error {
+func (a *answer) readFramed(r *bufio.Reader, head, method string, l limits) error {
 	again := bufio.NewReader(io.MultiReader(strings.NewReader(head), r))
 	res, err := http.ReadResponse(again, &http.Request{Method: method})
 	if err != nil {
 		return errors.Wrap(err, "read answer")
 	}
-	var body bytes.Buffer
-	_, err = io.Copy(&body, io.LimitReader(res.Body, int64(limit)+1))
-	if err == nil && body.Len() > limit {
-		err = errors.New("body is too long")
+	a.body, err = l.read(res.Body, l.body+1)
+	if err == nil && len(a.body) > l.body {
+		err = errTooLong
 	}
-	a.body = body.Bytes()
 	// The second reader may have read on past the answer.
 	a.keep = a.keep && !res.Close && again.Buffered() == 0
 	return errors.Wrap(err, "read body")
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -34,9 +34,16 @@
 	// idleMargin is how long before a replica's stated idle timeout a connection
 	// is no longer used, so that no request crosses the replica's close.
 	idleMargin = 500 * time.Millisecond
-	// maxHeadBytes and maxBodyBytes bound an answer.
-	maxHeadBytes = 64 << 10
-	maxBodyBytes = 8 << 20
+	// maxHeadBytes bounds the head of an answer: usual ones have a few hundred bytes.
+	maxHeadBytes = 16 << 10
+	// maxInterim bounds the answers with a status below 200 that precede the final one.
+	maxInterim = 4
+	// headWithin bounds the time from the first byte of a head to its end: pauses of a
+	// replica are far shorter.
+	headWithin = time.Second
+	// defaultBodyBytes and defaultHeldBytes hold where the options state nothing.
+	defaultBodyBytes = 8 << 20
+	defaultHeldBytes = 64 << 20
 )
 
 // Errors of a call.
@@ -59,6 +66,10 @@
 	// Emptied is told when the replica closed the last connection of an instance
 	// while it was idle. It must not block; may be nil.
 	Emptied func(core.InstanceID)
+	// BodyBytes bounds one body, and HeldBytes those of all answers that are being read;
+	// 0 means 8 MiB and 64 MiB.
+	BodyBytes int
+	HeldBytes int64
 }
 
 // Target is the instance that a request goes to.
@@ -78,6 +89,8 @@
 	Body   []byte
 	Left   time.Duration // remaining time to state; none when 0
 	Fresh  bool          // must not use a connection that may just have been closed
+	// BodyBytes bounds the body of the answer; 0 means the bound of the client.
+	BodyBytes int
 }
 
 // Reply is the answer of a replica.
@@ -108,6 +121,7 @@
 type Client struct {
 	opts  Options
 	meter core.Meter
+	held  *held
 
 	mu    sync.Mutex
 	pools map[core.InstanceID]*pool
@@ -121,7 +135,18 @@
 	if o.Emptied == nil {
 		o.Emptied = func(core.InstanceID) {}
 	}
-	return &Client{opts: o, meter: core.MeterOr(o.Meter), pools: make(map[core.InstanceID]*pool)}
+	if o.BodyBytes <= 0 {
+		o.BodyBytes = defaultBodyBytes
+	}
+	if o.HeldBytes <= 0 {
+		o.HeldBytes = defaultHeldBytes
+	}
+	return &Client{
+		opts:  o,
+		meter: core.MeterOr(o.Meter),
+		held:  &held{limit: o.HeldBytes},
+		pools: make(map[core.InstanceID]*pool),
+	}
 }
 
 // Send starts a call. done is called once, on another goroutine or before Send
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -179,13 +179,13 @@
 
 // answer reads the answer of a call and reports whether the connection stays.
 func (c *conn) answer(call *Call) bool {
-	a, err := readAnswer(c.read, call.request.Method, maxHeadBytes, maxBodyBytes)
+	a, err := c.readOne(call)
 	for skipped := 0; err == nil && skipped < maxSkipped && c.foreign(a, call); skipped++ {
 		if !a.keep {
 			err = ErrMismatch
 			break
 		}
-		a, err = readAnswer(c.read, call.request.Method, maxHeadBytes, maxBodyBytes)
+		a, err = c.readOne(call)
 	}
 	if err == nil && c.foreign(a, call) {
 		err = ErrMismatch
@@ -215,6 +215,14 @@
 	return keep
 }
 
+func (c *conn) readOne(call *Call) (answer, error) {
+	l := limits{body: call.client.opts.BodyBytes, held: call.client.held}
+	if most := call.request.BodyBytes; most > 0 {
+		l.body = min(l.body, most)
+	}
+	return readAnswer(c.read, call.request.Method, l, func() func() { return boundHead(c.raw, c.read) })
+}
+
 // foreign reports whether an answer belongs to another request.
 func (c *conn) foreign(a answer, call *Call) bool {
 	id, ok := a.get(c.names.RequestID)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -76,6 +76,7 @@
 	Extra         budget.ExtraLimits
 	Grace         time.Duration // from the request to stop until the kill
 	Meter         core.Meter    // may be nil
+	HeldBytes     int64         // of replicas' answers that are being read; 0 means the client's default
 	Listen        func(network, address string) (net.Listener, error)
 	ListenPacket  func(network, address string) (net.PacketConn, error)
 	Dial          client.Dial // to replicas and hosts
@@ -149,7 +150,7 @@
 		feeds:   feeds,
 		warming: make(chan core.Instance, warmQueue),
 	}
-	e.client = client.New(client.Options{Names: o.Names, Dial: o.Dial, Meter: o.Meter, Emptied: e.emptied})
+	e.client = client.New(client.Options{Names: o.Names, Dial: o.Dial, Meter: o.Meter, Emptied: e.emptied, HeldBytes: o.HeldBytes})
 	e.extra = budget.NewExtra(o.Extra, e.hosts())
 	e.grace.Store(int64(o.Grace))
 	e.peers = peer.NewClient(o.Host, inc, taskDial(o.Dial, o.TaskPort))
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -15,11 +15,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"oriolebarrow/core"
 	"oriolebarrow/io/conns"
 	"oriolebarrow/io/relay"
@@ -33,6 +36,9 @@
 	// headerTimeout bounds the reading of a head when the document states
 	// nothing.
 	headerTimeout = 10 * time.Second
+	// bodyTimeout bounds the reading of a body, or the time that the caller waits if that
+	// is shorter: later nobody can be served.
+	bodyTimeout = 10 * time.Second
 )
 
 // Parts are what a front works with.
@@ -110,7 +116,7 @@
 		Arrived: arrived,
 		First:   first(r.Context()),
 	}
-	body, fault := f.body(r)
+	body, fault := f.body(w, r, req.Left)
 	if fault != nil {
 		f.write(w, r, f.parts.Relay.Reject(req, *fault))
 		return
@@ -127,7 +133,7 @@
 }
 
 // body reads a request's body, or returns the answer to one that cannot be taken.
-func (f *Front) body(r *http.Request) (body []byte, fault *relay.Reply) {
+func (f *Front) body(w http.ResponseWriter, r *http.Request, left time.Duration) (body []byte, fault *relay.Reply) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -135,13 +141,24 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	within := bodyTimeout
+	if left > 0 {
+		within = min(within, left)
+	}
+	// Connections of tests cannot have a deadline; all others can.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(within))
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	if err != nil {
+	// After a fault the deadline stays: the server reads what is left of the body.
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &relay.Reply{Status: http.StatusRequestTimeout, Reason: core.ReasonUnreadable}
+	case err != nil:
 		return nil, &relay.Reply{Status: http.StatusBadRequest, Reason: core.ReasonUnreadable}
-	}
-	if len(body) > limit {
+	case len(body) > limit:
 		return nil, &relay.Reply{Status: http.StatusRequestEntityTooLarge, Reason: core.ReasonTooLarge}
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/io/relay/gather.go
+++ b/io/relay/gather.go
@@ -111,6 +111,7 @@
 		return false
 	}
 	l.settled = true
+	j.relay.notePart(j.route, len(res.Reply.Body))
 	return true
 }
 
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -167,6 +167,10 @@
 	j.sent++
 	in := replica.Instance()
 	j.relay.Fleet.Started(now, replica)
+	bodyBytes := 0
+	if j.query != nil {
+		bodyBytes = j.relay.partBytes(j.route)
+	}
 	call := j.relay.Client.Send(client.Target{
 		ID:          in.ID,
 		Address:     in.Address,
@@ -180,6 +184,8 @@
 		Body:   j.req.Body,
 		Left:   j.deadline.Sub(now),
 		Fresh:  !j.route.Idempotent,
+
+		BodyBytes: bodyBytes,
 	}, func(res client.Result) { j.ended(l, replica, res) })
 	j.calls = append(j.calls, call)
 }
--- a/io/relay/load_test.go
+++ b/io/relay/load_test.go
@@ -119,6 +119,8 @@
 		status = "503 Unavailable"
 	case "failing":
 		status = "500 Failed"
+	case "endless":
+		return babble(c, id)
 	}
 	<-time.After(took)
 	body := fmt.Sprintf("%-16s", address)
@@ -126,6 +128,17 @@
 	return err == nil
 }
 
+// babble sends a body without end until the caller closes.
+func babble(c net.Conn, id string) bool {
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nReq-Id: %s\r\nStamp: s-%s\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+	for {
+		if _, err := io.WriteString(c, text); err != nil {
+			return false
+		}
+		text = "400\r\n" + strings.Repeat("x", 1024) + "\r\n"
+	}
+}
+
 func address(shard, replica int) string { return fmt.Sprintf("10.0.%d.%d:80", shard, replica) }
 
 func service(shard int) core.ServiceName { return core.ServiceName(fmt.Sprint("shard-", shard)) }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -33,6 +33,14 @@
 	// retryDark is the hint when a service has no usable replica: probes of
 	// ejected replicas are that far apart.
 	retryDark = 400 * time.Millisecond
+	// partFactor times the usual weight, a part of a query is no part: what a replica sends
+	// without end is cut there. minPartBytes and maxPartBytes bound the result; the latter
+	// holds while nothing is learnt.
+	partFactor   = 64
+	minPartBytes = 64 << 10
+	maxPartBytes = 1 << 20
+	// partWeight of the newest part in the usual weight.
+	partWeight = 0.05
 )
 
 // Request is a caller's request.
@@ -86,6 +94,7 @@
 	mu    sync.Mutex
 	times map[string]*budget.Times // by route
 	lag   time.Duration            // see noteLag
+	parts map[string]float64       // usual weight of a part in bytes, by route
 }
 
 var _ core.TaskRunner = (*Relay)(nil)
@@ -98,6 +107,7 @@
 		good:  telem.NewLimiter(goodLines),
 		bad:   telem.NewLimiter(badLines),
 		times: make(map[string]*budget.Times),
+		parts: make(map[string]float64),
 	}
 }
 
@@ -156,6 +166,28 @@
 	t.Observe(took)
 }
 
+// notePart learns what a part of a route weighs.
+func (r *Relay) notePart(rt *core.Route, bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	usual, ok := r.parts[rt.Name]
+	if !ok {
+		usual = float64(bytes)
+	}
+	r.parts[rt.Name] = usual + partWeight*(float64(bytes)-usual)
+}
+
+// partBytes bounds a part of a route by what its parts usually weigh.
+func (r *Relay) partBytes(rt *core.Route) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	usual, ok := r.parts[rt.Name]
+	if !ok {
+		return maxPartBytes
+	}
+	return min(maxPartBytes, max(minPartBytes, int(partFactor*usual)))
+}
+
 // noteLag learns by how much this host answers later than it means to, because
 // its processor is busy. The estimate rises at once and falls slowly.
 func (r *Relay) noteLag(late time.Duration) {
