--- a/io/relay/endless_test.go
+++ b/io/relay/endless_test.go
@@ -21,6 +21,10 @@
 		if reply.Status != 200 || reply.Missing != 0 || took > 50*time.Millisecond {
 			t.Errorf("got %d with %d missing after %v", reply.Status, reply.Missing, took)
 		}
+		// The usual part has 16 bytes: 64 KB are the least bound.
+		if most := int64(10 * 80 << 10); w.babbled.Load() > most {
+			t.Errorf("%d bytes were read of ten replicas, want at most %d", w.babbled.Load(), most)
+		}
 		if len(reply.Body) != 5*16 {
 			t.Errorf("the answer has %d bytes, want five records", len(reply.Body))
 		}
--- a/io/relay/load_test.go
+++ b/io/relay/load_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,8 @@
 	ran   map[string]int // by address
 	sent  int
 	modes map[string]string // by address; see answer
+
+	babbled atomic.Int64 // bytes of replicas that send without end
 }
 
 func newWorld() *world { return &world{ran: map[string]int{}, modes: map[string]string{}} }
@@ -93,6 +96,10 @@
 			w.ran[address]++
 		}
 		w.mu.Unlock()
+		if mode == "endless" {
+			w.babble(c, req.Header.Get("Req-Id"))
+			return
+		}
 		if !answer(c, mode, address, req.Header.Get("Req-Id")) {
 			return
 		}
@@ -119,8 +126,6 @@
 		status = "503 Unavailable"
 	case "failing":
 		status = "500 Failed"
-	case "endless":
-		return babble(c, id)
 	}
 	<-time.After(took)
 	body := fmt.Sprintf("%-16s", address)
@@ -129,11 +134,13 @@
 }
 
 // babble sends a body without end until the caller closes.
-func babble(c net.Conn, id string) bool {
+func (w *world) babble(c net.Conn, id string) {
 	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nReq-Id: %s\r\nStamp: s-%s\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
 	for {
-		if _, err := io.WriteString(c, text); err != nil {
-			return false
+		n, err := io.WriteString(c, text)
+		w.babbled.Add(int64(n))
+		if err != nil {
+			return
 		}
 		text = "400\r\n" + strings.Repeat("x", 1024) + "\r\n"
 	}
