feat(room): queries are let in by the room that shards have

A replica's waiting also counted twice against it, as queue and as slowness, so that replicas which refuse looked better than busy ones. Change: core/room keeps the share of queries that is let in. It falls with queries that lacked parts for want of room (a refusal, no extra call left, a full queue), and rises with others; the rest is rejected before any call, by a hash of the request's id, with a time to come back within a third of the time left. Hosts that carry out parts for others tell their share, since a host of a large fleet has too few queries of its own to learn from. Failures of another kind do not lower the share. A replica's slowness leaves out the waiting at the start of a call.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -307,6 +307,14 @@
 	return best
 }
 
+// Crowded reports whether as many calls waited at a replica as it has slots, when it told
+// its load lately.
+func (t *Table) Crowded(now time.Time, r *Replica) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(r.loadAt) < crowdAge && r.load.Waiting >= max(1, r.load.Slots)
+}
+
 // Near reports whether a service has a usable replica in a data centre.
 func (t *Table) Near(s core.ServiceName, dc core.DataCentre) bool {
 	t.mu.Lock()
--- a/core/fleet/replica.go
+++ b/core/fleet/replica.go
@@ -28,6 +28,9 @@
 	usualPace = 100
 	// loadAge is how long a reported load is used; later it says nothing.
 	loadAge = 100 * time.Millisecond
+	// crowdAge is how long a reported queue tells of an overload, which lasts for longer
+	// than the queue itself.
+	crowdAge = 500 * time.Millisecond
 	// stuckFactor times the expected time, a call counts as stuck: the replica
 	// is paused or gone, and its other calls wait too.
 	stuckFactor = 3
@@ -76,11 +79,11 @@
 	warm    time.Time // end of the slow time after its start
 
 	running int
-	starts  []time.Time // of the calls that run
+	starts  []start // of the calls that run
 	load    Load
 	loadAt  time.Time
 
-	slow   float64 // time of its calls against the expected time
+	slow   float64 // time of its calls against the expected time, waiting left out
 	fails  float64 // share of failed calls
 	seenAt time.Time
 
@@ -91,6 +94,12 @@
 	pause   time.Duration
 }
 
+// start is the start of a call that runs.
+type start struct {
+	at    time.Time
+	queue float64 // by how much the calls before it lengthen it
+}
+
 func newReplica(now time.Time, in core.Instance) *Replica {
 	return &Replica{fixed: in, inst: in, slow: 1, seenAt: now, warm: now.Add(in.Warmup)}
 }
@@ -109,16 +118,13 @@
 	if now.Before(r.warm) {
 		slow = max(slow, 1.5)
 	}
-	slots := max(1, r.inst.Slots)
-	busy := r.running
 	if now.Sub(r.loadAt) < loadAge {
-		busy = max(busy, r.load.Running+r.load.Waiting)
 		slow = max(slow, float64(r.load.Pace)/usualPace)
 	}
-	cost := base * slow * (1 + float64(busy)/float64(slots))
+	cost := base * slow * r.queue(now)
 	cost += base * failureCost * r.fails * fade
-	for _, at := range r.starts {
-		if age := now.Sub(at); age > stuckFactor*max(expected, minExpected) {
+	for _, s := range r.starts {
+		if age := now.Sub(s.at); age > stuckFactor*max(expected, minExpected) {
 			cost += float64(age)
 		}
 	}
@@ -131,14 +137,23 @@
 	return cost
 }
 
+// queue returns by how much the calls that are there lengthen another one.
+func (r *Replica) queue(now time.Time) float64 {
+	busy := r.running
+	if now.Sub(r.loadAt) < loadAge {
+		busy = max(busy, r.load.Running+r.load.Waiting)
+	}
+	return 1 + float64(busy)/float64(max(1, r.inst.Slots))
+}
+
 func (r *Replica) started(now time.Time) {
+	r.starts = append(r.starts, start{at: now, queue: r.queue(now)})
 	r.running++
-	r.starts = append(r.starts, now)
 }
 
 func (r *Replica) ended(now time.Time, e End) bool {
 	r.running--
-	r.dropStart(now.Add(-e.Took))
+	queue := r.dropStart(now.Add(-e.Took))
 	if e.Load != nil {
 		r.load, r.loadAt = *e.Load, now
 	}
@@ -153,7 +168,7 @@
 	if e.Failed || e.Refused || e.Silent {
 		failed = 1
 	} else if e.Expected > 0 {
-		ratio := min(maxRatio, float64(e.Took)/float64(e.Expected))
+		ratio := min(maxRatio, float64(e.Took)/(float64(e.Expected)*queue))
 		r.slow += sampleWeight * (ratio - r.slow)
 	}
 	if !e.Left {
@@ -162,18 +177,21 @@
 	return r.noteSilence(now, e)
 }
 
-// dropStart removes the start nearest to at.
-func (r *Replica) dropStart(at time.Time) {
+// dropStart removes the start nearest to at and returns what was ahead of it.
+func (r *Replica) dropStart(at time.Time) (queue float64) {
 	best := -1
 	for i, s := range r.starts {
-		if best < 0 || s.Sub(at).Abs() < r.starts[best].Sub(at).Abs() {
+		if best < 0 || s.at.Sub(at).Abs() < r.starts[best].at.Sub(at).Abs() {
 			best = i
 		}
 	}
-	if best >= 0 {
-		r.starts[best] = r.starts[len(r.starts)-1]
-		r.starts = r.starts[:len(r.starts)-1]
+	if best < 0 {
+		return 1
 	}
+	queue = r.starts[best].queue
+	r.starts[best] = r.starts[len(r.starts)-1]
+	r.starts = r.starts[:len(r.starts)-1]
+	return queue
 }
 
 func (r *Replica) noteSilence(now time.Time, e End) bool {
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -120,6 +120,9 @@
 // Enough reports whether the parts that are in make an answer.
 func (q *Query) Enough() bool { return q.in >= q.need }
 
+// EnoughWith reports whether they would with a number of further parts.
+func (q *Query) EnoughWith(parts int) bool { return q.in+parts >= q.need }
+
 // Possible reports whether the awaited parts could still make an answer.
 func (q *Query) Possible() bool { return len(q.states)-q.lost >= q.need }
 
--- a/core/task.go
+++ b/core/task.go
@@ -19,6 +19,8 @@
 	TopK     int           `json:"top_k"`
 	TargetUS int64         `json:"target_us"` // of the route, in microseconds
 	CloseUS  int64         `json:"close_us"`  // until what is there is wanted, in microseconds
+	Set      ServiceName   `json:"set"`       // first shard of the query
+	MinRatio float64       `json:"min_ratio"` // of the shards that must be in
 	Deadline time.Time     `json:"-"`         // travels as remaining time
 }
 
@@ -34,6 +36,9 @@
 type TaskResult struct {
 	Parts   []TaskPart `json:"parts"`
 	Records []byte     `json:"records"` // greatest first
+	Crowded int        `json:"crowded"` // shards whose replicas had no room
+	Lacking int        `json:"lacking"` // those of them that are not in
+	Room    float64    `json:"room"`    // share of the queries that the host has room for
 }
 
 // TaskBatch is a host and the shards, by index in the query, that it calls.
--- a/io/relay/gather.go
+++ b/io/relay/gather.go
@@ -17,6 +17,10 @@
 	if !j.reachable() {
 		return refuse(core.ReasonNoReplica, retryDark)
 	}
+	j.room = j.relay.roomOf(j.route.Gather[0])
+	if after, ok := j.letIn(); !ok {
+		return refuse(core.ReasonBusy, after)
+	}
 	defer j.abandon()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the tasks of other hosts
@@ -28,10 +32,14 @@
 		now = time.Now()
 		if !now.Before(closeAt) && !j.closing {
 			j.closing = true
+			j.learnRoom(now)
 			j.relay.noteLag(now.Sub(closeAt))
 			j.noteOpen(now)
 		}
 		if j.query.Settled() || !j.query.Possible() || j.query.Enough() && !now.Before(closeAt) || !now.Before(j.deadline.Add(-answerMargin)) {
+			if !j.closing {
+				j.learnRoom(now)
+			}
 			return j.gathered()
 		}
 		last := j.deadline.Add(-answerMargin)
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -9,6 +9,7 @@
 	"oriolebarrow/core"
 	"oriolebarrow/core/fleet"
 	"oriolebarrow/core/gather"
+	"oriolebarrow/core/room"
 	"oriolebarrow/core/route"
 	"oriolebarrow/io/client"
 )
@@ -69,6 +70,7 @@
 	retryAt  time.Time // zero unless all connections were in use
 	settled  bool
 	ran      bool // a call ended and may have run
+	refused  bool // a replica had no room, or no extra call was left
 	// delegated is set when another host calls the replicas.
 	delegated bool
 	last      *client.Reply
@@ -106,6 +108,8 @@
 	tasks     chan taskEvent
 	delegated int  // parts that other hosts carry out
 	closing   bool // the time to answer with what is there has come
+	room      *room.Room
+	told      want // of the hosts that carry out parts
 	events    events
 }
 
@@ -146,7 +150,7 @@
 		j.relay.Extra.Request(now, l.service)
 	} else {
 		if !j.relay.Extra.Take(now, l.service) {
-			l.reason = core.ReasonBudget
+			l.reason, l.refused = core.ReasonBudget, true
 			j.note(now, l, noBudget, replica, "")
 			return false
 		}
@@ -297,6 +301,7 @@
 	what := callFailed
 	if res.NotRun {
 		l.reason, what = core.ReasonBusy, callRefused
+		l.refused = l.refused || res.Err == nil && !res.Reply.Moved
 	} else {
 		l.ran = true
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -21,6 +21,7 @@
 	"oriolebarrow/core"
 	"oriolebarrow/core/budget"
 	"oriolebarrow/core/fleet"
+	"oriolebarrow/core/room"
 	"oriolebarrow/core/route"
 	"oriolebarrow/io/client"
 	"oriolebarrow/io/telem"
@@ -92,9 +93,10 @@
 	bad   *telem.Limiter // lines of all others
 
 	mu    sync.Mutex
-	times map[string]*budget.Times // by route
-	lag   time.Duration            // see noteLag
-	parts map[string]float64       // usual weight of a part in bytes, by route
+	times map[string]*budget.Times        // by route
+	lag   time.Duration                   // see noteLag
+	parts map[string]float64              // usual weight of a part in bytes, by route
+	rooms map[core.ServiceName]*room.Room // by the first shard of a set
 }
 
 var _ core.TaskRunner = (*Relay)(nil)
@@ -108,6 +110,7 @@
 		bad:   telem.NewLimiter(badLines),
 		times: make(map[string]*budget.Times),
 		parts: make(map[string]float64),
+		rooms: make(map[core.ServiceName]*room.Room),
 	}
 }
 
--- /dev/null
+++ b/io/relay/room_test.go
@@ -0,0 +1,115 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"oriolebarrow/core"
+)
+
+// TestNoRoom is the load of shards whose replicas all refuse: most queries are rejected
+// before any call, with a time to come back, instead of asking every shard in vain; and
+// all are let in soon after the replicas have room again.
+func TestNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		r, _ := newRelay(t, w, 20, nil)
+		warmUp(r)
+		for i := range 5 {
+			w.set("shed", address(i, 0), address(i, 1))
+		}
+		rejected := 0
+		for i := range 60 {
+			before := w.calls()
+			reply, took := ask(r, "/q/", i)
+			<-time.After(20 * time.Millisecond)
+			if w.calls() > before {
+				continue
+			}
+			rejected++
+			if reply.Status != 503 || reply.RetryAfter <= 0 || reply.RetryAfter > 200*time.Millisecond || took > time.Millisecond {
+				t.Fatalf("without any call: got %d after %v, retry after %v", reply.Status, took, reply.RetryAfter)
+			}
+		}
+		if rejected < 20 {
+			t.Errorf("%d of 60 queries were rejected before any call", rejected)
+		}
+		for i := range 5 {
+			w.set("", address(i, 0), address(i, 1))
+		}
+		<-time.After(4 * time.Second) // what was learnt of the replicas fades
+		for i := range 25 {
+			ask(r, "/q/", 100+i)
+			<-time.After(20 * time.Millisecond)
+		}
+		for i := range 20 {
+			if reply, _ := ask(r, "/q/", 200+i); reply.Status != 200 {
+				t.Errorf("query %d after the end of the overload: got %d", i, reply.Status)
+			}
+			<-time.After(20 * time.Millisecond)
+		}
+		drain()
+	})
+}
+
+// TestFailuresLeaveRoom guards against queries that are rejected because replicas fail:
+// fewer queries would not fail less.
+func TestFailuresLeaveRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		r, _ := newRelay(t, w, 20, nil)
+		warmUp(r)
+		for i := range 3 {
+			w.set("failing", address(i, 0), address(i, 1))
+		}
+		for i := range 40 {
+			before := w.calls()
+			if reply, _ := ask(r, "/q/", i); w.calls() == before {
+				t.Fatalf("query %d was rejected with %d before any call", i, reply.Status)
+			}
+			<-time.After(100 * time.Millisecond)
+		}
+		drain()
+	})
+}
+
+// TestTaskTellsRoom guards against hosts that carry out parts for many others and keep to
+// themselves that replicas have no room: the others have too few queries to learn it.
+func TestTaskTellsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		r, _ := newRelay(t, w, 20, nil)
+		for i := range 4 {
+			w.set("shed", address(i, 0), address(i, 1))
+		}
+		var last core.TaskResult
+		for i := range 30 {
+			task := core.Task{
+				ID: core.RequestID(fmt.Sprint("t", i)), Route: "query", Method: "GET", URI: "/q/", Host: "h", Attempts: 2, TopK: 5,
+				Set: service(0), MinRatio: 0.89, TargetUS: 100_000, CloseUS: 80_000, Deadline: time.Now().Add(600 * time.Millisecond),
+			}
+			for s := range 20 {
+				task.Services = append(task.Services, service(s))
+			}
+			last = core.TaskResult{}
+			parts := 0
+			if err := r.Assist(context.Background(), task, func(res core.TaskResult) {
+				parts += len(res.Parts)
+				last = res
+			}); err != nil {
+				t.Fatal(err)
+			}
+			if parts != 16 || last.Crowded != 4 || last.Lacking != 4 {
+				t.Fatalf("%d parts, %d shards without room, %d of them not in", parts, last.Crowded, last.Lacking)
+			}
+			<-time.After(50 * time.Millisecond)
+		}
+		if last.Room >= 0.5 {
+			t.Errorf("the host tells a share of %.2f after 30 queries that lacked parts", last.Room)
+		}
+		drain()
+	})
+}
--- a/io/relay/task.go
+++ b/io/relay/task.go
@@ -65,6 +65,8 @@
 		TopK:     j.route.TopK,
 		TargetUS: j.route.Target.Microseconds(),
 		CloseUS:  (closeAt.Sub(now) - taskMargin).Microseconds(),
+		Set:      j.route.Gather[0],
+		MinRatio: j.route.MinRatio,
 		Deadline: j.deadline,
 	}
 	for i, s := range b.Shards {
@@ -87,6 +89,7 @@
 // taskNews handles an event of a delegated part.
 func (j *job) taskNews(now time.Time, e taskEvent) {
 	if e.result != nil {
+		j.told.add(e.result)
 		j.merge(e.batch, e.result)
 		return
 	}
@@ -164,8 +167,9 @@
 		Left:    t.Deadline.Sub(now),
 		Arrived: now,
 	})
-	j.query = gather.New(len(rt.Gather), rt.TopK, 0)
+	j.query = gather.New(len(rt.Gather), rt.TopK, t.MinRatio)
 	j.setLegs(rt.Gather)
+	j.room = r.roomOf(t.Set)
 	defer j.abandon()
 	j.begin(now)
 	j.assist(ctx, now.Add(time.Duration(t.CloseUS)*time.Microsecond), sink)
@@ -181,7 +185,11 @@
 		now := time.Now()
 		over := j.query.Settled() || !now.Before(last)
 		if over || !now.Before(closeAt) {
-			unsent.send(sink)
+			if !j.closing {
+				j.closing = true
+				j.learnRoom(now)
+			}
+			unsent.send(sink, j.wanted(now))
 		}
 		if over {
 			return
@@ -209,6 +217,7 @@
 	job    *job
 	merged *gather.Query
 	parts  []core.TaskPart
+	told   bool // that a replica had no room
 }
 
 func newUnsent(j *job) *unsent {
@@ -228,10 +237,14 @@
 	n.merged.AddRecords(e.result.Reply.Body)
 }
 
-func (n *unsent) send(sink func(core.TaskResult)) {
-	if len(n.parts) == 0 {
+// send sends the parts, or once without any that replicas had no room.
+func (n *unsent) send(sink func(core.TaskResult), w want) {
+	if len(n.parts) == 0 && (n.told || w.crowded == 0) {
 		return
 	}
-	sink(core.TaskResult{Parts: n.parts, Records: n.merged.Body()})
+	n.told = n.told || w.crowded > 0
+	sink(core.TaskResult{
+		Parts: n.parts, Records: n.merged.Body(), Crowded: w.crowded, Lacking: w.lacking, Room: n.job.room.Share(),
+	})
 	n.reset()
 }
