--- a/core/iface.go
+++ b/core/iface.go
@@ -11,7 +11,6 @@
 	OwnerSet(v View, s ServiceName) []HostID
 	// Owner returns the owner and the standby of a group; either may be empty.
 	Owner(v View, s ServiceName, g GroupID) (owner, standby HostID)
-	// Readers returns the hosts of a data centre that watch the platform.
 	// Readers returns the hosts of a data centre that watch the platform for the
 	// revision after r. The turn moves the duty while no revision comes.
 	Readers(v View, dc DataCentre, r Revision, turn uint64) []HostID
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,10 +52,17 @@
 func start(t *testing.T, handler http.HandlerFunc) (l *listener, set *conns.Set, shutdown func() error) {
 	t.Helper()
 	l, set = newListener(), conns.New()
-	server := &http.Server{Handler: handler, ConnState: set.Note}
+	var leaving atomic.Bool
+	server := &http.Server{ConnState: set.Note, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler(w, r)
+	})}
 	served := make(chan error, 1)
 	go func() { served <- set.Serve(server, l) }()
 	return l, set, func() error {
+		leaving.Store(true)
 		err := set.Shutdown(t.Context(), server, l)
 		return errors.Join(err, <-served)
 	}
@@ -86,6 +94,36 @@
 	})
 }
 
+// TestRequestThatArrivesAtShutdown guards against a kept connection that is closed while
+// the server reads the head of its next request, which would be served without an answer.
+func TestRequestThatArrivesAtShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _, shutdown := start(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+		c := l.dial()
+		read := bufio.NewReader(c)
+		const head = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		_, _ = io.WriteString(c, head)
+		if _, err := http.ReadResponse(read, nil); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, head[:10])
+		synctest.Wait()
+		ended := make(chan error, 1)
+		go func() { ended <- shutdown() }()
+		<-time.After(100 * time.Millisecond)
+		if _, err := io.WriteString(c, head[10:]); err != nil {
+			t.Fatal(err)
+		}
+		if res, err := http.ReadResponse(read, nil); err != nil || res.StatusCode != http.StatusNoContent {
+			t.Errorf("got %v, %v", res, err)
+		}
+		_ = c.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // TestUnusedConnectionsEnd guards against a shutdown that waits for callers who keep
 // spare connections, and against one that lets them send on a connection that nobody
 // serves any more.
