fix(relay): requests after the end of a drain are rejected; a task tells once what had no room

A request that came on an open connection after Finish was sent to replicas and given up at once; a task that sent late parts one by one counted its shards without room anew with each of them. Test: TestFinish.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -126,8 +126,8 @@
 // Table returns the version in force, or nil.
 func (r *Relay) Table() *route.Table { return r.table.Load() }
 
-// Finish ends the requests that run: each is answered at once with what is there. A host
-// that stops calls it before its connections are cut.
+// Finish ends the requests that run: each is answered at once with what is there, and
+// later ones are rejected. A host that stops calls it before its connections are cut.
 func (r *Relay) Finish() { r.finishOnce.Do(func() { close(r.finish) }) }
 
 func (r *Relay) finishing() bool {
@@ -150,6 +150,9 @@
 	if !ok {
 		return r.Reject(req, Reply{Status: http.StatusNotFound, Reason: core.ReasonNoRoute})
 	}
+	if r.finishing() {
+		return r.Reject(req, refuse(core.ReasonDraining, retrySoon))
+	}
 	j := newJob(r, table, rt, req)
 	var reply Reply
 	if len(rt.Gather) > 0 {
--- a/io/relay/room_test.go
+++ b/io/relay/room_test.go
@@ -113,3 +113,28 @@
 		drain()
 	})
 }
+
+// TestFinish guards against a host at its end that keeps requests waiting, loses the parts
+// that are there, or sends calls for which it has no time left.
+func TestFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		r, _ := newRelay(t, w, 20, nil)
+		warmUp(r)
+		w.set("dark", address(1, 0), address(1, 1), address(2, 0), address(2, 1))
+		go func() {
+			<-time.After(50 * time.Millisecond)
+			r.Finish()
+		}()
+		if reply, took := ask(r, "/q/", 1); reply.Status != 200 || reply.Missing != 2 || took != 50*time.Millisecond {
+			t.Errorf("running: got %d with %d missing after %v", reply.Status, reply.Missing, took)
+		}
+		before := w.calls()
+		for _, path := range []string{"/q/", "/o/"} {
+			if reply, _ := ask(r, path, 2); reply.Status != 503 || reply.RetryAfter <= 0 || w.calls() != before {
+				t.Errorf("later: got %d, retry after %v, %d calls", reply.Status, reply.RetryAfter, w.calls()-before)
+			}
+		}
+		drain()
+	})
+}
--- a/io/relay/task.go
+++ b/io/relay/task.go
@@ -217,7 +217,7 @@
 	job    *job
 	merged *gather.Query
 	parts  []core.TaskPart
-	told   bool // that a replica had no room
+	told   bool // which shards had no room
 }
 
 func newUnsent(j *job) *unsent {
@@ -237,12 +237,16 @@
 	n.merged.AddRecords(e.result.Reply.Body)
 }
 
-// send sends the parts, or once without any that replicas had no room.
+// send sends the parts, and with the first of them, or without any, which shards had no
+// room.
 func (n *unsent) send(sink func(core.TaskResult), w want) {
-	if len(n.parts) == 0 && (n.told || w.crowded == 0) {
+	if n.told {
+		w = want{}
+	}
+	n.told = true
+	if len(n.parts) == 0 && w.crowded == 0 {
 		return
 	}
-	n.told = n.told || w.crowded > 0
 	sink(core.TaskResult{
 		Parts: n.parts, Records: n.merged.Body(), Crowded: w.crowded, Lacking: w.lacking, Room: n.job.room.Share(),
 	})
