feat(soak): replicas that send without end in a head or a body

Change: two troubles of a replica of gateway hosts, and the promise that at most 16 MB are taken of one answer. Test: TestEndlessAnswersAreChecked (a caller that closes after 1 MB, one that reads on).

--- a/bench/soak/export_test.go
+++ b/bench/soak/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"oriolebarrow/core"
@@ -51,6 +52,13 @@
 	return c.g.report.Broken
 }
 
+// Babble lets a replica send without end to a caller.
+func (c Checker) Babble(w http.ResponseWriter) {
+	r := &replica{instance: core.Instance{ID: "i-1"}}
+	c.g.replicas = append(c.g.replicas, r)
+	r.babble(w, "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", babbleBytes))
+}
+
 // Query checks an answer to a query.
 func (c Checker) Query(id string, h http.Header, body []byte) string {
 	return c.g.checkQuery(id, answered{status: http.StatusOK, header: h, body: body, end: time.Now()})
--- a/bench/soak/gateway.go
+++ b/bench/soak/gateway.go
@@ -434,6 +434,11 @@
 			}
 		}
 	}
+	for _, r := range g.replicas {
+		if n := r.babbled.Load(); n > babbleMost {
+			g.report.broke("%s sent %d bytes without end, and its caller did not close", r.instance.ID, n)
+		}
+	}
 	if g.report.Requests["query 200"] == 0 || g.report.Requests["order 200"] == 0 {
 		g.report.broke("no query or no order was served: %v", g.report.Requests)
 	}
--- a/bench/soak/replica.go
+++ b/bench/soak/replica.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +79,21 @@
 	replicaFails = "fails"
 	replicaLoses = "loses_answers"
 	replicaExtra = "extra_bytes"
+	// These send what is no answer until the caller closes.
+	replicaEndlessHead = "endless_head"
+	replicaEndlessBody = "endless_body"
+)
+
+const (
+	// babbleBytes are sent at a time, babbleGap apart: fast enough to reach every bound of a
+	// host in a second.
+	babbleBytes = 16 << 10
+	babbleGap   = time.Millisecond
+	// babbleStall ends a write to a caller that is stopped.
+	babbleStall = 30 * time.Second
+	// babbleMost is what a caller may take of one answer: its bound of a body, and what the
+	// sockets on the way hold.
+	babbleMost = 16 << 20
 )
 
 // replica is a backend server that speaks as the platform's do. It is reached
@@ -89,6 +105,7 @@
 	server   *http.Server
 	proxy    *proxy
 	trouble  atomic.Value // string
+	babbled  atomic.Int64 // most bytes that were taken of one answer without end
 }
 
 func newReplica(in core.Instance, own string, names core.HeaderNames, j *journal) (*replica, error) {
@@ -114,7 +131,7 @@
 
 // target lets the replica and the way to it be disturbed.
 func (r *replica) target() target {
-	own := []string{replicaSlow, replicaSheds, replicaFails, replicaLoses, replicaExtra}
+	own := []string{replicaSlow, replicaSheds, replicaFails, replicaLoses, replicaExtra, replicaEndlessHead, replicaEndlessBody}
 	way := troubleNames()
 	return target{
 		name:     "replica " + string(r.instance.ID),
@@ -175,6 +192,12 @@
 	}
 	h.Set(r.names.Stamp, r.journal.add(id, r.instance))
 	switch trouble {
+	case replicaEndlessHead:
+		r.babble(w, "HTTP/1.1 200 OK\r\n", "X-More: "+strings.Repeat("x", babbleBytes)+"\r\n")
+		return
+	case replicaEndlessBody:
+		r.babble(w, "HTTP/1.1 200 OK\r\n"+r.names.RequestID+": "+id+"\r\n\r\n", strings.Repeat("x", babbleBytes))
+		return
 	case replicaFails:
 		w.WriteHeader(http.StatusInternalServerError)
 	case replicaLoses:
@@ -193,3 +216,28 @@
 		}
 	}
 }
+
+// babble sends bytes until the caller closes.
+func (r *replica) babble(w http.ResponseWriter, first, next string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the caller left
+	}
+	defer func() { _ = c.Close() }()
+	sent := int64(0)
+	for text := first; sent <= babbleMost; text = next {
+		_ = c.SetWriteDeadline(time.Now().Add(babbleStall)) // the write says so
+		n, err := io.WriteString(c, text)
+		sent += int64(n)
+		if err != nil {
+			break
+		}
+		time.Sleep(babbleGap)
+	}
+	for {
+		most := r.babbled.Load()
+		if sent <= most || r.babbled.CompareAndSwap(most, sent) {
+			return
+		}
+	}
+}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"oriolebarrow/bench/soak"
@@ -195,3 +197,40 @@
 		}
 	}
 }
+
+// hijacked hands out a connection as a server does.
+type hijacked struct {
+	http.ResponseWriter
+	conn net.Conn
+}
+
+func (h hijacked) Hijack() (net.Conn, *bufio.ReadWriter, error) { return h.conn, nil, nil }
+
+// TestEndlessAnswersAreChecked guards against a soak that does not see a host which reads
+// on what a replica sends without end.
+func TestEndlessAnswersAreChecked(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		read int64
+		want string
+	}{
+		{"closed at a bound", 1 << 20, ""},
+		{"read for ever", 1 << 30, "did not close"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				go func() {
+					_, _ = io.CopyN(io.Discard, near, c.read)
+					_ = near.Close()
+				}()
+				k := soak.NewChecker()
+				k.Babble(hijacked{conn: far})
+				broken := strings.Join(k.Final(), "; ")
+				if (broken == "") != (c.want == "") || !strings.Contains(broken, c.want) {
+					t.Errorf("got %q, want %q", broken, c.want)
+				}
+			})
+		})
+	}
+}
