fix(tests): proxy faults in synthetic time, small response from the right replica

Cause: TestProxyFaults measured 100 ms of wall clock, so that a hold-up of 20 ms between a write and a read failed it. TestBodyMemoryLimit sent its small response's request to the ID "i-1", which one of the endless replicas had too: if that replica's own call was the last to succeed, its idle connection carried the small request, and its endless bytes were read as a head until the head timeout. Ruled out: a fault of io/client (the head timeout is what ended the wrong response). Change: the proxy takes a listener and a dial function, the test gives it pipes and a synthetic clock, all bounds and cases kept; the endless replicas have IDs of their own.

--- a/bench/soak/export_test.go
+++ b/bench/soak/export_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -12,15 +13,12 @@
 // Proxy exposes proxy to tests.
 type Proxy struct{ p *proxy }
 
-// NewProxy returns a proxy that forwards connections to target.
-func NewProxy(target string) (Proxy, error) {
-	p, err := newProxy("127.0.0.1:0", target)
-	return Proxy{p}, err
+// StartProxy returns a proxy that forwards the connections of a listener to those that dial
+// returns.
+func StartProxy(l net.Listener, dial func() (net.Conn, error)) Proxy {
+	return Proxy{startProxy(l, dial)}
 }
 
-// Address returns the address on which the proxy listens.
-func (p Proxy) Address() string { return p.p.listener.Addr().String() }
-
 // SetFault sets the fault of the proxy's connections.
 func (p Proxy) SetFault(f Fault) { p.p.setFault(f) }
 
--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -30,8 +30,8 @@
 
 // proxy forwards connections from one address to another and injects faults into them.
 type proxy struct {
-	target   string
 	listener net.Listener
+	dial     func() (net.Conn, error) // connects to the target
 	running  sync.WaitGroup
 
 	mu      sync.Mutex
@@ -47,9 +47,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "soak: listen for a proxy")
 	}
-	p := &proxy{target: target, listener: l, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	return startProxy(l, func() (net.Conn, error) { return net.DialTimeout("tcp", target, time.Second) }), nil
+}
+
+// startProxy returns a proxy that forwards the connections of a listener to those that dial
+// returns.
+func startProxy(l net.Listener, dial func() (net.Conn, error)) *proxy {
+	p := &proxy{listener: l, dial: dial, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
 	p.running.Go(p.accept)
-	return p, nil
+	return p
 }
 
 // setFault changes the fault of all connections.
@@ -104,7 +110,7 @@
 		return
 	}
 	defer p.remove(client)
-	upstream, err := net.DialTimeout("tcp", p.target, time.Second)
+	upstream, err := p.dial()
 	if err != nil {
 		reset(client) // as when no process listens on the target
 		return
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,26 +21,47 @@
 	"oriolebarrow/platform"
 )
 
-// echoServer starts a server that sends back what it receives, and returns its address.
-func echoServer(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+// pipes is a listener whose connections are pipes, so that a test with a synthetic clock can
+// wait for them.
+type pipes struct {
+	accepted chan net.Conn
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func newPipes() *pipes { return &pipes{accepted: make(chan net.Conn), closed: make(chan struct{})} }
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.accepted:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
 	}
-	t.Cleanup(func() { _ = l.Close() })
+}
+
+func (p *pipes) Close() error {
+	p.once.Do(func() { close(p.closed) })
+	return nil
+}
+
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// connect returns the other end of a connection that the listener accepts.
+func (p *pipes) connect() net.Conn {
+	near, far := net.Pipe()
+	p.accepted <- far
+	return near
+}
+
+// dialEcho returns a connection to a server that sends back what it receives.
+func dialEcho() (net.Conn, error) {
+	near, far := net.Pipe()
 	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = io.Copy(c, c)
-				_ = c.Close()
-			}()
-		}
+		_, _ = io.Copy(far, far)
+		_ = far.Close()
 	}()
-	return l.Addr().String()
+	return near, nil
 }
 
 // TestProxyFaults guards against a fault that has no effect or never ends.
@@ -58,37 +80,34 @@
 		{soak.Reset, false, true},
 	} {
 		t.Run(string(c.fault), func(t *testing.T) {
-			p, err := soak.NewProxy(echoServer(t))
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer p.Close()
-			conn, err := net.Dial("tcp", p.Address())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = conn.Close() }()
-			receive := func(within time.Duration) error {
-				_ = conn.SetReadDeadline(time.Now().Add(within))
-				_, err := io.ReadFull(conn, make([]byte, 4))
-				return err
-			}
-			_, _ = conn.Write([]byte("ping"))
-			if err := receive(long); err != nil {
-				t.Fatalf("no echo before the fault: %v", err)
-			}
-			p.SetFault(c.fault)
-			_, _ = conn.Write([]byte("pong"))
-			if err := receive(brief); (err == nil) != c.passes {
-				t.Errorf("read of the echo during the fault: error %v", err)
-			}
-			p.SetFault(soak.NoFault)
-			if c.passes {
-				return
-			}
-			if err := receive(long); (err != nil) != c.ends {
-				t.Errorf("read of the echo after the fault: error %v", err)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				l := newPipes()
+				p := soak.StartProxy(l, dialEcho)
+				defer p.Close()
+				conn := l.connect()
+				defer func() { _ = conn.Close() }()
+				receive := func(within time.Duration) error {
+					_ = conn.SetReadDeadline(time.Now().Add(within))
+					_, err := io.ReadFull(conn, make([]byte, 4))
+					return err
+				}
+				_, _ = conn.Write([]byte("ping"))
+				if err := receive(long); err != nil {
+					t.Fatalf("no echo before the fault: %v", err)
+				}
+				p.SetFault(c.fault)
+				_, _ = conn.Write([]byte("pong"))
+				if err := receive(brief); (err == nil) != c.passes {
+					t.Errorf("read of the echo during the fault: error %v", err)
+				}
+				p.SetFault(soak.NoFault)
+				if c.passes {
+					return
+				}
+				if err := receive(long); (err != nil) != c.ends {
+					t.Errorf("read of the echo after the fault: error %v", err)
+				}
+			})
 		})
 	}
 }
--- a/io/client/endless_test.go
+++ b/io/client/endless_test.go
@@ -140,7 +140,9 @@
 		defer c.Close()
 		results := make(chan client.Result, replicas)
 		for i := range replicas {
-			c.Send(client.Target{ID: core.InstanceID(fmt.Sprint("i-", i)), Address: "10.0.0.2:80", Connections: 1},
+			// No ID may equal that of target: the small response would be read on a connection
+			// to this replica if its own call succeeded.
+			c.Send(client.Target{ID: core.InstanceID(fmt.Sprint("big-", i)), Address: "10.0.0.2:80", Connections: 1},
 				client.Request{ID: "r", Method: "GET", URI: "/", Host: "h"}, func(r client.Result) { results <- r })
 		}
 		failed := 0
