feat(relay): small sets of shards go through owners while their slots are short

Cause: with 40 shards or fewer each host calls each replica by itself. Hosts that call no replica of the set learn the share from task results. Hosts that disagree only make more calls.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -2,14 +2,14 @@
 //
 // Shards without a replica in the local data centre are delegated, unless they are
 // few, to a host in a data centre that has one. That host merges the parts, so that
-// less data is sent between data centres. A query over many shards is divided among
-// several hosts. Each of them always gets the same shards, so that it knows the
-// state of their replicas and needs few connections.
+// less data is sent between data centres. A query over many shards, or over shards that are
+// short of slots, is divided among several hosts. Each of them always gets the same shards, so
+// that it knows the state of their replicas and needs few connections.
 //
 // # Usage
 //
 //	a := assign.New(self)
-//	for _, batch := range a.Plan(view, services, hasReplica) {
+//	for _, batch := range a.Plan(view, services, divide, hasReplica) {
 //		// delegate the shard calls of batch.Shards to batch.Host
 //	}
 package assign
@@ -30,8 +30,10 @@
 	// milliseconds on a small host.
 	maxDirectShards = 40
 	// shardsPerHost is the number of shards for each host of a larger query: a
-	// dozen calls cost about as much as the messages to one more host.
-	shardsPerHost = 12
+	// dozen calls cost about as much as the messages to one more host. Of a smaller query
+	// that is divided, each host gets minShardsPerHost.
+	shardsPerHost    = 12
+	minShardsPerHost = 3
 	// minRemoteShards is the smallest number of shards of a smaller query that are
 	// delegated to another data centre: the message is about as large as one part.
 	minRemoteShards = 3
@@ -61,10 +63,11 @@
 	return &Assigner{self: self, owners: make(map[ownerKey]core.Host)}
 }
 
-// Plan divides the shards of a query among hosts. hasReplica reports whether a
-// service has a usable replica in a data centre. This host calls the shards that
-// are in no batch; a batch may also name this host itself.
-func (a *Assigner) Plan(v core.View, services []core.ServiceName, hasReplica func(core.ServiceName, core.DataCentre) bool) []core.TaskBatch {
+// Plan divides the shards of a query among hosts. If divide is set, each shard goes to its
+// owner even if the query has few shards. hasReplica reports whether a service has a usable
+// replica in a data centre. This host calls the shards that are in no batch; a batch may also
+// name this host itself.
+func (a *Assigner) Plan(v core.View, services []core.ServiceName, divide bool, hasReplica func(core.ServiceName, core.DataCentre) bool) []core.TaskBatch {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.resetOwners(v)
@@ -75,7 +78,7 @@
 		hosts := hostsIn(v, g.dataCentre)
 		switch {
 		case len(hosts) == 0:
-		case large:
+		case large || divide:
 			plan = append(plan, a.distribute(hosts, g.dataCentre, services, g.shards)...)
 		case g.dataCentre != a.self.DataCentre() && len(g.shards) >= minRemoteShards:
 			plan = append(plan, core.TaskBatch{Host: hosts[a.plans%len(hosts)], Shards: g.shards})
@@ -181,7 +184,11 @@
 // ownerSet returns the hosts among which a number of shards is distributed. It
 // sorts the slice hosts by hash, so that all hosts choose the same set.
 func ownerSet(hosts []core.Host, shards int) []core.Host {
-	n := (shards + shardsPerHost - 1) / shardsPerHost
+	perHost := shardsPerHost
+	if shards <= maxDirectShards {
+		perHost = minShardsPerHost
+	}
+	n := (shards + perHost - 1) / perHost
 	slices.SortFunc(hosts, func(x, y core.Host) int {
 		return cmp.Compare(weight("set", y.ID()), weight("set", x.ID()))
 	})
--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -39,7 +39,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		v, self, services, hasReplica := drawDeployment(t)
 		planned := map[int]bool{}
-		for _, b := range assign.New(self).Plan(v, services, hasReplica) {
+		for _, b := range assign.New(self).Plan(v, services, rapid.Bool().Draw(t, "divide"), hasReplica) {
 			for _, i := range b.Shards {
 				if planned[i] {
 					t.Fatalf("shard %d is planned twice", i)
@@ -73,7 +73,7 @@
 	for _, self := range hosts[:2] {
 		a := assign.New(self)
 		for range 3 {
-			plan := a.Plan(v, services, func(core.ServiceName, core.DataCentre) bool { return true })
+			plan := a.Plan(v, services, false, func(core.ServiceName, core.DataCentre) bool { return true })
 			if len(plan) < 6 {
 				t.Fatalf("90 shards are distributed to %d hosts, want 6 or more", len(plan))
 			}
@@ -100,7 +100,7 @@
 	hasReplica := func(s core.ServiceName, dc core.DataCentre) bool {
 		return dc == "b" && s < "s2" || dc == "a" && s >= "s2"
 	}
-	if plan := assign.New(hosts[0]).Plan(core.NewView(1, hosts), services, hasReplica); len(plan) != 0 {
+	if plan := assign.New(hosts[0]).Plan(core.NewView(1, hosts), services, false, hasReplica); len(plan) != 0 {
 		t.Errorf("two remote shards were delegated: %+v", plan)
 	}
 }
--- a/core/task.go
+++ b/core/task.go
@@ -39,6 +39,7 @@
 	Overloaded        int        `json:"crowded"` // shards whose replicas were at capacity
 	OverloadedMissing int        `json:"lacking"` // those among them that are still missing
 	AdmitShare        float64    `json:"room"`    // share of queries over these shards that the host would admit
+	SlotsInUse        float64    `json:"in_use"`  // share of the slots of the shards' replicas, see demand.Meter.InUse
 }
 
 // TaskBatch is a host and the shards, by index in the query, whose replicas it
@@ -51,8 +52,8 @@
 // TaskClient delegates parts of a query to other hosts.
 type TaskClient interface {
 	// Plan divides a query among hosts. This host itself calls the replicas of the
-	// shards that are in no batch.
-	Plan(now time.Time, services []ServiceName) []TaskBatch
+	// shards that are in no batch. If divide is set, each shard goes to its owner.
+	Plan(now time.Time, services []ServiceName, divide bool) []TaskBatch
 	// Run sends a task to a host. It calls sink for each result and returns when
 	// the task has ended. A *CallError states whether the host may have started it.
 	Run(ctx context.Context, h Host, t Task, sink func(TaskResult)) error
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/demand"
 	"oriolebarrow/core/gather"
 	"oriolebarrow/core/picker"
 	"oriolebarrow/core/route"
@@ -116,7 +117,8 @@
 	taskCount    int  // delegated tasks
 	pastClose    bool // the closing time has passed
 	shedder      *shed.Shedder
-	taskOverload overload // reported by the delegates
+	demand       *demand.Meter // nil for a request that one replica answers
+	taskOverload overload      // reported by the delegates
 	events       eventLog
 }
 
@@ -226,6 +228,9 @@
 		r.Client.CloseIdle(inst.ID)
 		r.Log.Warn("relay: replica ejected", "replica", inst.ID, "service", inst.Service, "request", j.req.ID, "cause", errText(res.Err))
 	}
+	if load := res.Reply.Load; load != nil && j.demand != nil {
+		j.demand.Observe(time.Now(), load.Running+load.Waiting, load.Slots)
+	}
 	j.results <- event{sub: sub, replica: replica, result: res}
 }
 
--- a/io/relay/query.go
+++ b/io/relay/query.go
@@ -18,7 +18,7 @@
 	if !j.reachable() {
 		return unavailable(core.ReasonNoReplica, retryNoReplica)
 	}
-	j.shedder = j.relay.shedderFor(j.route.Gather[0])
+	j.shedder, j.demand = j.relay.shedderFor(j.route.Gather[0]), j.relay.demandFor(j.route.Gather[0])
 	if after, ok := j.admit(); !ok {
 		return unavailable(core.ReasonBusy, after)
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -20,6 +20,7 @@
 
 	"oriolebarrow/core"
 	"oriolebarrow/core/budget"
+	"oriolebarrow/core/demand"
 	"oriolebarrow/core/picker"
 	"oriolebarrow/core/route"
 	"oriolebarrow/core/shed"
@@ -102,6 +103,7 @@
 	lag       time.Duration                      // see observeLag
 	partSizes map[string]float64                 // usual size of a part in bytes, by route
 	shedders  map[core.ServiceName]*shed.Shedder // by the first shard of the queries
+	demands   map[core.ServiceName]*demand.Meter // by the first shard of the queries
 }
 
 var _ core.TaskRunner = (*Relay)(nil)
@@ -118,6 +120,7 @@
 		finish:    make(chan struct{}),
 		partSizes: make(map[string]float64),
 		shedders:  make(map[core.ServiceName]*shed.Shedder),
+		demands:   make(map[core.ServiceName]*demand.Meter),
 	}
 }
 
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -374,7 +374,7 @@
 	mode  string
 }
 
-func (f *fakeTasks) Plan(time.Time, []core.ServiceName) []core.TaskBatch {
+func (f *fakeTasks) Plan(time.Time, []core.ServiceName, bool) []core.TaskBatch {
 	return []core.TaskBatch{{Host: core.NewHost("host-1", "b", "10.0.9.9:1"), Shards: []int{2, 3, 5, 7, 11, 13}}}
 }
 
--- a/io/relay/shed.go
+++ b/io/relay/shed.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/demand"
 	"oriolebarrow/core/picker"
 	"oriolebarrow/core/shed"
 )
@@ -24,6 +25,18 @@
 	return s
 }
 
+// demandFor returns the demand meter of a set of shards. The first shard identifies the set.
+func (r *Relay) demandFor(first core.ServiceName) *demand.Meter {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.demands[first]
+	if !ok {
+		m = demand.New()
+		r.demands[first] = m
+	}
+	return m
+}
+
 // admit reports whether the query is admitted, and if not, after which time its caller may
 // retry.
 func (j *job) admit() (retryAfter time.Duration, ok bool) {
--- a/io/relay/task.go
+++ b/io/relay/task.go
@@ -36,7 +36,7 @@
 	if j.relay.Tasks == nil {
 		return
 	}
-	batches := j.relay.Tasks.Plan(now, j.route.Gather)
+	batches := j.relay.Tasks.Plan(now, j.route.Gather, j.demand.Short(now))
 	j.tasks = make(chan taskEvent, taskEventBuffer*len(batches))
 	for i := range batches {
 		b := &batches[i]
@@ -90,6 +90,7 @@
 func (j *job) handleTask(now time.Time, e taskEvent) {
 	if e.result != nil {
 		j.taskOverload.add(e.result)
+		j.demand.ObservePeer(now, e.result.SlotsInUse)
 		j.merge(e.batch, e.result)
 		return
 	}
@@ -170,7 +171,7 @@
 	})
 	j.query = gather.New(len(rt.Gather), rt.TopK, t.MinRatio)
 	j.setServices(rt.Gather)
-	j.shedder = r.shedderFor(t.FirstService)
+	j.shedder, j.demand = r.shedderFor(t.FirstService), r.demandFor(t.FirstService)
 	defer j.abandon()
 	j.startCalls(now)
 	j.executeTask(ctx, now.Add(time.Duration(t.CloseUS)*time.Microsecond), sink)
@@ -250,7 +251,8 @@
 		return
 	}
 	sink(core.TaskResult{
-		Parts: u.parts, Records: u.merged.Body(), Overloaded: o.shards, OverloadedMissing: o.missing, AdmitShare: u.job.shedder.Share(),
+		Parts: u.parts, Records: u.merged.Body(), Overloaded: o.shards, OverloadedMissing: o.missing,
+		AdmitShare: u.job.shedder.Share(), SlotsInUse: u.job.demand.InUse(),
 	})
 	u.reset()
 }
--- a/io/tasks/tasks.go
+++ b/io/tasks/tasks.go
@@ -56,12 +56,12 @@
 // tasks also go to hosts that are still starting. Otherwise the few ready hosts would
 // get all tasks, or this host would call every replica itself. A host that cannot serve
 // a task yet refuses it at once.
-func (c *Client) Plan(now time.Time, services []core.ServiceName) []core.TaskBatch {
+func (c *Client) Plan(now time.Time, services []core.ServiceName, divide bool) []core.TaskBatch {
 	ready, running := c.Views.View(now), c.Reachability.Reachable(now)
 	if 2*len(ready.Hosts()) < len(running.Hosts()) {
-		return c.running.Plan(running, services, c.Near)
+		return c.running.Plan(running, services, divide, c.Near)
 	}
-	return c.ready.Plan(ready, services, c.Near)
+	return c.ready.Plan(ready, services, divide, c.Near)
 }
 
 // Run implements core.TaskClient. If the host fails, refuses the task or doesn't
--- a/io/tasks/tasks_test.go
+++ b/io/tasks/tasks_test.go
@@ -50,7 +50,7 @@
 		})
 		shards := 0
 		hosts := make(map[core.HostID]bool)
-		for _, b := range a.Plan(time.Now(), services) {
+		for _, b := range a.Plan(time.Now(), services, false) {
 			shards += len(b.Shards)
 			hosts[b.Host.ID()] = true
 		}
