feat(relay): parts wait at the host for a free slot, in the order of their latest start

Cause: at most as many calls as a replica has connections for this host were in flight, and parts beyond that looked for a connection every 4 ms, in no order. In an overload all of them are late: first in, first out at the replica, chance at the host, the short urgent kind behind the long one. Change: core/await. A host has no more calls in flight to a replica than it has slots; further parts wait and get the next free slot, those in time first, by latest start (closing time less 1.5 expected times), late ones last. picker.Table.Start checks the limit together with the start, since two hosts' goroutines could pick the same last slot (found by TestFreeSlots: 5 calls at 4 slots). With first in, first out TestOrder, TestHalfOfTheSlotsGone and TestLateQueriesYield fail, without the limit TestFreeSlots. core/shed's simulation waits the same way, bounds unchanged. TestDrainingReplica ends its calls now: five calls at once exceed the slots.

--- a/core/demand/load_test.go
+++ b/core/demand/load_test.go
@@ -95,7 +95,8 @@
 
 // arrive makes a call from one of the hosts and schedules the next one.
 func (s *shard) arrive(load float64) {
-	s.call(s.tables[s.rng.IntN(len(s.tables))])
+	s.calls++
+	s.call(s.tables[s.rng.IntN(len(s.tables))], s.now)
 	rate := load * replicas * slots / serviceTime.Seconds()
 	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		if s.now < simulated {
@@ -104,15 +105,15 @@
 	})
 }
 
-func (s *shard) call(table *picker.Table) {
-	begin := s.now
-	s.calls++
-	r, _ := table.Pick(s.time(), "s", serviceTime, nil)
-	if r == nil {
-		s.late++
+// call makes a call, or tries again a millisecond later if it has to wait for a slot.
+func (s *shard) call(table *picker.Table, begin time.Duration) {
+	r, busy := table.Pick(s.time(), "s", serviceTime, nil)
+	if busy {
+		s.after(ms, func() { s.call(table, begin) })
 		return
 	}
-	table.Started(s.time(), r)
+	table.Start(s.time(), r)
+	start := s.now
 	server := s.servers[r.Instance().ID]
 	var serve func()
 	serve = func() {
@@ -126,7 +127,7 @@
 				next()
 			}
 			load := picker.Load{Running: server.running, Waiting: len(server.waiting), Slots: slots}
-			table.Ended(s.time(), r, picker.CallEnd{Took: s.now - begin, Expected: serviceTime, Load: &load})
+			table.Ended(s.time(), r, picker.CallEnd{Took: s.now - start, Expected: serviceTime, Load: &load})
 			if table == s.tables[0] {
 				s.meter.Observe(s.time(), load.Running+load.Waiting, load.Slots)
 			}
--- a/core/picker/table.go
+++ b/core/picker/table.go
@@ -8,12 +8,13 @@
 //	t := picker.New("host-1", "mixco")
 //	t.Put(now, instance)
 //	r, _ := t.Pick(now, "tickets", expected, nil)
-//	t.Started(now, r)
+//	t.Start(now, r)
 //	t.Ended(now, r, picker.CallEnd{Took: took, Expected: expected})
 package picker
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -266,8 +267,8 @@
 
 // Pick returns the replica of a service that is expected to answer first.
 // expected is the usual duration of such a call. Replicas in tried are skipped.
-// If best is nil, busy reports whether a replica was skipped because it already runs
-// as many calls of this host as HostLimits.Calls allows.
+// If best is nil, busy reports whether a replica was skipped because it already runs as many
+// calls of this host as it has slots, or as HostLimits.Calls allows.
 func (t *Table) Pick(now time.Time, s core.ServiceName, expected time.Duration, tried []*Replica) (best *Replica, busy bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -276,7 +277,7 @@
 		if !r.usable() || slices.Contains(tried, r) {
 			continue
 		}
-		if limits, ok := t.hostLimits[s]; ok && r.running >= limits.Calls {
+		if r.running >= t.maxCalls(r) {
 			busy = true
 			continue
 		}
@@ -291,6 +292,18 @@
 	return best, busy && best == nil
 }
 
+// maxCalls returns how many calls to a replica this host may have in flight.
+func (t *Table) maxCalls(r *Replica) int {
+	n := math.MaxInt
+	if limits, ok := t.hostLimits[r.inst.Service]; ok {
+		n = limits.Calls
+	}
+	if r.inst.Slots > 0 {
+		n = min(n, r.inst.Slots)
+	}
+	return n
+}
+
 // Available reports whether any replica of a service is usable.
 func (t *Table) Available(s core.ServiceName) bool {
 	t.mu.Lock()
@@ -299,14 +312,13 @@
 }
 
 // PickTried returns the replica of tried that is expected to answer first; nil if none of
-// them is usable and below HostLimits.Calls.
+// them is usable and below the limits of Pick.
 func (t *Table) PickTried(now time.Time, expected time.Duration, tried []*Replica) (best *Replica) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var bestCost float64
 	for _, r := range tried {
-		limits, limited := t.hostLimits[r.inst.Service]
-		if !r.usable() || limited && r.running >= limits.Calls {
+		if !r.usable() || r.running >= t.maxCalls(r) {
 			continue
 		}
 		if cost := r.cost(now, expected, t.localDC); best == nil || cost < bestCost {
@@ -331,11 +343,16 @@
 	return slices.ContainsFunc(t.byService[s], func(r *Replica) bool { return r.usable() && r.inst.DataCentre == dc })
 }
 
-// Started records the start of a call.
-func (t *Table) Started(now time.Time, r *Replica) {
+// Start records the start of a call. It returns false if calls that started since Pick have
+// used up the limits of Pick; the call must then not be sent.
+func (t *Table) Start(now time.Time, r *Replica) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if r.running >= t.maxCalls(r) {
+		return false
+	}
 	r.started(now)
+	return true
 }
 
 // Ended records the end of a call and reports whether this ejected the replica.
--- a/core/picker/table_test.go
+++ b/core/picker/table_test.go
@@ -42,7 +42,7 @@
 	if r == nil {
 		return nil
 	}
-	table.Started(now, r)
+	table.Start(now, r)
 	e := end(r.Instance().ID)
 	e.Expected = usualTime
 	table.Ended(now.Add(e.Took), r, e)
@@ -89,13 +89,46 @@
 	now := time.Now()
 	table := newTable(t, now, 1)
 	stuck, _ := table.Pick(now, service(0), usualTime, nil)
-	table.Started(now, stuck)
+	table.Start(now, stuck)
 	next, _ := table.Pick(now.Add(4*usualTime), service(0), usualTime, nil)
 	if next == stuck {
 		t.Error("a call went to a replica whose last call has been running for four times the usual time")
 	}
 }
 
+// TestFullReplicas guards against more calls to a replica than it has slots, which would wait
+// in its queue.
+func TestFullReplicas(t *testing.T) {
+	now := time.Now()
+	table := newTable(t, now, 1)
+	running := map[core.InstanceID]int{}
+	var last *picker.Replica
+	for range 4 {
+		r, busy := table.Pick(now, service(0), usualTime, nil)
+		if r == nil || busy || !table.Start(now, r) {
+			t.Fatalf("got replica %v, wait %v although slots are free", r, busy)
+		}
+		running[r.Instance().ID]++
+		last = r
+	}
+	if running["0-home"] != 2 || running["0-away"] != 2 {
+		t.Errorf("calls by replica are %v, want two each", running)
+	}
+	if r, busy := table.Pick(now, service(0), usualTime, nil); r != nil || !busy {
+		t.Errorf("got replica %v, wait %v although all slots are in use", r, busy)
+	}
+	if table.Start(now, last) {
+		t.Error("a third call to a replica with two slots started")
+	}
+	if r := table.PickTried(now, usualTime, []*picker.Replica{last}); r != nil {
+		t.Errorf("got replica %v, whose slots are in use", r)
+	}
+	table.Ended(now, last, picker.CallEnd{Took: usualTime, Expected: usualTime})
+	if r, _ := table.Pick(now, service(0), usualTime, nil); r != last {
+		t.Errorf("got replica %v, want the one with a free slot", r)
+	}
+}
+
 // TestSheddingReplica guards against too many calls to a replica that rejects half of its
 // requests while its health checks succeed.
 func TestSheddingReplica(t *testing.T) {
@@ -206,7 +239,8 @@
 		if r == nil || r.Instance().ID != "0-away" {
 			t.Fatalf("got replica %v, want 0-away", r)
 		}
-		table.Started(now, r)
+		table.Start(now, r)
+		table.Ended(now, r, picker.CallEnd{Took: usualTime, Expected: usualTime})
 	}
 }
 
--- a/core/shed/load_test.go
+++ b/core/shed/load_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/await"
 	"oriolebarrow/core/budget"
 	"oriolebarrow/core/picker"
 	"oriolebarrow/core/shed"
@@ -62,10 +63,17 @@
 
 type host struct {
 	table   *picker.Table
+	waiting *await.Queue[part]
 	extra   *budget.Extra
 	shedder *shed.Shedder
 }
 
+// part is a call that waits at a host for a free slot.
+type part struct {
+	query *query
+	shard int
+}
+
 type event struct {
 	at time.Duration
 	do func()
@@ -126,6 +134,7 @@
 			table:   picker.New(core.HostID(fmt.Sprint("h", i)), "a"),
 			extra:   budget.NewExtra(budget.ExtraLimits{Window: 10 * time.Second, Ratio: 0.2, Minimum: 58}, hosts),
 			shedder: shed.New(),
+			waiting: await.New[part](),
 		}
 		sim.hosts = append(sim.hosts, h)
 		for s := range shards {
@@ -209,7 +218,12 @@
 }
 
 func (sim *simulation) send(q *query, shard int, first bool) bool {
-	r, _ := q.host.table.Pick(sim.time(), service(shard), serviceTime, q.tried[shard])
+	latestStart := sim.time().Add(q.begin + closeAfter - sim.now - serviceTime)
+	r, busy := q.host.table.Pick(sim.time(), service(shard), serviceTime, q.tried[shard])
+	if r == nil && busy {
+		q.host.waiting.Add(service(shard), part{q, shard}, latestStart)
+		return true
+	}
 	if r == nil && !first {
 		r = q.host.table.PickTried(sim.time(), serviceTime, q.tried[shard])
 	}
@@ -223,7 +237,7 @@
 		return false
 	}
 	q.tried[shard] = append(q.tried[shard], r)
-	q.host.table.Started(sim.time(), r)
+	q.host.table.Start(sim.time(), r)
 	c := &call{query: q, shard: shard, host: q.host, replica: r, begin: sim.now, first: first}
 	server := sim.replicas[r.Instance().ID]
 	switch {
@@ -259,6 +273,7 @@
 		Took: sim.now - c.begin, Expected: serviceTime, Refused: refused, Silent: silent,
 		Load: &picker.Load{Running: server.running, Waiting: len(server.waiting), Slots: slots},
 	})
+	defer sim.offerSlot(c.host, c.shard)
 	q := c.query
 	switch {
 	case q.closed:
@@ -274,11 +289,35 @@
 		q.received++
 		q.included[c.shard] = true
 	}
+	sim.closeIfSettled(q)
+}
+
+func (sim *simulation) closeIfSettled(q *query) {
 	if !q.closed && (q.received+q.failed == shards || q.failed > maxMissing) {
 		sim.close(q)
 	}
 }
 
+// offerSlot starts waiting calls to a shard until one has to wait again.
+func (sim *simulation) offerSlot(h *host, shard int) {
+	for {
+		p, ok := h.waiting.Next(sim.time(), service(shard))
+		if !ok {
+			return
+		}
+		if p.query.closed {
+			continue
+		}
+		calls := len(p.query.tried[shard])
+		if !sim.send(p.query, shard, calls == 0) {
+			p.query.failed++
+			sim.closeIfSettled(p.query)
+		} else if len(p.query.tried[shard]) == calls {
+			return
+		}
+	}
+}
+
 // close ends a query with the parts that it has.
 func (sim *simulation) close(q *query) {
 	if q.closed {
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -31,6 +31,9 @@
 	// grows, up to maxDelayFactor times when the budget is empty.
 	lowBudgetFill  = 0.5
 	maxDelayFactor = 3
+	// startFactor times the expected time of a call is how long before its closing time a
+	// query's call must start to be in time: service times vary by a third.
+	startFactor = 1.5
 	// maxConnections bounds the connections of this host to one replica: a replica
 	// runs few calls at once, and each further connection costs memory and set-up
 	// time.
@@ -51,9 +54,6 @@
 	// abandonLinger is how long an abandoned call may still run: if it ends within
 	// this time, other calls can use its connection. Pauses of a replica are shorter.
 	abandonLinger = 300 * time.Millisecond
-	// busyRetryDelay is the delay before a subrequest that found all connections in
-	// use looks for a free one again.
-	busyRetryDelay = 4 * time.Millisecond
 	// maxRefusedRetries bounds the further calls of a refused subrequest to replicas
 	// that were tried before. The first starts after refusedRetryDelay and the second
 	// after twice that: a busy replica has free slots again by then.
@@ -74,7 +74,7 @@
 	refusedRetryAt time.Time // zero unless such a call is scheduled
 	running        int       // calls that have not ended
 	hedgeAt        time.Time // zero unless a hedge is scheduled
-	busyRetryAt    time.Time // zero unless all connections were in use
+	waiting        bool      // for a free slot, or about to be resumed with one
 	settled        bool      // no further answer is awaited
 	ran            bool      // a call ended and may have run
 	overloaded     bool      // a replica was at capacity, or the extra-call budget was empty
@@ -87,13 +87,14 @@
 // mayRun reports whether a replica has run the request or may still do so.
 func (sub *subrequest) mayRun() bool { return sub.ran || sub.running > 0 }
 
-// event is what a job waits for: the end of a call, or an event of a delegated
-// task.
+// event is what a job waits for: the end of a call, a free slot for a subrequest, or an event
+// of a delegated task.
 type event struct {
 	sub     *subrequest
 	replica *picker.Replica
 	result  client.Result
-	task    *taskEvent // nil for the end of a call; otherwise the only field that is set
+	slot    bool       // a replica has a free slot for sub; no other field is set
+	task    *taskEvent // if not nil, the only field that is set
 }
 
 // job is the state of one request while one goroutine serves it.
@@ -120,6 +121,7 @@
 	demand       *demand.Meter // nil for a request that one replica answers
 	taskOverload overload      // reported by the delegates
 	events       eventLog
+	latestStart  time.Time // a call that starts later is probably not in time
 }
 
 func newJob(r *Relay, t *route.Table, rt *core.Route, req Request) *job {
@@ -139,40 +141,82 @@
 // setServices creates one subrequest for each service.
 func (j *job) setServices(services []core.ServiceName) {
 	j.subs = make([]subrequest, len(services))
-	j.results = make(chan event, len(services)*(max(1, j.route.Attempts)+maxRefusedRetries))
+	// Besides the ends of its calls, each subrequest gets one free slot at a time.
+	j.results = make(chan event, len(services)*(max(1, j.route.Attempts)+maxRefusedRetries+1))
 	for i, s := range services {
 		j.subs[i] = subrequest{index: i, service: s}
 	}
 }
 
 // attempt starts the next call of a subrequest. It returns false if no replica is
-// left to try or the extra-call budget is empty. If all connections are in use, it
-// schedules another attempt and returns true. A call beyond the first is logged
-// with message.
+// left to try or the extra-call budget is empty. If it should wait for a slot, the
+// subrequest joins the relay's queue, and attempt returns true. A call beyond the first is
+// logged with message.
 func (j *job) attempt(now time.Time, sub *subrequest, message string) bool {
-	sub.busyRetryAt = time.Time{}
-	replica, busy := j.relay.Replicas.Pick(now, sub.service, j.expected, sub.tried)
-	if replica == nil {
-		if busy {
-			sub.busyRetryAt = now.Add(busyRetryDelay)
+	paid := false
+	for {
+		replica, busy := j.relay.Replicas.Pick(now, sub.service, j.expected, sub.tried)
+		if replica == nil {
+			if busy {
+				j.awaitSlot(sub)
+			}
+			return busy
 		}
-		return busy
-	}
-	if sub.attempts == 0 {
-		j.relay.Extra.RecordRequest(now, sub.service)
-	} else {
-		if !j.relay.Extra.Take(now, sub.service) {
+		if sub.attempts > 0 && !paid && !j.relay.Extra.Take(now, sub.service) {
 			sub.reason, sub.overloaded = core.ReasonBudget, true
 			j.addEvent(now, sub, noBudget, replica, "")
 			return false
 		}
-		j.extraCalls++
-		j.addEvent(now, sub, message, replica, "")
+		paid = true
+		if !j.relay.Replicas.Start(now, replica) {
+			continue
+		}
+		if sub.attempts == 0 {
+			j.relay.Extra.RecordRequest(now, sub.service)
+		} else {
+			j.extraCalls++
+			j.addEvent(now, sub, message, replica, "")
+		}
+		j.send(now, sub, replica)
+		return true
 	}
-	j.send(now, sub, replica)
-	return true
 }
 
+// setLatestStart sets when calls must start whose answers are needed by a time.
+func (j *job) setLatestStart(neededAt time.Time) {
+	j.latestStart = neededAt.Add(-time.Duration(startFactor * float64(j.expected)))
+}
+
+// awaitSlot adds a subrequest to the relay's queue.
+func (j *job) awaitSlot(sub *subrequest) {
+	if sub.waiting {
+		return
+	}
+	sub.waiting = true
+	j.relay.Meter.Count("relay_slot_waits", 1)
+	j.relay.waiting.Add(sub.service, waiter{j, sub}, j.latestStart)
+}
+
+// stopWaiting removes a subrequest from the relay's queue. If it has been given a slot, the
+// event is still to come, and resume passes the slot on.
+func (j *job) stopWaiting(sub *subrequest) {
+	if sub.waiting && j.relay.waiting.Remove(sub.service, waiter{j, sub}) {
+		sub.waiting = false
+	}
+}
+
+// resume starts the call of a subrequest that has been given a free slot.
+func (j *job) resume(now time.Time, sub *subrequest) {
+	sub.waiting = false
+	if !sub.settled && !j.attempt(now, sub, retrySent) && sub.running == 0 {
+		j.settle(sub)
+	}
+	if !sub.waiting {
+		j.relay.offerSlot(now, sub.service) // the call may have used another slot, or none
+	}
+}
+
+// send sends a call that the table of replicas has recorded as started.
 func (j *job) send(now time.Time, sub *subrequest, replica *picker.Replica) {
 	sub.attempts++
 	sub.running++
@@ -182,7 +226,6 @@
 	sub.hedgeAt = now.Add(j.hedgeDelay(now, sub))
 	j.callCount++
 	inst := replica.Instance()
-	j.relay.Replicas.Started(now, replica)
 	bodyBytes := 0
 	if j.query != nil {
 		bodyBytes = j.relay.partLimit(j.route)
@@ -232,6 +275,7 @@
 		j.demand.Observe(time.Now(), load.Running+load.Waiting, load.Slots)
 	}
 	j.results <- event{sub: sub, replica: replica, result: res}
+	r.offerSlot(time.Now(), sub.service)
 }
 
 func errText(err error) string {
@@ -258,11 +302,6 @@
 		if sub.settled {
 			continue
 		}
-		if !sub.busyRetryAt.IsZero() && !now.Before(sub.busyRetryAt) {
-			if !j.attempt(now, sub, retrySent) && sub.running == 0 {
-				j.settle(sub)
-			}
-		}
 		if !sub.refusedRetryAt.IsZero() && !now.Before(sub.refusedRetryAt) {
 			sub.refusedRetryAt = time.Time{}
 			if !j.retryRefused(now, sub) && sub.running == 0 {
@@ -271,9 +310,9 @@
 		}
 		if !sub.hedgeAt.IsZero() && !now.Before(sub.hedgeAt) {
 			sub.hedgeAt = time.Time{}
-			if sub.running > 0 && j.mayHedge(sub) {
+			if sub.running > 0 && !sub.waiting && j.mayHedge(sub) {
 				j.attempt(now, sub, hedgeSent)
-				sub.busyRetryAt = time.Time{}
+				j.stopWaiting(sub) // a hedge that has to wait brings nothing
 			}
 		}
 	}
@@ -292,6 +331,9 @@
 		j.addEvent(now, sub, noBudget, replica, "")
 		return false
 	}
+	if !j.relay.Replicas.Start(now, replica) {
+		return false
+	}
 	j.extraCalls++
 	j.addEvent(now, sub, refusedRetrySent, replica, "")
 	j.send(now, sub, replica)
@@ -305,6 +347,7 @@
 // settle ends the wait for an answer to a subrequest.
 func (j *job) settle(sub *subrequest) {
 	sub.settled = true
+	j.stopWaiting(sub)
 	if j.query != nil {
 		j.query.MarkLost(sub.index)
 	}
@@ -348,9 +391,6 @@
 		if !sub.hedgeAt.IsZero() && sub.hedgeAt.Before(last) {
 			last = sub.hedgeAt
 		}
-		if !sub.busyRetryAt.IsZero() && sub.busyRetryAt.Before(last) {
-			last = sub.busyRetryAt
-		}
 		if !sub.refusedRetryAt.IsZero() && sub.refusedRetryAt.Before(last) {
 			last = sub.refusedRetryAt
 		}
@@ -396,6 +436,13 @@
 	if j.timer != nil {
 		j.timer.Stop()
 	}
+	for i := range j.subs {
+		sub := &j.subs[i]
+		j.stopWaiting(sub)
+		if sub.waiting {
+			j.relay.offerSlot(time.Now(), sub.service) // its slot, which it doesn't use
+		}
+	}
 	for _, c := range j.calls {
 		c.Abandon(abandonLinger)
 	}
--- a/io/relay/query.go
+++ b/io/relay/query.go
@@ -27,6 +27,7 @@
 	defer cancel() // ends the delegated tasks
 	now := time.Now()
 	closeAt := j.closeAt()
+	j.setLatestStart(closeAt)
 	j.delegate(ctx, now, closeAt)
 	j.startCalls(now)
 	for {
@@ -55,6 +56,8 @@
 		switch {
 		case got && e.task != nil:
 			j.handleTask(now, *e.task)
+		case got && e.slot:
+			j.resume(now, e.sub)
 		case got:
 			j.handleCall(now, e)
 		}
@@ -129,6 +132,7 @@
 		return false
 	}
 	sub.settled = true
+	j.stopWaiting(sub)
 	j.relay.observePartSize(j.route, len(res.Reply.Body))
 	return true
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/await"
 	"oriolebarrow/core/budget"
 	"oriolebarrow/core/demand"
 	"oriolebarrow/core/picker"
@@ -94,6 +95,8 @@
 	completeLimiter *telem.LineLimiter // log lines of complete answers
 	otherLimiter    *telem.LineLimiter // log lines of all other answers
 
+	waiting *await.Queue[waiter] // subrequests that wait for a free slot
+
 	// finish is closed by Finish.
 	finish     chan struct{}
 	finishOnce sync.Once
@@ -115,6 +118,7 @@
 		Deps:            d,
 		completeLimiter: telem.NewLineLimiter(completeLinesPerSecond),
 		otherLimiter:    telem.NewLineLimiter(otherLinesPerSecond),
+		waiting:         await.New[waiter](),
 		times:           make(map[string]*budget.Times),
 
 		finish:    make(chan struct{}),
@@ -124,6 +128,19 @@
 	}
 }
 
+// waiter is a subrequest that waits for a free slot.
+type waiter struct {
+	job *job
+	sub *subrequest
+}
+
+// offerSlot gives a free slot at a replica of a service to the next subrequest that waits.
+func (r *Relay) offerSlot(now time.Time, s core.ServiceName) {
+	if w, ok := r.waiting.Next(now, s); ok {
+		w.job.results <- event{sub: w.sub, slot: true}
+	}
+}
+
 // SetTable makes a version of the routing document the active one.
 func (r *Relay) SetTable(t *route.Table) { r.table.Store(t) }
 
--- a/io/relay/single.go
+++ b/io/relay/single.go
@@ -17,6 +17,7 @@
 		return unavailable(core.ReasonNoReplica, retryNoReplica)
 	}
 	j.setServices([]core.ServiceName{service})
+	j.setLatestStart(j.start.Add(j.route.Target))
 	sub := &j.subs[0]
 	if !j.attempt(time.Now(), sub, retrySent) {
 		sub.reason = core.ReasonNoReplica
@@ -37,7 +38,9 @@
 			return Reply{Status: http.StatusGatewayTimeout, Reason: core.ReasonCallerLeft}
 		}
 		now = time.Now()
-		if got {
+		if got && e.slot {
+			j.resume(now, e.sub)
+		} else if got {
 			sub.running--
 			if reply, final := j.finalReply(now, e); final {
 				return reply
--- a/io/relay/task.go
+++ b/io/relay/task.go
@@ -173,8 +173,10 @@
 	j.setServices(rt.Gather)
 	j.shedder, j.demand = r.shedderFor(t.FirstService), r.demandFor(t.FirstService)
 	defer j.abandon()
+	closeAt := now.Add(time.Duration(t.CloseUS) * time.Microsecond)
+	j.setLatestStart(closeAt)
 	j.startCalls(now)
-	j.executeTask(ctx, now.Add(time.Duration(t.CloseUS)*time.Microsecond), sink)
+	j.executeTask(ctx, closeAt, sink)
 	r.logTask(j)
 	return nil
 }
@@ -206,10 +208,10 @@
 			return
 		}
 		now = time.Now()
-		if got {
-			if j.handleCall(now, e) {
-				unsent.add(e)
-			}
+		if got && e.slot {
+			j.resume(now, e.sub)
+		} else if got && j.handleCall(now, e) {
+			unsent.add(e)
 		}
 		j.startDueCalls(now)
 	}
