fix(budget): a changed window keeps the limit on extra calls

Cause: slices are numbered from the start by the window's length; a longer window made the numbers smaller than those of the counts, which no longer counted. Change: SetLimits starts the slices anew and carries the extra calls of the last window over. Before: TestChangedWindow failed (790 calls in a window of 60 after a change to 40 s); after: passes for 2, 10 and 40 s. Requests before the change are forgotten, so that less is allowed for a window, never more.

--- a/core/budget/extra.go
+++ b/core/budget/extra.go
@@ -63,10 +63,20 @@
 	return &Extra{limits: limits, hosts: max(1, hosts), services: make(map[core.ServiceName]*usage)}
 }
 
-// SetLimits changes the limits and keeps the counts.
-func (e *Extra) SetLimits(limits ExtraLimits) {
+// SetLimits changes the limits. If the window changes, its slices do as well: the extra calls
+// of the last window then count as calls of the first slice, and the requests are forgotten.
+func (e *Extra) SetLimits(now time.Time, limits ExtraLimits) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if limits.Window != e.limits.Window {
+		last := e.slice(now)
+		for s, u := range e.services {
+			rebased := new(usage)
+			rebased.extra.counts[0] = u.used(last)
+			e.services[s] = rebased
+		}
+		e.start = now
+	}
 	e.limits = limits
 }
 
--- a/core/budget/extra_test.go
+++ b/core/budget/extra_test.go
@@ -77,3 +77,34 @@
 		t.Errorf("got %d extra calls, allowed %.1f", got, allowed)
 	}
 }
+
+// TestChangedWindow guards against a change of the window that forgets the extra calls of the
+// last window, or that disables the limit.
+func TestChangedWindow(t *testing.T) {
+	for _, window := range []time.Duration{2 * time.Second, 10 * time.Second, 40 * time.Second} {
+		t.Run(window.String(), func(t *testing.T) {
+			limits := budget.ExtraLimits{Window: 10 * time.Second, Ratio: 0.2, Minimum: 60}
+			e := budget.NewExtra(limits, 1)
+			now := time.Now()
+			take := func(d time.Duration) (n int) {
+				for end := now.Add(d); now.Before(end); now = now.Add(10 * time.Millisecond) {
+					if e.Take(now, "tickets") {
+						n++
+					}
+				}
+				return n
+			}
+			take(20 * time.Second)
+			before := take(limits.Window)
+			limits.Window = window
+			e.SetLimits(now, limits)
+			if n := take(100 * time.Millisecond); before+n > int(limits.Minimum) {
+				t.Errorf("%d extra calls in the last window and %d right after the change, allowed %.0f", before, n, limits.Minimum)
+			}
+			take(window)
+			if n := take(window); n > int(limits.Minimum) || n < int(limits.Minimum/2) {
+				t.Errorf("%d extra calls in a window, allowed %.0f", n, limits.Minimum)
+			}
+		})
+	}
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -279,7 +279,7 @@
 
 // Reload replaces the settings that may change while the host runs.
 func (e *Edge) Reload(s Reloadable) {
-	e.extra.SetLimits(s.Extra)
+	e.extra.SetLimits(time.Now(), s.Extra)
 	e.grace.Store(int64(s.Grace))
 	e.log.Info("node: settings reloaded", "host", e.opts.Host, "extra_ratio", s.Extra.Ratio,
 		"extra_minimum", s.Extra.Minimum, "grace", s.Grace)
