feat(budget): rejected and unsent queries count as requests

Extra counted a request at its first call, so that queries which load shedding rejects, and parts that wait and are never sent, lowered the limit just in an overload. Change: requests count when a query or request is admitted. A host collects the queries that it rejects (budget.Rejected, for 250 ms at most) and reports them with its next admitted query: to itself and, in core.Task.Queries, to the owners. What is lost with a task isn't counted.

--- a/core/budget/extra.go
+++ b/core/budget/extra.go
@@ -103,11 +103,12 @@
 	return 1 / float64(e.hosts)
 }
 
-// RecordRequest records one request for a service.
-func (e *Extra) RecordRequest(now time.Time, s core.ServiceName) {
+// RecordRequests records n requests for a service. Requests count once callers have sent
+// them, whether or not a replica gets them.
+func (e *Extra) RecordRequests(now time.Time, s core.ServiceName, n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.usage(s).requests.add(e.slice(now))
+	e.usage(s).requests.add(e.slice(now), n)
 }
 
 // Take spends one extra call to a service. It returns false if the budget is empty.
@@ -118,7 +119,7 @@
 	if float64(u.used(slice)+1) > e.allowed(s, u, slice) {
 		return false
 	}
-	u.extra.add(slice)
+	u.extra.add(slice, 1)
 	return true
 }
 
@@ -181,9 +182,9 @@
 	return int64(now.Sub(e.start) / max(1, e.limits.Window/slicesPerWindow))
 }
 
-func (c *counter) add(slice int64) {
+func (c *counter) add(slice int64, n int) {
 	c.advance(slice)
-	c.counts[c.newest%keptSlices]++
+	c.counts[c.newest%keptSlices] += n
 }
 
 // sum returns the events of the slices from first to last.
--- a/core/budget/extra_test.go
+++ b/core/budget/extra_test.go
@@ -13,7 +13,10 @@
 // overload. In any window, all hosts together may make extra calls up to the ratio
 // times the requests plus the minimum; the requests are those of that window, of
 // the one half a window earlier or of the one before, whichever has most.
-func TestExtraCallsOfAllHosts(t *testing.T) {
+func TestExtraCallsOfAllHosts(t *testing.T) { checkWindows(t, 5) }
+
+// checkWindows checks the extra calls of random schedules at up to maxHosts hosts.
+func checkWindows(t *testing.T, maxHosts int) {
 	const window = 10 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		limits := budget.ExtraLimits{
@@ -21,7 +24,7 @@
 			Ratio:   rapid.Float64Range(0, 0.5).Draw(t, "ratio"),
 			Minimum: float64(rapid.IntRange(0, 60).Draw(t, "minimum")),
 		}
-		hosts := make([]*budget.Extra, rapid.IntRange(1, 5).Draw(t, "hosts"))
+		hosts := make([]*budget.Extra, rapid.IntRange(1, maxHosts).Draw(t, "hosts"))
 		for i := range hosts {
 			hosts[i] = budget.NewExtra(limits, len(hosts))
 		}
@@ -32,7 +35,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "gap_ms")) * time.Millisecond)
 			h := hosts[rapid.IntRange(0, len(hosts)-1).Draw(t, "host")]
 			for range rapid.IntRange(0, 15).Draw(t, "requests") {
-				h.RecordRequest(now, "tickets")
+				h.RecordRequests(now, "tickets", 1)
 				requests = append(requests, now)
 			}
 			for range rapid.IntRange(0, 40).Draw(t, "wanted") {
@@ -51,6 +54,67 @@
 	})
 }
 
+// TestRejectedQueriesCount guards against an overload in which the admitted queries get fewer
+// extra calls than callers have paid for with all of their requests, and against more than
+// that. Entry hosts reject queries and report them with their next admitted one to one of two
+// owners; reports may be lost. Owners make the extra calls.
+func TestRejectedQueriesCount(t *testing.T) {
+	const window = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		limits := budget.ExtraLimits{
+			Window:  window,
+			Ratio:   rapid.Float64Range(0, 0.5).Draw(t, "ratio"),
+			Minimum: float64(rapid.IntRange(0, 60).Draw(t, "minimum")),
+		}
+		entries := make([]budget.Rejected, rapid.IntRange(1, 9).Draw(t, "entries"))
+		owners := []*budget.Extra{budget.NewExtra(limits, 2), budget.NewExtra(limits, 2)}
+		now := time.Now()
+		var sent, extra []time.Time
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 10, 100, 300, 3000}).Draw(t, "gap_ms")) * time.Millisecond)
+			entry := &entries[rapid.IntRange(0, len(entries)-1).Draw(t, "entry")]
+			sent = append(sent, now)
+			if rapid.IntRange(0, 9).Draw(t, "admitted") > 3 {
+				entry.Add(now)
+				continue
+			}
+			owner := owners[rapid.IntRange(0, 1).Draw(t, "owner")]
+			queries := 1 + entry.Take(now)
+			if rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
+				continue
+			}
+			owner.RecordRequests(now, "tickets", queries)
+			for range rapid.IntRange(0, 20).Draw(t, "wanted") {
+				if owner.Take(now, "tickets") {
+					extra = append(extra, now)
+				}
+			}
+		}
+		for _, from := range extra {
+			got := within(extra, from, window)
+			most := max(within(sent, from, window), within(sent, from.Add(-window/2), window), within(sent, from.Add(-window), window))
+			if allowed := limits.Ratio*float64(most) + limits.Minimum; float64(got) > allowed {
+				t.Fatalf("%d extra calls in a window, allowed %v", got, allowed)
+			}
+		}
+	})
+}
+
+// TestRejectedOnce guards against rejected queries that count twice, or long after callers
+// have sent them.
+func TestRejectedOnce(t *testing.T) {
+	now := time.Now()
+	var r budget.Rejected
+	r.Add(now)
+	r.Add(now.Add(200 * time.Millisecond))
+	if n := r.Take(now.Add(300 * time.Millisecond)); n != 1 {
+		t.Errorf("took %d, want only the recent query", n)
+	}
+	if n := r.Take(now.Add(300 * time.Millisecond)); n != 0 {
+		t.Errorf("took %d of the same queries again", n)
+	}
+}
+
 func within(times []time.Time, from time.Time, window time.Duration) (n int) {
 	for _, at := range times {
 		if !at.Before(from) && at.Before(from.Add(window)) {
@@ -67,7 +131,7 @@
 	now, got := time.Now(), 0
 	for i := range 200 {
 		now = now.Add(100 * time.Millisecond)
-		e.RecordRequest(now, "tickets")
+		e.RecordRequests(now, "tickets", 1)
 		// No requests precede the first window, so less is allowed in it.
 		if e.Take(now, "tickets") && i >= 100 {
 			got++
--- a/core/shed/load_test.go
+++ b/core/shed/load_test.go
@@ -231,7 +231,7 @@
 		return false
 	}
 	if first {
-		q.host.extra.RecordRequest(sim.time(), service(shard))
+		q.host.extra.RecordRequests(sim.time(), service(shard), 1)
 	} else if !q.host.extra.Take(sim.time(), service(shard)) {
 		q.refused[shard] = true
 		return false
--- a/core/task.go
+++ b/core/task.go
@@ -21,7 +21,10 @@
 	CloseUS      int64         `json:"close_us"`  // time until the first result is due, in microseconds
 	FirstService ServiceName   `json:"set"`       // service of the query's first shard, by which load-shedding state is kept
 	MinRatio     float64       `json:"min_ratio"` // smallest share of the task's shards that suffices
-	Deadline     time.Time     `json:"-"`         // sent as remaining time
+	// Queries is 1 and the number of queries over these shards that the delegating host has
+	// rejected since its last admitted one: all of them count as requests.
+	Queries  int       `json:"queries"`
+	Deadline time.Time `json:"-"` // sent as remaining time
 }
 
 // TaskPart identifies a shard whose records are in a result. It has only the stamp
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -7,11 +7,9 @@
 	"time"
 
 	"oriolebarrow/core"
-	"oriolebarrow/core/demand"
 	"oriolebarrow/core/gather"
 	"oriolebarrow/core/picker"
 	"oriolebarrow/core/route"
-	"oriolebarrow/core/shed"
 	"oriolebarrow/io/client"
 )
 
@@ -115,11 +113,11 @@
 	timer        *time.Timer
 	query        *gather.Query // nil for a request that one replica answers
 	tasks        chan taskEvent
-	taskCount    int  // delegated tasks
-	pastClose    bool // the closing time has passed
-	shedder      *shed.Shedder
-	demand       *demand.Meter // nil for a request that one replica answers
-	taskOverload overload      // reported by the delegates
+	taskCount    int       // delegated tasks
+	pastClose    bool      // the closing time has passed
+	set          *shardSet // nil for a request that one replica answers
+	queries      int       // see core.Task.Queries
+	taskOverload overload  // reported by the delegates
 	events       eventLog
 	latestStart  time.Time // a call that starts later is probably not in time
 }
@@ -171,9 +169,7 @@
 		if !j.relay.Replicas.Start(now, replica) {
 			continue
 		}
-		if sub.attempts == 0 {
-			j.relay.Extra.RecordRequest(now, sub.service)
-		} else {
+		if sub.attempts > 0 {
 			j.extraCalls++
 			j.addEvent(now, sub, message, replica, "")
 		}
@@ -271,8 +267,8 @@
 		r.Client.CloseIdle(inst.ID)
 		r.Log.Warn("relay: replica ejected", "replica", inst.ID, "service", inst.Service, "request", j.req.ID, "cause", errText(res.Err))
 	}
-	if load := res.Reply.Load; load != nil && j.demand != nil {
-		j.demand.Observe(time.Now(), load.Running+load.Waiting, load.Slots)
+	if load := res.Reply.Load; load != nil && j.set != nil {
+		j.set.demand.Observe(time.Now(), load.Running+load.Waiting, load.Slots)
 	}
 	j.results <- event{sub: sub, replica: replica, result: res}
 	r.offerSlot(time.Now(), sub.service)
--- a/io/relay/query.go
+++ b/io/relay/query.go
@@ -18,7 +18,7 @@
 	if !j.reachable() {
 		return unavailable(core.ReasonNoReplica, retryNoReplica)
 	}
-	j.shedder, j.demand = j.relay.shedderFor(j.route.Gather[0]), j.relay.demandFor(j.route.Gather[0])
+	j.set = j.relay.setFor(j.route.Gather[0])
 	if after, ok := j.admit(); !ok {
 		return unavailable(core.ReasonBusy, after)
 	}
@@ -26,6 +26,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the delegated tasks
 	now := time.Now()
+	j.queries = 1 + j.set.rejected.Take(now)
 	closeAt := j.closeAt()
 	j.setLatestStart(closeAt)
 	j.delegate(ctx, now, closeAt)
@@ -74,7 +75,12 @@
 // startCalls starts the first call of each subrequest that is not delegated.
 func (j *job) startCalls(now time.Time) {
 	for i := range j.subs {
-		if sub := &j.subs[i]; !sub.delegated && !sub.settled && !j.attempt(now, sub, retrySent) {
+		sub := &j.subs[i]
+		if sub.delegated {
+			continue
+		}
+		j.relay.Extra.RecordRequests(now, sub.service, j.queries)
+		if !sub.settled && !j.attempt(now, sub, retrySent) {
 			j.settleUnavailable(sub)
 		}
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -21,10 +21,8 @@
 	"oriolebarrow/core"
 	"oriolebarrow/core/await"
 	"oriolebarrow/core/budget"
-	"oriolebarrow/core/demand"
 	"oriolebarrow/core/picker"
 	"oriolebarrow/core/route"
-	"oriolebarrow/core/shed"
 	"oriolebarrow/io/client"
 	"oriolebarrow/io/telem"
 )
@@ -102,11 +100,10 @@
 	finishOnce sync.Once
 
 	mu        sync.Mutex
-	times     map[string]*budget.Times           // call times by route
-	lag       time.Duration                      // see observeLag
-	partSizes map[string]float64                 // usual size of a part in bytes, by route
-	shedders  map[core.ServiceName]*shed.Shedder // by the first shard of the queries
-	demands   map[core.ServiceName]*demand.Meter // by the first shard of the queries
+	times     map[string]*budget.Times       // call times by route
+	lag       time.Duration                  // see observeLag
+	partSizes map[string]float64             // usual size of a part in bytes, by route
+	sets      map[core.ServiceName]*shardSet // by the first shard
 }
 
 var _ core.TaskRunner = (*Relay)(nil)
@@ -123,8 +120,7 @@
 
 		finish:    make(chan struct{}),
 		partSizes: make(map[string]float64),
-		shedders:  make(map[core.ServiceName]*shed.Shedder),
-		demands:   make(map[core.ServiceName]*demand.Meter),
+		sets:      make(map[core.ServiceName]*shardSet),
 	}
 }
 
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -370,8 +370,9 @@
 // fakeTasks is a stand-in for the tasks of another host. Depending on its mode, the host
 // executes them with relay or fails.
 type fakeTasks struct {
-	relay *relay.Relay
-	mode  string
+	relay   *relay.Relay
+	mode    string
+	queries atomic.Int64 // sum of core.Task.Queries
 }
 
 func (f *fakeTasks) Plan(time.Time, []core.ServiceName, bool) []core.TaskBatch {
@@ -379,6 +380,7 @@
 }
 
 func (f *fakeTasks) Run(ctx context.Context, _ core.Host, t core.Task, sink func(core.TaskResult)) error {
+	f.queries.Add(int64(t.Queries))
 	switch f.mode {
 	case "not run":
 		return &core.CallError{Op: "read", Reason: core.ReasonOwnerLost, NotRun: true}
--- a/io/relay/shed.go
+++ b/io/relay/shed.go
@@ -7,34 +7,29 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/budget"
 	"oriolebarrow/core/demand"
 	"oriolebarrow/core/picker"
 	"oriolebarrow/core/shed"
 )
 
-// shedderFor returns the load shedder of the queries over a set of shards. The first
-// shard identifies the set.
-func (r *Relay) shedderFor(first core.ServiceName) *shed.Shedder {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s, ok := r.shedders[first]
-	if !ok {
-		s = shed.New()
-		r.shedders[first] = s
-	}
-	return s
+// shardSet holds what this host has observed of the queries over a set of shards.
+type shardSet struct {
+	shedder  *shed.Shedder
+	demand   *demand.Meter
+	rejected budget.Rejected
 }
 
-// demandFor returns the demand meter of a set of shards. The first shard identifies the set.
-func (r *Relay) demandFor(first core.ServiceName) *demand.Meter {
+// setFor returns the state of a set of shards. The first shard identifies the set.
+func (r *Relay) setFor(first core.ServiceName) *shardSet {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m, ok := r.demands[first]
+	s, ok := r.sets[first]
 	if !ok {
-		m = demand.New()
-		r.demands[first] = m
+		s = &shardSet{shedder: shed.New(), demand: demand.New()}
+		r.sets[first] = s
 	}
-	return m
+	return s
 }
 
 // admit reports whether the query is admitted, and if not, after which time its caller may
@@ -42,11 +37,12 @@
 func (j *job) admit() (retryAfter time.Duration, ok bool) {
 	hash := xxhash.Sum64String(string(j.req.ID))
 	now := time.Now()
-	if j.shedder.Admit(now, hash) {
+	if j.set.shedder.Admit(now, hash) {
 		return 0, true
 	}
+	j.set.rejected.Add(now)
 	j.relay.Meter.Count("relay_no_room", 1)
-	return max(retrySoon, j.shedder.RetryAfter(j.deadline.Sub(now), j.route.Target, xxhash.Sum64String("after "+string(j.req.ID)))), false
+	return max(retrySoon, j.set.shedder.RetryAfter(j.deadline.Sub(now), j.route.Target, xxhash.Sum64String("after "+string(j.req.ID)))), false
 }
 
 // overload counts the shards of a query whose replicas were at capacity.
@@ -93,8 +89,8 @@
 func (j *job) updateShedder(now time.Time) {
 	o := j.countOverload(now)
 	enough := j.query.Enough()
-	j.shedder.Ended(enough, o.shards > 0 && (enough || j.query.EnoughWith(o.missing)))
+	j.set.shedder.Ended(enough, o.shards > 0 && (enough || j.query.EnoughWith(o.missing)))
 	if o.hasShare {
-		j.shedder.SetPeerShare(now, o.minShare)
+		j.set.shedder.SetPeerShare(now, o.minShare)
 	}
 }
--- a/io/relay/single.go
+++ b/io/relay/single.go
@@ -19,7 +19,9 @@
 	j.setServices([]core.ServiceName{service})
 	j.setLatestStart(j.start.Add(j.route.Target))
 	sub := &j.subs[0]
-	if !j.attempt(time.Now(), sub, retrySent) {
+	now := time.Now()
+	j.relay.Extra.RecordRequests(now, service, 1)
+	if !j.attempt(now, sub, retrySent) {
 		sub.reason = core.ReasonNoReplica
 		return unavailable(core.ReasonNoReplica, retryNoReplica)
 	}
--- a/io/relay/slots_test.go
+++ b/io/relay/slots_test.go
@@ -90,3 +90,32 @@
 		awaitCalls()
 	})
 }
+
+// TestRejectedQueriesReported guards against rejected queries that the hosts which call the
+// shards don't count as requests.
+func TestRejectedQueriesReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBackends()
+		other, _ := newRelay(t, b, 20, nil)
+		tasks := &fakeTasks{relay: other}
+		r, _ := newRelay(t, b, 20, tasks)
+		warmUp(r)
+		for i := range 5 {
+			b.setMode("shed", address(i, 0), address(i, 1))
+		}
+		const queries = 60
+		before := tasks.queries.Load()
+		rejected := 0
+		for i := range queries {
+			if reply, took := do(r, "/q/", i); reply.Status == 503 && took == 0 {
+				rejected++
+			}
+			<-time.After(20 * time.Millisecond)
+		}
+		reported := int(tasks.queries.Load() - before)
+		if rejected < 10 || reported > queries || reported < queries-rejected/2 {
+			t.Errorf("%d of %d queries were rejected and %d reported, want most of the rejected ones included", rejected, queries, reported)
+		}
+		awaitCalls()
+	})
+}
--- a/io/relay/task.go
+++ b/io/relay/task.go
@@ -36,7 +36,7 @@
 	if j.relay.Tasks == nil {
 		return
 	}
-	batches := j.relay.Tasks.Plan(now, j.route.Gather, j.demand.Short(now))
+	batches := j.relay.Tasks.Plan(now, j.route.Gather, j.set.demand.Short(now))
 	j.tasks = make(chan taskEvent, taskEventBuffer*len(batches))
 	for i := range batches {
 		b := &batches[i]
@@ -67,6 +67,7 @@
 		CloseUS:      (closeAt.Sub(now) - taskMargin).Microseconds(),
 		FirstService: j.route.Gather[0],
 		MinRatio:     j.route.MinRatio,
+		Queries:      j.queries,
 		Deadline:     j.deadline,
 	}
 	for i, s := range b.Shards {
@@ -90,7 +91,7 @@
 func (j *job) handleTask(now time.Time, e taskEvent) {
 	if e.result != nil {
 		j.taskOverload.add(e.result)
-		j.demand.ObservePeer(now, e.result.SlotsInUse)
+		j.set.demand.ObservePeer(now, e.result.SlotsInUse)
 		j.merge(e.batch, e.result)
 		return
 	}
@@ -137,6 +138,9 @@
 		sub.reason = core.ReasonBackendError
 	}
 	sub.ran = sub.ran || !notRun
+	if notRun {
+		j.relay.Extra.RecordRequests(now, sub.service, j.queries) // the delegate has not recorded them
+	}
 	if !notRun || !j.attempt(now, sub, retrySent) {
 		j.settle(sub)
 	}
@@ -171,7 +175,8 @@
 	})
 	j.query = gather.New(len(rt.Gather), rt.TopK, t.MinRatio)
 	j.setServices(rt.Gather)
-	j.shedder, j.demand = r.shedderFor(t.FirstService), r.demandFor(t.FirstService)
+	j.set = r.setFor(t.FirstService)
+	j.queries = max(1, t.Queries)
 	defer j.abandon()
 	closeAt := now.Add(time.Duration(t.CloseUS) * time.Microsecond)
 	j.setLatestStart(closeAt)
@@ -254,7 +259,7 @@
 	}
 	sink(core.TaskResult{
 		Parts: u.parts, Records: u.merged.Body(), Overloaded: o.shards, OverloadedMissing: o.missing,
-		AdmitShare: u.job.shedder.Share(), SlotsInUse: u.job.demand.InUse(),
+		AdmitShare: u.job.set.shedder.Share(), SlotsInUse: u.job.set.demand.InUse(),
 	})
 	u.reset()
 }
