feat(relay): log waits for slots and sets of shards that are short

Cause: an operator could not see why a part was missed that was never sent, nor who calls the replicas of a small set.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -48,26 +48,28 @@
 func New() *Meter { return new(Meter) }
 
 // Observe records the report of a replica: how many calls run or wait there, and its slots.
-func (m *Meter) Observe(now time.Time, busy, slots int) {
+// It reports whether the result of Short changed.
+func (m *Meter) Observe(now time.Time, busy, slots int) (changed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	share := min(maxInUse, float64(busy)/float64(max(1, slots)))
 	m.inUse += sampleWeight * (share - m.inUse)
-	m.update(now)
+	return m.update(now)
 }
 
 // ObservePeer records the share of the slots in use that a host reports which calls replicas
-// of the set for this one.
-func (m *Meter) ObservePeer(now time.Time, share float64) {
+// of the set for this one. It reports whether the result of Short changed.
+func (m *Meter) ObservePeer(now time.Time, share float64) (changed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.peer += peerWeight * (share - m.peer)
 	m.peerAt = now
-	m.update(now)
+	return m.update(now)
 }
 
-// update applies the thresholds.
-func (m *Meter) update(now time.Time) {
+// update applies the thresholds and reports whether the set became short or no longer is.
+func (m *Meter) update(now time.Time) (changed bool) {
+	before := m.short
 	share := m.inUse
 	if now.Sub(m.peerAt) < peerTTL {
 		share = max(share, m.peer)
@@ -78,6 +80,7 @@
 	case share <= shortBelow:
 		m.short = false
 	}
+	return m.short != before
 }
 
 // InUse returns the share of the slots in use that this host has observed, from 0 to 2;
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -110,6 +110,7 @@
 	hedgeAfter   time.Duration // hedge delay while the extra-call budget is full enough
 	callCount    int
 	extraCalls   int // hedges and retries among callCount
+	slotWaits    int // calls that had to wait for a free slot
 	timer        *time.Timer
 	query        *gather.Query // nil for a request that one replica answers
 	tasks        chan taskEvent
@@ -189,6 +190,7 @@
 		return
 	}
 	sub.waiting = true
+	j.slotWaits++
 	j.relay.Meter.Count("relay_slot_waits", 1)
 	j.relay.waiting.Add(sub.service, waiter{j, sub}, j.latestStart)
 }
@@ -268,7 +270,10 @@
 		r.Log.Warn("relay: replica ejected", "replica", inst.ID, "service", inst.Service, "request", j.req.ID, "cause", errText(res.Err))
 	}
 	if load := res.Reply.Load; load != nil && j.set != nil {
-		j.set.demand.Observe(time.Now(), load.Running+load.Waiting, load.Slots)
+		now := time.Now()
+		if j.set.demand.Observe(now, load.Running+load.Waiting, load.Slots) {
+			r.logDemand(now, j.set)
+		}
 	}
 	j.results <- event{sub: sub, replica: replica, result: res}
 	r.offerSlot(time.Now(), sub.service)
--- a/io/relay/log.go
+++ b/io/relay/log.go
@@ -36,6 +36,12 @@
 	taskLost         = "relay: host brought no part"
 )
 
+// Log messages about a set of shards.
+const (
+	setShort  = "relay: shards are short of slots, owners make the calls"
+	setEnough = "relay: shards have enough slots, each host makes its calls"
+)
+
 // logEvent is a decision about a request, or the cause of one.
 type logEvent struct {
 	at      time.Duration // since the request arrived
@@ -115,8 +121,11 @@
 			b.WriteByte(' ')
 		}
 		b.WriteString(string(sub.service))
-		if sub.reason != "" {
+		switch {
+		case sub.reason != "":
 			b.WriteString("=" + string(sub.reason))
+		case sub.waiting:
+			b.WriteString("=waiting") // for a free slot
 		}
 		for _, r := range sub.tried {
 			b.WriteString("/" + string(r.Instance().ID))
@@ -163,6 +172,7 @@
 		slog.Int("calls", j.callCount),
 		slog.Int("extra", j.extraCalls),
 		slog.Int("tasks", j.taskCount),
+		slog.Int("slot_waits", j.slotWaits),
 		slog.Int64("left_ms", j.req.Remaining.Milliseconds()),
 		slog.Int64("took_us", took.Microseconds()),
 		slog.String("missed", j.missedServices()),
@@ -184,12 +194,25 @@
 		slog.Int("shards", len(j.subs)),
 		slog.Int("calls", j.callCount),
 		slog.Int("extra", j.extraCalls),
+		slog.Int("slot_waits", j.slotWaits),
 		slog.Int64("took_us", time.Since(j.start).Microseconds()),
 		slog.String("missed", missed),
 		slog.Int64("left_out", skipped),
 	)
 }
 
+// logDemand logs that a set of shards became short of slots or no longer is.
+func (r *Relay) logDemand(now time.Time, s *shardSet) {
+	message := setEnough
+	if s.demand.Short(now) {
+		message = setShort
+	}
+	r.Log.LogAttrs(context.Background(), slog.LevelInfo, message,
+		slog.String("first_shard", string(s.first)),
+		slog.Int("in_use_pct", int(100*s.demand.InUse())),
+	)
+}
+
 // allowLine reports whether a request may be logged now, and how many requests of its kind
 // were not logged since the last one that was.
 func (r *Relay) allowLine(complete bool) (skipped int64, ok bool) {
--- a/io/relay/shed.go
+++ b/io/relay/shed.go
@@ -15,6 +15,7 @@
 
 // shardSet holds what this host has observed of the queries over a set of shards.
 type shardSet struct {
+	first    core.ServiceName // the first shard
 	shedder  *shed.Shedder
 	demand   *demand.Meter
 	rejected budget.Rejected
@@ -26,7 +27,7 @@
 	defer r.mu.Unlock()
 	s, ok := r.sets[first]
 	if !ok {
-		s = &shardSet{shedder: shed.New(), demand: demand.New()}
+		s = &shardSet{first: first, shedder: shed.New(), demand: demand.New()}
 		r.sets[first] = s
 	}
 	return s
--- a/io/relay/task.go
+++ b/io/relay/task.go
@@ -91,7 +91,9 @@
 func (j *job) handleTask(now time.Time, e taskEvent) {
 	if e.result != nil {
 		j.taskOverload.add(e.result)
-		j.set.demand.ObservePeer(now, e.result.SlotsInUse)
+		if j.set.demand.ObservePeer(now, e.result.SlotsInUse) {
+			j.relay.logDemand(now, j.set)
+		}
 		j.merge(e.batch, e.result)
 		return
 	}
