fix(relay): a set is short only if other calls use half of its slots

Cause: the load that a replica reports with an answer includes the answered call itself, so that a replica of two slots seemed half used when it was idle. Change: the call itself is subtracted; thresholds 0.5 and 0.4 of the slots. Test: io/relay TestShortSetsAreDivided; it fails without the subtraction.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	m := demand.New()
-//	m.Observe(now, 2, 2) // two calls run or wait at a replica of two slots
+//	m.Observe(now, 1, 2) // besides the call that ended, one runs at a replica of two slots
 //	if m.Short(now) {
 //		delegate(owners)
 //	}
@@ -25,8 +25,8 @@
 	sampleWeight = 0.004
 	// shortAbove and shortBelow are the shares of the slots in use at which a set becomes
 	// short, and at which it no longer is.
-	shortAbove = 0.4
-	shortBelow = 0.3
+	shortAbove = 0.5
+	shortBelow = 0.4
 	// maxInUse limits the effect of one replica with a long queue.
 	maxInUse = 2
 	// peerWeight is the weight of the newest share that another host has reported.
@@ -47,7 +47,8 @@
 // New returns a Meter of a set whose slots are free.
 func New() *Meter { return new(Meter) }
 
-// Observe records the report of a replica: how many calls run or wait there, and its slots.
+// Observe records the report of a replica with the end of a call: how many other calls run or
+// wait there, and its slots.
 // It reports whether the result of Short changed.
 func (m *Meter) Observe(now time.Time, busy, slots int) (changed bool) {
 	m.mu.Lock()
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -271,7 +271,11 @@
 	}
 	if load := res.Reply.Load; load != nil && j.set != nil {
 		now := time.Now()
-		if j.set.demand.Observe(now, load.Running+load.Waiting, load.Slots) {
+		others := load.Running + load.Waiting
+		if !res.NotRun {
+			others-- // the load includes the call itself
+		}
+		if j.set.demand.Observe(now, max(0, others), load.Slots) {
 			r.logDemand(now, j.set)
 		}
 	}
--- a/io/relay/slots_test.go
+++ b/io/relay/slots_test.go
@@ -119,3 +119,26 @@
 		awaitCalls()
 	})
 }
+
+// TestShortSetsAreDivided guards against owners for shards that are hardly used, since the load
+// that a replica reports includes the call itself, and against none for those that are short.
+func TestShortSetsAreDivided(t *testing.T) {
+	for load, want := range map[string]bool{"": false, "1,0,1": false, "2,1,2": true} {
+		t.Run("load "+load, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBackends()
+				b.load = load
+				other, _ := newRelay(t, b, 20, nil)
+				tasks := &fakeTasks{relay: other}
+				r, _ := newRelay(t, b, 20, tasks)
+				for i := range 60 {
+					do(r, "/q/", i)
+				}
+				if got := tasks.divide.Load(); got != want {
+					t.Errorf("divided is %v, want %v", got, want)
+				}
+				awaitCalls()
+			})
+		})
+	}
+}
