fix(relay): a part that joins the queue just after the last call ended gets a slot

Cause: between Pick, which finds all slots in use, and the entry into the queue the last running call may end; its slot is offered to nobody, and the part waits until another call to the service ends, a lone request until its deadline. Found by reading the change. Change: after it joined the queue, a part looks once more and passes the slot on if there is one.

--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -91,7 +91,7 @@
 	sub     *subrequest
 	replica *picker.Replica
 	result  client.Result
-	slot    bool       // a replica has a free slot for sub; no other field is set
+	slot    bool       // a replica has a free slot for sub; replica and result are not set
 	task    *taskEvent // if not nil, the only field that is set
 }
 
@@ -148,16 +148,16 @@
 }
 
 // attempt starts the next call of a subrequest. It returns false if no replica is
-// left to try or the extra-call budget is empty. If it should wait for a slot, the
+// left to try or the extra-call budget is empty. If no replica has a free slot, the
 // subrequest joins the relay's queue, and attempt returns true. A call beyond the first is
 // logged with message.
 func (j *job) attempt(now time.Time, sub *subrequest, message string) bool {
-	paid := false
+	paid := false // whether an extra call was taken from the budget
 	for {
 		replica, busy := j.relay.Replicas.Pick(now, sub.service, j.expected, sub.tried)
 		if replica == nil {
 			if busy {
-				j.awaitSlot(sub)
+				j.awaitSlot(now, sub)
 			}
 			return busy
 		}
@@ -168,7 +168,7 @@
 		}
 		paid = true
 		if !j.relay.Replicas.Start(now, replica) {
-			continue
+			continue // another job has just used the last slot
 		}
 		if sub.attempts > 0 {
 			j.extraCalls++
@@ -185,7 +185,7 @@
 }
 
 // awaitSlot adds a subrequest to the relay's queue.
-func (j *job) awaitSlot(sub *subrequest) {
+func (j *job) awaitSlot(now time.Time, sub *subrequest) {
 	if sub.waiting {
 		return
 	}
@@ -193,10 +193,14 @@
 	j.slotWaits++
 	j.relay.Meter.Count("relay_slot_waits", 1)
 	j.relay.waiting.Add(sub.service, waiter{j, sub}, j.latestStart)
+	// The last running call may have ended since Pick; then no end of a call offers a slot.
+	if replica, _ := j.relay.Replicas.Pick(now, sub.service, j.expected, sub.tried); replica != nil {
+		j.relay.offerSlot(now, sub.service)
+	}
 }
 
-// stopWaiting removes a subrequest from the relay's queue. If it has been given a slot, the
-// event is still to come, and resume passes the slot on.
+// stopWaiting removes a subrequest from the relay's queue. If it has just been given a slot,
+// it stays marked as waiting until resume handles the event and passes the slot on.
 func (j *job) stopWaiting(sub *subrequest) {
 	if sub.waiting && j.relay.waiting.Remove(sub.service, waiter{j, sub}) {
 		sub.waiting = false
--- a/io/relay/shed.go
+++ b/io/relay/shed.go
@@ -63,8 +63,9 @@
 }
 
 // countOverload counts the shards at capacity: those where a replica refused a call, the
-// extra-call budget was empty, a call waits for a slot, or a call is running although a tried
-// replica has lately reported at least as many waiting calls as it has slots.
+// extra-call budget was empty, or a call is running although a tried replica has lately
+// reported at least as many waiting calls as it has slots. A call that waits at this host for
+// a slot does not count: that happens whenever a replica pauses.
 func (j *job) countOverload(now time.Time) overload {
 	o := j.taskOverload
 	for i := range j.subs {
--- a/io/relay/slots_test.go
+++ b/io/relay/slots_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"oriolebarrow/core"
 )
 
 // TestFreeSlots guards against more calls in flight to a replica than it has slots, and
@@ -142,3 +144,31 @@
 		})
 	}
 }
+
+// pausingMeter holds up a request just before it joins the queue for a slot.
+type pausingMeter struct{ core.Meter }
+
+func (m pausingMeter) Count(name string, _ int64) {
+	if name == "relay_slot_waits" {
+		<-time.After(3 * serviceTime)
+	}
+}
+
+// TestSlotFreedMeanwhile guards against a request that waits until its deadline since the last
+// running call ended just before it joined the queue, so that no end of a call offers it a slot.
+func TestSlotFreedMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots = 4 // of the two replicas
+		b := newBackends()
+		r, _ := newRelay(t, b, 1, nil)
+		r.Meter = pausingMeter{core.MeterOr(nil)}
+		for i := range slots {
+			go do(r, "/v/", i)
+		}
+		synctest.Wait()
+		if reply, took := do(r, "/v/", slots); reply.Status != 200 || took > 5*serviceTime {
+			t.Errorf("got %d after %v although slots were free", reply.Status, took)
+		}
+		awaitCalls()
+	})
+}
