test(core): one simulated clock for the load tests

Cause: three load tests had the same event queue. Change: core/simul; the tests of core/await, core/demand and core/shed use it.

--- a/core/await/load_test.go
+++ b/core/await/load_test.go
@@ -1,7 +1,6 @@
 package await_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"time"
 
 	"oriolebarrow/core/await"
+	"oriolebarrow/core/simul"
 )
 
 const (
@@ -36,28 +36,10 @@
 	begin time.Duration
 }
 
-type event struct {
-	at time.Duration
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // shard simulates one shard. All calls go to one replica, since the other one is gone.
 type shard struct {
 	rng     *rand.Rand
-	now     time.Duration
-	events  events
+	clock   *simul.Clock
 	slots   int
 	running int
 	// fifo is the replica's own queue, waiting that of the owner. Only one of them is used.
@@ -70,10 +52,6 @@
 	ownerLost time.Duration
 }
 
-func (s *shard) after(d time.Duration, do func()) { heap.Push(&s.events, event{s.now + d, do}) }
-
-func (s *shard) time() time.Time { return time.Unix(1000, 0).Add(s.now) }
-
 // arrive starts a call and schedules the next one.
 func (s *shard) arrive(load float64) {
 	k, mean := &kinds[0], 0.0
@@ -84,19 +62,19 @@
 		mean += kinds[i].weight * kinds[i].work.Seconds()
 	}
 	rate := load * float64(s.slots) / mean
-	c := &call{k, s.now}
+	c := &call{k, s.clock.Elapsed()}
 	s.total[k] += k.payoff
 	switch {
 	case s.running < s.slots:
 		s.start(c)
-	case s.waiting != nil && !(s.ownerLost > 0 && s.now >= s.ownerLost):
+	case s.waiting != nil && !(s.ownerLost > 0 && s.clock.Elapsed() >= s.ownerLost):
 		latest := k.target - time.Duration(startFactor*float64(k.work))
-		s.waiting.Add("s", c, s.time().Add(latest))
+		s.waiting.Add("s", c, s.clock.Now().Add(latest))
 	default:
 		s.fifo = append(s.fifo, c)
 	}
-	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
-		if s.now < simulated {
+	s.clock.After(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		if s.clock.Elapsed() < simulated {
 			s.arrive(load)
 		}
 	})
@@ -105,9 +83,9 @@
 func (s *shard) start(c *call) {
 	s.running++
 	took := time.Duration(float64(c.kind.work) * math.Exp(0.35*s.rng.NormFloat64()-0.06))
-	s.after(took, func() {
+	s.clock.After(took, func() {
 		s.running--
-		if s.now-c.begin <= c.kind.target {
+		if s.clock.Elapsed()-c.begin <= c.kind.target {
 			s.earned[c.kind] += c.kind.payoff
 		}
 		s.next()
@@ -123,12 +101,12 @@
 		s.start(c)
 		return
 	}
-	for s.waiting != nil && !(s.ownerLost > 0 && s.now >= s.ownerLost) {
-		c, ok := s.waiting.Next(s.time(), "s")
+	for s.waiting != nil && !(s.ownerLost > 0 && s.clock.Elapsed() >= s.ownerLost) {
+		c, ok := s.waiting.Next(s.clock.Now(), "s")
 		if !ok {
 			return
 		}
-		if s.now-c.begin < c.kind.target {
+		if s.clock.Elapsed()-c.begin < c.kind.target {
 			s.start(c)
 			return
 		}
@@ -139,16 +117,12 @@
 func payoffs(load float64, owned bool, ownerLost time.Duration) (all, long, urgent float64) {
 	var earned, total [2]float64
 	for seed := range uint64(4) {
-		s := &shard{rng: rand.New(rand.NewPCG(seed, 3)), slots: 2, earned: map[*kind]float64{}, total: map[*kind]float64{}, ownerLost: ownerLost}
+		s := &shard{clock: simul.New(), rng: rand.New(rand.NewPCG(seed, 3)), slots: 2, earned: map[*kind]float64{}, total: map[*kind]float64{}, ownerLost: ownerLost}
 		if owned {
 			s.waiting = await.New[*call]()
 		}
 		s.arrive(load)
-		for len(s.events) > 0 {
-			e := heap.Pop(&s.events).(event)
-			s.now = e.at
-			e.do()
-		}
+		s.clock.Run()
 		for i := range kinds {
 			earned[i] += s.earned[&kinds[i]]
 			total[i] += s.total[&kinds[i]]
--- a/core/demand/load_test.go
+++ b/core/demand/load_test.go
@@ -1,7 +1,6 @@
 package demand_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 	"oriolebarrow/core"
 	"oriolebarrow/core/demand"
 	"oriolebarrow/core/picker"
+	"oriolebarrow/core/simul"
 )
 
 const (
@@ -26,23 +26,6 @@
 	minGain = 1.05
 )
 
-type event struct {
-	at time.Duration
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // server is a replica of the simulated shard, which serves first in, first out and pauses
 // for a moment now and then.
 type server struct {
@@ -54,8 +37,7 @@
 // shard simulates one shard whose calls are made by a number of hosts.
 type shard struct {
 	rng     *rand.Rand
-	now     time.Duration
-	events  events
+	clock   *simul.Clock
 	tables  []*picker.Table
 	servers map[core.InstanceID]*server
 	meter   *demand.Meter // of the first host
@@ -64,12 +46,12 @@
 }
 
 func newShard(hosts int, seed uint64) *shard {
-	s := &shard{rng: rand.New(rand.NewPCG(seed, 5)), servers: map[core.InstanceID]*server{}, meter: demand.New()}
+	s := &shard{clock: simul.New(), rng: rand.New(rand.NewPCG(seed, 5)), servers: map[core.InstanceID]*server{}, meter: demand.New()}
 	for h := range hosts {
 		table := picker.New(core.HostID(fmt.Sprint("h", h)), "a")
 		for i := range replicas {
 			id := core.InstanceID(fmt.Sprint("i-", i))
-			table.Put(s.time(), core.Instance{ID: id, Service: "s", Address: string(id), DataCentre: "a", Slots: slots})
+			table.Put(s.clock.Now(), core.Instance{ID: id, Service: "s", Address: string(id), DataCentre: "a", Slots: slots})
 			s.servers[id] = &server{}
 		}
 		s.tables = append(s.tables, table)
@@ -80,14 +62,10 @@
 	return s
 }
 
-func (s *shard) time() time.Time { return time.Unix(1000, 0).Add(s.now) }
-
-func (s *shard) after(d time.Duration, do func()) { heap.Push(&s.events, event{s.now + d, do}) }
-
 func (s *shard) pause(id core.InstanceID) {
-	s.after(time.Duration(s.rng.Float64()*2*float64(pauseEvery)), func() {
-		s.servers[id].pausing = s.now + pauseTime
-		if s.now < simulated {
+	s.clock.After(time.Duration(s.rng.Float64()*2*float64(pauseEvery)), func() {
+		s.servers[id].pausing = s.clock.Elapsed() + pauseTime
+		if s.clock.Elapsed() < simulated {
 			s.pause(id)
 		}
 	})
@@ -96,10 +74,10 @@
 // arrive makes a call from one of the hosts and schedules the next one.
 func (s *shard) arrive(load float64) {
 	s.calls++
-	s.call(s.tables[s.rng.IntN(len(s.tables))], s.now)
+	s.call(s.tables[s.rng.IntN(len(s.tables))], s.clock.Elapsed())
 	rate := load * replicas * slots / serviceTime.Seconds()
-	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
-		if s.now < simulated {
+	s.clock.After(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		if s.clock.Elapsed() < simulated {
 			s.arrive(load)
 		}
 	})
@@ -107,19 +85,19 @@
 
 // call makes a call, or tries again a millisecond later if it has to wait for a slot.
 func (s *shard) call(table *picker.Table, begin time.Duration) {
-	r, busy := table.Pick(s.time(), "s", serviceTime, nil)
+	r, busy := table.Pick(s.clock.Now(), "s", serviceTime, nil)
 	if busy {
-		s.after(ms, func() { s.call(table, begin) })
+		s.clock.After(ms, func() { s.call(table, begin) })
 		return
 	}
-	table.Start(s.time(), r)
-	start := s.now
+	table.Start(s.clock.Now(), r)
+	start := s.clock.Elapsed()
 	server := s.servers[r.Instance().ID]
 	var serve func()
 	serve = func() {
 		server.running++
-		took := time.Duration(float64(serviceTime)*math.Exp(0.35*s.rng.NormFloat64()-0.06)) + max(0, server.pausing-s.now)
-		s.after(took, func() {
+		took := time.Duration(float64(serviceTime)*math.Exp(0.35*s.rng.NormFloat64()-0.06)) + max(0, server.pausing-s.clock.Elapsed())
+		s.clock.After(took, func() {
 			server.running--
 			if len(server.waiting) > 0 {
 				next := server.waiting[0]
@@ -127,11 +105,11 @@
 				next()
 			}
 			load := picker.Load{Running: server.running, Waiting: len(server.waiting), Slots: slots}
-			table.Ended(s.time(), r, picker.CallEnd{Took: s.now - start, Expected: serviceTime, Load: &load})
+			table.Ended(s.clock.Now(), r, picker.CallEnd{Took: s.clock.Elapsed() - start, Expected: serviceTime, Load: &load})
 			if table == s.tables[0] {
-				s.meter.Observe(s.time(), load.Running+load.Waiting, load.Slots)
+				s.meter.Observe(s.clock.Now(), load.Running+load.Waiting, load.Slots)
 			}
-			if s.now-begin > lateAfter {
+			if s.clock.Elapsed()-begin > lateAfter {
 				s.late++
 			}
 		})
@@ -149,15 +127,9 @@
 	var calls, lateCalls int
 	for seed := range uint64(16) {
 		s := newShard(hosts, seed)
+		s.clock.At(simulated, func() { short = short || s.meter.Short(s.clock.Now()) })
 		s.arrive(load)
-		for len(s.events) > 0 {
-			e := heap.Pop(&s.events).(event)
-			s.now = e.at
-			e.do()
-			if s.now >= simulated && !short {
-				short = s.meter.Short(s.time())
-			}
-		}
+		s.clock.Run()
 		calls += s.calls
 		lateCalls += s.late
 	}
--- a/core/shed/load_test.go
+++ b/core/shed/load_test.go
@@ -1,7 +1,6 @@
 package shed_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -13,6 +12,7 @@
 	"oriolebarrow/core/budget"
 	"oriolebarrow/core/picker"
 	"oriolebarrow/core/shed"
+	"oriolebarrow/core/simul"
 )
 
 const (
@@ -74,24 +74,6 @@
 	shard int
 }
 
-type event struct {
-	at time.Duration
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // scenario is a rate of callers and a fault that lasts from faultFrom to faultTo.
 type scenario struct {
 	name  string
@@ -109,8 +91,7 @@
 type simulation struct {
 	scenario scenario
 	rng      *rand.Rand
-	now      time.Duration
-	queue    events
+	clock    *simul.Clock
 	hosts    []*host
 	replicas map[core.InstanceID]*replica
 	reject   bool // whether hosts may reject queries; false for the baseline
@@ -128,7 +109,7 @@
 func service(shard int) core.ServiceName { return core.ServiceName(fmt.Sprint("s", shard)) }
 
 func newSimulation(sc scenario, hosts int, seed uint64, reject bool) *simulation {
-	sim := &simulation{scenario: sc, rng: rand.New(rand.NewPCG(seed, 2)), replicas: map[core.InstanceID]*replica{}, reject: reject}
+	sim := &simulation{clock: simul.New(), scenario: sc, rng: rand.New(rand.NewPCG(seed, 2)), replicas: map[core.InstanceID]*replica{}, reject: reject}
 	for i := range hosts {
 		h := &host{
 			table:   picker.New(core.HostID(fmt.Sprint("h", i)), "a"),
@@ -140,22 +121,16 @@
 		for s := range shards {
 			for n := range 2 {
 				id := core.InstanceID(fmt.Sprint("s", s, "-", n))
-				h.table.Put(sim.time(), core.Instance{ID: id, Service: service(s), Address: string(id), DataCentre: "a", Slots: slots})
+				h.table.Put(sim.clock.Now(), core.Instance{ID: id, Service: service(s), Address: string(id), DataCentre: "a", Slots: slots})
 				sim.replicas[id] = &replica{slow: 1}
 			}
 		}
 	}
-	sim.at(faultFrom, func() { sim.setFault(sc.fault) })
-	sim.at(faultTo, func() { sim.setFault(func(_, _ int, r *replica) { r.shed, r.slow, r.silent = 0, 1, false }) })
+	sim.clock.At(faultFrom, func() { sim.setFault(sc.fault) })
+	sim.clock.At(faultTo, func() { sim.setFault(func(_, _ int, r *replica) { r.shed, r.slow, r.silent = 0, 1, false }) })
 	return sim
 }
 
-func (sim *simulation) time() time.Time { return time.Unix(1000, 0).Add(sim.now) }
-
-func (sim *simulation) at(at time.Duration, do func()) { heap.Push(&sim.queue, event{at: at, do: do}) }
-
-func (sim *simulation) after(d time.Duration, do func()) { sim.at(sim.now+d, do) }
-
 // setFault calls apply for each replica, unless apply is nil.
 func (sim *simulation) setFault(apply func(int, int, *replica)) {
 	if apply == nil {
@@ -168,28 +143,26 @@
 	}
 }
 
-func (sim *simulation) faultActive() bool { return sim.now >= faultFrom && sim.now < faultTo }
+func (sim *simulation) faultActive() bool {
+	return sim.clock.Elapsed() >= faultFrom && sim.clock.Elapsed() < faultTo
+}
 
 func (sim *simulation) run() {
 	sim.arrive()
-	for len(sim.queue) > 0 {
-		e := heap.Pop(&sim.queue).(event)
-		sim.now = e.at
-		e.do()
-	}
+	sim.clock.Run()
 }
 
 // arrive starts the query of a caller and schedules the next caller.
 func (sim *simulation) arrive() {
-	if sim.now >= runLength {
+	if sim.clock.Elapsed() >= runLength {
 		return
 	}
 	rate := sim.scenario.rate
 	if sim.faultActive() && sim.scenario.burst > 0 {
 		rate *= sim.scenario.burst
 	}
-	sim.submit(&query{begin: sim.now, firstTry: true})
-	sim.after(time.Duration(sim.rng.ExpFloat64()/rate*float64(time.Second)), sim.arrive)
+	sim.submit(&query{begin: sim.clock.Elapsed(), firstTry: true})
+	sim.clock.After(time.Duration(sim.rng.ExpFloat64()/rate*float64(time.Second)), sim.arrive)
 }
 
 func (sim *simulation) submit(q *query) {
@@ -199,14 +172,14 @@
 	switch {
 	case sim.faultActive() && q.firstTry:
 		sim.callers++
-	case sim.now >= faultTo+time.Second && q.firstTry:
+	case sim.clock.Elapsed() >= faultTo+time.Second && q.firstTry:
 		sim.afterCallers++
 	}
-	if sim.reject && !q.host.shedder.Admit(sim.time(), q.id) {
+	if sim.reject && !q.host.shedder.Admit(sim.clock.Now(), q.id) {
 		sim.rejected++
 		if q.firstTry {
-			sim.after(q.host.shedder.RetryAfter(callerTimeout, target, sim.rng.Uint64()), func() {
-				sim.submit(&query{begin: sim.now, rejected: true})
+			sim.clock.After(q.host.shedder.RetryAfter(callerTimeout, target, sim.rng.Uint64()), func() {
+				sim.submit(&query{begin: sim.clock.Elapsed(), rejected: true})
 			})
 		}
 		return
@@ -214,37 +187,37 @@
 	for s := range shards {
 		sim.send(q, s, true)
 	}
-	sim.after(closeAfter, func() { sim.close(q) })
+	sim.clock.After(closeAfter, func() { sim.close(q) })
 }
 
 func (sim *simulation) send(q *query, shard int, first bool) bool {
-	latestStart := sim.time().Add(q.begin + closeAfter - sim.now - serviceTime)
-	r, busy := q.host.table.Pick(sim.time(), service(shard), serviceTime, q.tried[shard])
+	latestStart := sim.clock.Now().Add(q.begin + closeAfter - sim.clock.Elapsed() - serviceTime)
+	r, busy := q.host.table.Pick(sim.clock.Now(), service(shard), serviceTime, q.tried[shard])
 	if r == nil && busy {
 		q.host.waiting.Add(service(shard), part{q, shard}, latestStart)
 		return true
 	}
 	if r == nil && !first {
-		r = q.host.table.PickTried(sim.time(), serviceTime, q.tried[shard])
+		r = q.host.table.PickTried(sim.clock.Now(), serviceTime, q.tried[shard])
 	}
 	if r == nil {
 		return false
 	}
 	if first {
-		q.host.extra.RecordRequests(sim.time(), service(shard), 1)
-	} else if !q.host.extra.Take(sim.time(), service(shard)) {
+		q.host.extra.RecordRequests(sim.clock.Now(), service(shard), 1)
+	} else if !q.host.extra.Take(sim.clock.Now(), service(shard)) {
 		q.refused[shard] = true
 		return false
 	}
 	q.tried[shard] = append(q.tried[shard], r)
-	q.host.table.Start(sim.time(), r)
-	c := &call{query: q, shard: shard, host: q.host, replica: r, begin: sim.now, first: first}
+	q.host.table.Start(sim.clock.Now(), r)
+	c := &call{query: q, shard: shard, host: q.host, replica: r, begin: sim.clock.Elapsed(), first: first}
 	server := sim.replicas[r.Instance().ID]
 	switch {
 	case server.silent:
-		sim.after(closeAfter, func() { sim.ended(c, false, true) })
+		sim.clock.After(closeAfter, func() { sim.ended(c, false, true) })
 	case sim.rng.Float64() < server.shed || len(server.waiting) >= queueLimit:
-		sim.after(refusalTime, func() { sim.ended(c, true, false) })
+		sim.clock.After(refusalTime, func() { sim.ended(c, true, false) })
 	case server.running < slots:
 		sim.serve(server, c)
 	default:
@@ -256,7 +229,7 @@
 func (sim *simulation) serve(server *replica, c *call) {
 	server.running++
 	took := time.Duration(server.slow * float64(serviceTime) * math.Exp(0.35*sim.rng.NormFloat64()-0.06))
-	sim.after(took, func() {
+	sim.clock.After(took, func() {
 		server.running--
 		if len(server.waiting) > 0 {
 			next := server.waiting[0]
@@ -269,8 +242,8 @@
 
 func (sim *simulation) ended(c *call, refused, silent bool) {
 	server := sim.replicas[c.replica.Instance().ID]
-	c.host.table.Ended(sim.time(), c.replica, picker.CallEnd{
-		Took: sim.now - c.begin, Expected: serviceTime, Refused: refused, Silent: silent,
+	c.host.table.Ended(sim.clock.Now(), c.replica, picker.CallEnd{
+		Took: sim.clock.Elapsed() - c.begin, Expected: serviceTime, Refused: refused, Silent: silent,
 		Load: &picker.Load{Running: server.running, Waiting: len(server.waiting), Slots: slots},
 	})
 	defer sim.offerSlot(c.host, c.shard)
@@ -301,7 +274,7 @@
 // offerSlot starts waiting calls to a shard until one has to wait again.
 func (sim *simulation) offerSlot(h *host, shard int) {
 	for {
-		p, ok := h.waiting.Next(sim.time(), service(shard))
+		p, ok := h.waiting.Next(sim.clock.Now(), service(shard))
 		if !ok {
 			return
 		}
@@ -329,7 +302,7 @@
 	for s := range shards {
 		triedOverloaded := false
 		for _, r := range q.tried[s] {
-			triedOverloaded = triedOverloaded || !q.included[s] && q.host.table.Overloaded(sim.time(), r)
+			triedOverloaded = triedOverloaded || !q.included[s] && q.host.table.Overloaded(sim.clock.Now(), r)
 		}
 		if q.refused[s] || triedOverloaded {
 			overloaded++
@@ -354,7 +327,7 @@
 		return
 	}
 	if q.firstTry {
-		sim.submit(&query{begin: sim.now, rejected: q.rejected})
+		sim.submit(&query{begin: sim.clock.Elapsed(), rejected: q.rejected})
 	}
 }
 
