--- a/core/demand/load_test.go
+++ b/core/demand/load_test.go
@@ -93,8 +93,7 @@
 	table.Start(s.clock.Now(), r)
 	start := s.clock.Elapsed()
 	server := s.servers[r.Instance().ID]
-	var serve func()
-	serve = func() {
+	serve := func() {
 		server.running++
 		took := time.Duration(float64(serviceTime)*math.Exp(0.35*s.rng.NormFloat64()-0.06)) + max(0, server.pausing-s.clock.Elapsed())
 		s.clock.After(took, func() {
