--- a/io/relay/slots_test.go
+++ b/io/relay/slots_test.go
@@ -76,18 +76,18 @@
 			running.Go(func() { do(r, "/q/", i) })
 		}
 		<-time.After(120 * time.Millisecond)
-		inTime := 0
+		var inTime atomic.Int32
 		for i := range 4 {
 			running.Go(func() {
 				if reply, took := do(r, "/q/", 100+i); reply.Status == 200 && took < 3*serviceTime {
-					inTime++
+					inTime.Add(1)
 				}
 			})
 			<-time.After(serviceTime)
 		}
 		running.Wait()
-		if inTime != 4 {
-			t.Errorf("%d of 4 new queries were answered within three service times, want all", inTime)
+		if n := inTime.Load(); n != 4 {
+			t.Errorf("%d of 4 new queries were answered within three service times, want all", n)
 		}
 		awaitCalls()
 	})
