test(core/demand): TestLongQueue fails without the limit it guards

Cause: since the threshold is 0.5, one long queue of 20 replicas made no set short even without the limit on one replica's share; the test could not fail. Change: one replica of ten. With the limit at 99 it fails, with 2 it passes.

--- a/core/demand/demand_test.go
+++ b/core/demand/demand_test.go
@@ -75,12 +75,12 @@
 	m := demand.New()
 	for i := range 1000 {
 		busy := 0
-		if i%20 == 0 {
+		if i%10 == 0 {
 			busy = 14
 		}
 		m.Observe(now, busy, 2)
 	}
 	if m.Short(now) {
-		t.Errorf("short with one busy replica of 20; in use %.2f", m.InUse())
+		t.Errorf("short with one busy replica of ten; in use %.2f", m.InUse())
 	}
 }
