--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -65,6 +65,7 @@
 	flag.Parse()
 	cases := map[string]func(*lab) (broken bool, err error){
 		"duplicate": duplicateRejections,
+		"forged":    forgedEntries,
 	}
 	c, ok := cases[*name]
 	if !ok {
