--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -64,8 +64,9 @@
 	keep := flag.Bool("keep", false, "keep the logs of the hosts")
 	flag.Parse()
 	cases := map[string]func(*lab) (broken bool, err error){
-		"duplicate": duplicateRejections,
-		"forged":    forgedEntries,
+		"duplicate":   duplicateRejections,
+		"forged":      forgedEntries,
+		"firstconfig": firstConfiguration,
 	}
 	c, ok := cases[*name]
 	if !ok {
