--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -67,6 +67,7 @@
 		"duplicate":   duplicateRejections,
 		"forged":      forgedEntries,
 		"firstconfig": firstConfiguration,
+		"shifted":     shiftedCallers,
 	}
 	c, ok := cases[*name]
 	if !ok {
--- a/review/lab/replica.go
+++ b/review/lab/replica.go
@@ -22,15 +22,18 @@
 
 // runLog records the executions of all replicas by the id of the request.
 type runLog struct {
-	mu   sync.Mutex
-	runs map[string][]run
-	next int
+	mu       sync.Mutex
+	runs     map[string][]run
+	arrivals map[string][]time.Time // of calls, rejected ones too
+	next     int
 }
 
 // String returns the replica and the stamp of its answer.
 func (r run) String() string { return fmt.Sprintf("%s (%s) gave %s", r.replica, r.service, r.stamp) }
 
-func newRunLog() *runLog { return &runLog{runs: make(map[string][]run)} }
+func newRunLog() *runLog {
+	return &runLog{runs: make(map[string][]run), arrivals: make(map[string][]time.Time)}
+}
 
 // add records an execution and returns its stamp.
 func (l *runLog) add(id, replica, service string) string {
@@ -42,6 +45,13 @@
 	return stamp
 }
 
+// arrived records the arrival of a call.
+func (l *runLog) arrived(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals[id] = append(l.arrivals[id], time.Now())
+}
+
 func (l *runLog) of(id string) []run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -59,6 +69,8 @@
 	// duplicate reports whether an answer is also sent a second time, at the point where
 	// the next answer on the connection is expected.
 	duplicate func() bool
+	// sheds reports whether a request is rejected although there is room.
+	sheds func() bool
 
 	mu       sync.Mutex
 	running  int
@@ -171,12 +183,17 @@
 	if id == "" {
 		return r.response(http.StatusBadRequest, id, "", nil, true)
 	}
+	r.log.arrived(id)
 	var deadline <-chan time.Time
 	if ms, err := strconv.Atoi(req.Header.Get("X-Deadline-Ms")); err == nil {
 		timer := time.NewTimer(time.Duration(ms) * time.Millisecond)
 		defer timer.Stop()
 		deadline = timer.C
 	}
+	if r.sheds != nil && r.sheds() {
+		r.record.printf("replica %s sheds %s as not executed", r.id, id)
+		return r.response(http.StatusServiceUnavailable, id, "", nil, true)
+	}
 	if !r.acquire(deadline, gone) {
 		select {
 		case <-gone:
