feat(io/client): connection of a failed call in the decision log

The logs couldn't tell the hypotheses apart: (a) the replica really rejected each call; (b) the host repeated a call without a rejection; (c) the caller's request was served twice; (d) one rejection was read as the answer to two calls.

Change: connections are numbered, and "relay: call refused" and "relay: call failed" name the connection and the time of the call. Counter obw_client_late_responses_total counts skipped responses to earlier requests.

Order: replica: rejects at 22.7672 and 22.7713; at 22.7786 it sends its answer a second time, after it received the third call; runs it at 22.7835 host: call refused connection=34 call_us=147 call refused connection=34 call_us=663 call refused connection=34 call_us=264, then answered 503 Two rejections at the replica and three at the host on one connection: (d). Ruled out: (a), the replica's record has two rejections; (b) and (c), each call of the order follows a rejection, and there is one "relay: answered".

Conclusion: the response is matched to a request id, which two calls share.

--- a/io/client/call.go
+++ b/io/client/call.go
@@ -16,6 +16,7 @@
 
 	mu          sync.Mutex
 	conn        *conn
+	connNumber  uint64 // of the connection that carries or carried the call
 	abandoned   bool
 	ended       bool
 	cancel      context.CancelFunc // cancels the dial; nil when none runs
@@ -64,6 +65,7 @@
 	c.mu.Lock()
 	c.ended = true
 	c.conn = nil
+	r.Conn = c.connNumber
 	if c.lingerTimer != nil {
 		c.lingerTimer.Stop()
 	}
@@ -113,6 +115,6 @@
 	if c.abandoned {
 		return false
 	}
-	c.conn = conn
+	c.conn, c.connNumber = conn, conn.number
 	return true
 }
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -17,6 +17,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -119,6 +120,8 @@
 	// byte of a response.
 	NoResponse bool
 	Took       time.Duration
+	// Conn numbers the connection that carried the call, from 1 on; 0 if there was none.
+	Conn uint64
 }
 
 // Client holds the connections to all instances. It is safe for concurrent use.
@@ -128,6 +131,8 @@
 	meter  core.Meter
 	memory *memoryBudget
 
+	lastConn atomic.Uint64 // number of the connection that was opened last
+
 	mu    sync.Mutex
 	pools map[core.InstanceID]*pool
 }
@@ -253,5 +258,5 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrDial, "%s: %v", t.Address, err)
 	}
-	return newConn(raw, p, &c.opts.Names), nil
+	return newConn(raw, p, c, c.lastConn.Add(1)), nil
 }
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -29,10 +29,12 @@
 
 // conn is one connection to an instance. Its read loop runs until it is closed.
 type conn struct {
-	raw   net.Conn
-	pool  *pool
-	names *core.HeaderNames
-	read  *bufio.Reader
+	raw    net.Conn
+	pool   *pool
+	names  *core.HeaderNames
+	meter  core.Meter
+	number uint64
+	read   *bufio.Reader
 
 	mu          sync.Mutex
 	call        *Call // the running call, if any
@@ -43,8 +45,11 @@
 	headBuf     []byte        // reused for the heads of requests
 }
 
-func newConn(raw net.Conn, p *pool, names *core.HeaderNames) *conn {
-	c := &conn{raw: raw, pool: p, names: names, read: bufio.NewReaderSize(raw, readBufferBytes), lastUsed: time.Now()}
+func newConn(raw net.Conn, p *pool, cl *Client, number uint64) *conn {
+	c := &conn{
+		raw: raw, pool: p, names: &cl.opts.Names, meter: cl.meter, number: number,
+		read: bufio.NewReaderSize(raw, readBufferBytes), lastUsed: time.Now(),
+	}
 	go c.readLoop()
 	return c
 }
@@ -187,6 +192,7 @@
 func (c *conn) receive(call *Call) bool {
 	res, err := c.readNext(call)
 	for skipped := 0; err == nil && skipped < maxSkipped && c.mismatch(res, call); skipped++ {
+		c.meter.Count("client_late_responses", 1)
 		if !res.reuse {
 			err = ErrMismatch
 			break
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -374,7 +374,7 @@
 	} else {
 		sub.ran = true
 	}
-	j.addEvent(now, sub, message, e.replica, cause(res))
+	j.addCallEvent(now, e, message)
 	retry := sub.attempts < j.route.Attempts && (j.route.Idempotent || res.NotRun)
 	if retry && j.attempt(now, sub, retrySent) {
 		return
--- a/io/relay/log.go
+++ b/io/relay/log.go
@@ -65,14 +65,21 @@
 }
 
 // addEvent records an event of a subrequest, with the fill of the extra-call budget.
-func (j *job) addEvent(now time.Time, sub *subrequest, message string, replica *picker.Replica, cause string) {
-	j.events.add(now.Sub(j.start), message,
+func (j *job) addEvent(now time.Time, sub *subrequest, message string, replica *picker.Replica, cause string, more ...slog.Attr) {
+	j.events.add(now.Sub(j.start), message, append([]slog.Attr{
 		slog.String("service", string(sub.service)),
 		slog.String("replica", string(replica.Instance().ID)),
 		slog.String("cause", cause),
 		slog.Int("attempt", sub.attempts),
 		slog.Int("budget_left_pct", int(100*j.relay.Extra.Fill(now, sub.service))),
-	)
+	}, more...)...)
+}
+
+// addCallEvent records the end of a call, with its connection: two calls that end on one
+// connection show which responses a replica sent there.
+func (j *job) addCallEvent(now time.Time, e event, message string) {
+	j.addEvent(now, e.sub, message, e.replica, cause(e.result),
+		slog.Uint64("connection", e.result.Conn), slog.Int64("call_us", e.result.Took.Microseconds()))
 }
 
 // addOpenParts records the shards whose parts are missing at the closing time.
