fix(io/client): never send a request twice on one connection

Cause: a rejected request is sent again to the same replica with the same request id, on the connection that was used last, which has just carried the rejection. A response was matched to a call by the request id alone, so a late second copy of the rejection was taken for the response to the second call while the replica ran it.

Change: client.Request.Earlier lists the earlier calls of the request; the pool passes over connections that carried one of them. If only such connections are idle and the limit is reached, a new one replaces the one idle longest. The identity of the connection now separates what the request id can't. All callers of the client go through job.send: orders, whole requests, parts of queries, tasks of other hosts.

Weighed: closing the connection after each rejection (a new connection for each rejection of a full replica, instead of each repeat at the same one); remembering ids at each connection (bounded memory, so not exact).

--- a/io/client/call.go
+++ b/io/client/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,9 +15,10 @@
 	done    func(Result)
 	start   time.Time
 
+	connNumber atomic.Uint64 // of the connection that carries or carried the call
+
 	mu          sync.Mutex
 	conn        *conn
-	connNumber  uint64 // of the connection that carries or carried the call
 	abandoned   bool
 	ended       bool
 	cancel      context.CancelFunc // cancels the dial; nil when none runs
@@ -65,7 +67,7 @@
 	c.mu.Lock()
 	c.ended = true
 	c.conn = nil
-	r.Conn = c.connNumber
+	r.Conn = c.connNumber.Load()
 	if c.lingerTimer != nil {
 		c.lingerTimer.Stop()
 	}
@@ -115,6 +117,7 @@
 	if c.abandoned {
 		return false
 	}
-	c.conn, c.connNumber = conn, conn.number
+	c.conn = conn
+	c.connNumber.Store(conn.number)
 	return true
 }
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -94,6 +94,10 @@
 	Body           []byte
 	Remaining      time.Duration // remaining time, sent to the replica unless it is 0
 	AvoidStaleConn bool          // must not use a connection that the replica may just have closed
+	// Earlier lists the earlier calls of the same request. The request is not sent on a
+	// connection that carried one of them, since a late copy of its response there would be
+	// taken for the response to this call: both have the same ID.
+	Earlier []*Call
 	// BodyBytes lowers the client's limit on the body of the response; 0 keeps it.
 	BodyBytes int
 }
@@ -164,7 +168,7 @@
 func (c *Client) Send(t Target, r Request, done func(Result)) *Call {
 	call := &Call{client: c, target: t, request: r, done: done, start: time.Now()}
 	p := c.pool(t)
-	conn, dial := p.take(call.start, r.AvoidStaleConn)
+	conn, dial := p.take(call.start, r.AvoidStaleConn, r.Earlier)
 	switch {
 	case conn != nil:
 		conn.run(call)
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,6 +67,11 @@
 	return !fresh || idle < maxFreshIdle
 }
 
+// carriedAny reports whether the connection carried one of the calls.
+func (c *conn) carriedAny(calls []*Call) bool {
+	return slices.ContainsFunc(calls, func(call *Call) bool { return call.connNumber.Load() == c.number })
+}
+
 // run sends the request of a call.
 func (c *conn) run(call *Call) {
 	if !call.attach(c) {
--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -26,20 +26,29 @@
 // take returns the idle connection that was used last, and closes those that can't be
 // used. If there is none and the limit allows another one, dial is true and a new
 // connection is reserved. If fresh is set, take returns only a connection that was used
-// so recently that no idle timeout of the replica has closed it.
-func (p *pool) take(now time.Time, fresh bool) (c *conn, dial bool) {
+// so recently that no idle timeout of the replica has closed it. It returns none that
+// carried one of the earlier calls. If only such connections are idle and the limit is
+// reached, a new connection replaces one of them.
+func (p *pool) take(now time.Time, fresh bool, earlier []*Call) (c *conn, dial bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		p.idle = p.idle[:last]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if c.carriedAny(earlier) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if c.usable(now, fresh) {
 			return c, false
 		}
 		p.open--
 		go c.close()
 	}
+	if !p.closed && p.open == p.limit && len(p.idle) > 0 {
+		p.idle[0].close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+		p.open--
+	}
 	if p.closed || p.open >= p.limit {
 		return nil, false
 	}
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -95,6 +95,12 @@
 	task    *taskEvent // if not nil, the only field that is set
 }
 
+// sentCall is a call of a subrequest.
+type sentCall struct {
+	*client.Call
+	sub *subrequest
+}
+
 // job is the state of one request while one goroutine serves it.
 type job struct {
 	relay        *Relay
@@ -104,7 +110,7 @@
 	start        time.Time
 	deadline     time.Time
 	subs         []subrequest
-	calls        []*client.Call
+	calls        []sentCall
 	results      chan event
 	expected     time.Duration // usual time of a call
 	hedgeAfter   time.Duration // hedge delay while the extra-call budget is full enough
@@ -220,6 +226,7 @@
 
 // send sends a call that the table of replicas has recorded as started.
 func (j *job) send(now time.Time, sub *subrequest, replica *picker.Replica) {
+	earlier := j.earlierCalls(sub)
 	sub.attempts++
 	sub.running++
 	if !slices.Contains(sub.tried, replica) {
@@ -245,10 +252,25 @@
 		Body:           j.req.Body,
 		Remaining:      j.deadline.Sub(now),
 		AvoidStaleConn: !j.route.Idempotent,
+		Earlier:        earlier,
 
 		BodyBytes: bodyBytes,
 	}, func(res client.Result) { j.callEnded(sub, replica, res) })
-	j.calls = append(j.calls, call)
+	j.calls = append(j.calls, sentCall{call, sub})
+}
+
+// earlierCalls returns the calls of a subrequest so far.
+func (j *job) earlierCalls(sub *subrequest) []*client.Call {
+	if sub.attempts == 0 {
+		return nil
+	}
+	calls := make([]*client.Call, 0, sub.attempts)
+	for _, c := range j.calls {
+		if c.sub == sub {
+			calls = append(calls, c.Call)
+		}
+	}
+	return calls
 }
 
 // callEnded records the end of a call and passes it to the job's goroutine. It runs
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -37,13 +37,16 @@
 	mu       sync.Mutex
 	ran      map[string]int    // executed requests, by address
 	received int               // requests
-	modes    map[string]string // by address; see answer
+	modes    map[string]string // by address; see answer and rejectTwice
+	rejected map[string]bool   // requests that rejectTwice rejected, by address and id
 	load     string            // the load that each replica reports; empty for none
 
 	endlessBytes atomic.Int64 // bytes sent by replicas in the mode "endless"
 }
 
-func newBackends() *backends { return &backends{ran: map[string]int{}, modes: map[string]string{}} }
+func newBackends() *backends {
+	return &backends{ran: map[string]int{}, modes: map[string]string{}, rejected: map[string]bool{}}
+}
 
 func (b *backends) setMode(mode string, addresses ...string) {
 	b.mu.Lock()
@@ -83,12 +86,22 @@
 func (b *backends) serve(c net.Conn, address string) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
+	late := "" // a second copy of a rejection
 	for {
 		req, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
+		if late != "" {
+			_, _ = io.WriteString(c, late)
+			late = ""
+		}
+		if rejection := b.rejectTwice(address, req.Header.Get("Req-Id")); rejection != "" {
+			_, _ = io.WriteString(c, rejection)
+			late = rejection
+			continue
+		}
 		b.mu.Lock()
 		mode, load := b.modes[address], b.load
 		b.received++
@@ -110,6 +123,19 @@
 	}
 }
 
+// rejectTwice returns a rejection for the first call of a request to a replica in the mode
+// "rejects twice", and otherwise nothing. The replica sends the rejection again after it has
+// received the next request on the connection.
+func (b *backends) rejectTwice(address, id string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.modes[address] != "rejects twice" || b.rejected[address+id] {
+		return ""
+	}
+	b.rejected[address+id] = true
+	return fmt.Sprintf("HTTP/1.1 503 Busy\r\nReq-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+}
+
 // answer answers a request as a replica in the given mode. It returns false if the
 // connection is to be closed.
 func answer(c net.Conn, mode, load, address, id string) bool {
