fix(io/client): accept no response without the request id of the call

What callers would see: an order that runs twice, or is answered 503 and runs.

Cause: health probes carry no request id and share connections with other calls. A response without an id was accepted for any call, so a late copy of a probe's rejection ended the call of an order as "not run".

Change: a response answers a call only if both have the same id or neither has one. Otherwise it is skipped if it names another request, as before, and ends the call as failed ("may have run") and closes the connection if it names none.

Conclusion: what says "not run" names the request that it says it of.

--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -197,7 +197,7 @@
 // receive reads the response to a call and reports whether the connection stays open.
 func (c *conn) receive(call *Call) bool {
 	res, err := c.readNext(call)
-	for skipped := 0; err == nil && skipped < maxSkipped && c.mismatch(res, call); skipped++ {
+	for skipped := 0; err == nil && skipped < maxSkipped && c.answersOther(res, call); skipped++ {
 		c.meter.Count("client_late_responses", 1)
 		if !res.reuse {
 			err = ErrMismatch
@@ -205,7 +205,7 @@
 		}
 		res, err = c.readNext(call)
 	}
-	if err == nil && c.mismatch(res, call) {
+	if err == nil && !c.answers(res, call) {
 		err = ErrMismatch
 	}
 	call.detach()
@@ -242,10 +242,17 @@
 	return readResponse(c.read, call.request.Method, l, func() func() { return startHeadTimeout(c.raw, c.read) })
 }
 
-// mismatch reports whether a response belongs to another request.
-func (c *conn) mismatch(res response, call *Call) bool {
-	id, ok := res.get(c.names.RequestID)
-	return ok && id != string(call.request.ID)
+// answers reports whether a response has the request ID of a call. A response without an ID
+// answers only a call without one: it may be a late copy of the response to a health probe.
+func (c *conn) answers(res response, call *Call) bool {
+	id, _ := res.get(c.names.RequestID)
+	return id == string(call.request.ID)
+}
+
+// answersOther reports whether a response names another request.
+func (c *conn) answersOther(res response, call *Call) bool {
+	_, ok := res.get(c.names.RequestID)
+	return ok && !c.answers(res, call)
 }
 
 // reply returns the reply that a response represents.
--- a/io/client/repeat_test.go
+++ b/io/client/repeat_test.go
@@ -125,3 +125,27 @@
 		})
 	}
 }
+
+// TestRepeatedProbeResponse guards against a late copy of the response to a health probe,
+// which has no request ID, that is taken for the response to an order: a copied rejection
+// would imply that the order did not run.
+func TestRepeatedProbeResponse(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nInstance: i-1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(response, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := &replica{scripts: []string{response, response + okResponse}}
+				cl := client.New(client.Options{Names: names, Dial: r.dial})
+				defer cl.Close()
+				if got := send(cl, ""); got.Err != nil {
+					t.Errorf("probe: got %v", got.Err)
+				}
+				if got := send(cl, "r"); got.NotRun || got.Err == nil && string(got.Reply.Body) != "ok" {
+					t.Errorf("order: got %+v, but the replica ran it", got)
+				}
+			})
+		})
+	}
+}
