fix(io/remote): match the answers of backend servers to calls

What callers would see (serve): an order that ran is reported as not run; a query gets the rows of another one.

Cause: net/http takes whatever arrives after a request was written for its response.

Ruled out: copies on an idle connection, which net/http closes.

Change: each call carries X-Call-Id, which the server echoes in every answer. Counter obw_remote_wrong_call_total.

Conclusion: io/peer needs no change: each exchange on a link between hosts has an id of its own (link.lastID), and a frame with another id is not delivered. io/front answers; it matches nothing.

--- a/io/remote/conns_test.go
+++ b/io/remote/conns_test.go
@@ -29,7 +29,7 @@
 					return
 				}
 				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(server, response)
+				_, _ = io.WriteString(server, echoCallID(response, req))
 			}
 		}()
 		return client, nil
--- a/io/remote/fuzz_test.go
+++ b/io/remote/fuzz_test.go
@@ -68,8 +68,9 @@
 	tb.Helper()
 	const limit = 64
 	var response atomic.Pointer[cannedResponse]
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a := response.Load()
+		w.Header().Set(remote.CallIDHeader, r.Header.Get(remote.CallIDHeader))
 		w.Header().Set(remote.ChecksumHeader, a.checksum)
 		w.WriteHeader(a.status)
 		_, _ = w.Write(a.body)
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,8 +28,13 @@
 	"oriolebarrow/core/pause"
 )
 
-// ChecksumHeader carries the CRC-32C of a response body in hexadecimal.
-const ChecksumHeader = "X-Crc32c"
+const (
+	// ChecksumHeader carries the CRC-32C of a response body in hexadecimal.
+	ChecksumHeader = "X-Crc32c"
+	// CallIDHeader identifies one HTTP call of a client. The server echoes it, so that a late
+	// copy of the response to an earlier call on the connection is not accepted.
+	CallIDHeader = "X-Call-Id"
+)
 
 const (
 	defaultMaxBytes = 1 << 20
@@ -63,6 +69,7 @@
 	clients map[string]limitedClient
 
 	openConns connCounter
+	lastCall  atomic.Uint64 // number of the last call, which is its CallIDHeader
 }
 
 var (
@@ -303,6 +310,7 @@
 	errPastDeadline = errors.New("remote: deadline passed before sending")
 	errAbandoned    = errors.New("remote: request was abandoned before it was sent")
 	errChecksum     = errors.New("remote: checksum does not match the response body")
+	errOtherCall    = errors.New("remote: response to another call")
 )
 
 // oneShotBody is a request body that net/http can read once and can't rewind. Its first
@@ -358,9 +366,9 @@
 		reader = body
 		size = int64(len(raw))
 	}
-	var connected atomic.Bool
+	var conn atomic.Pointer[net.Conn]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
 	})
 	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+r.address+r.path, reader)
 	if err != nil {
@@ -368,12 +376,14 @@
 	}
 	req.ContentLength = size
 	req.Header.Set("Content-Type", "application/json")
+	callID := strconv.FormatUint(c.lastCall.Add(1), 10)
+	req.Header.Set(CallIDHeader, callID)
 	resp, err := c.client(r.address).Do(req)
 	if err != nil {
 		// The request did not run if there was no connection, or if no byte of
 		// its body was passed to one: the server can't start a call that it
 		// can't read.
-		notRun := !connected.Load()
+		notRun := conn.Load() == nil
 		if body != nil {
 			notRun = body.abandon()
 		}
@@ -384,6 +394,12 @@
 		return &core.CallError{Op: r.op, Target: r.address, Reason: reason, NotRun: notRun, Cause: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get(CallIDHeader) != callID {
+		c.meter.Count("remote_wrong_call", 1)
+		// The response to this call may still come, so no other call can use the connection.
+		_ = (*conn.Load()).Close()
+		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonWrongAnswer, Cause: errOtherCall}
+	}
 	if resp.StatusCode != http.StatusOK {
 		return refusalError(r, resp)
 	}
--- a/io/remote/resend_test.go
+++ b/io/remote/resend_test.go
@@ -67,7 +67,7 @@
 		c.mu.Unlock()
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
-	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"); err != nil || !first {
+	if _, err := io.WriteString(conn, echoCallID("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", req)); err != nil || !first {
 		return
 	}
 	if c.cut == 0 {
@@ -182,7 +182,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(remote.CallIDHeader, r.Header.Get(remote.CallIDHeader))
 				w.WriteHeader(http.StatusServiceUnavailable)
 				_, _ = io.WriteString(w, c.body)
 			})}
--- a/io/remote/response_test.go
+++ b/io/remote/response_test.go
@@ -42,7 +42,7 @@
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		time.Sleep(p.delay)
-		_, _ = io.WriteString(server, p.response)
+		_, _ = io.WriteString(server, echoCallID(p.response, req))
 	})
 	return &countedConn{Conn: client, parent: p}, nil
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -106,7 +106,7 @@
 	mux.HandleFunc("POST /v1/read", s.read)
 	mux.HandleFunc("POST /v1/order", s.order)
 	mux.HandleFunc("POST /v1/cancel", s.cancel)
-	h := &http.Server{Handler: s.closeWhenLost(mux), ReadHeaderTimeout: 5 * time.Second, ConnState: s.connState}
+	h := &http.Server{Handler: echoCallID(s.closeWhenLost(mux)), ReadHeaderTimeout: 5 * time.Second, ConnState: s.connState}
 	s.mu.Lock()
 	s.http = h
 	s.mu.Unlock()
@@ -114,6 +114,16 @@
 	return nil
 }
 
+// echoCallID adds the id of the call to each answer.
+func echoCallID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(remote.CallIDHeader); id != "" {
+			w.Header().Set(remote.CallIDHeader, id)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // stop closes the listener and all connections.
 func (s *Server) stop() {
 	s.mu.Lock()
