--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -147,6 +147,9 @@
 	case "lost":
 		<-time.After(serviceTime)
 		return false
+	case "cut head":
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nReq-Id: %s\r\nStamp: %s-%s\r\n", id, address, id)
+		return false
 	case "paused":
 		took = 120 * time.Millisecond
 	case "slow":
@@ -320,6 +323,7 @@
 		{"first fails", [2]string{"failing", ""}, 500, 1},
 		{"first runs and answers 503", [2]string{"unavailable", ""}, 502, 1},
 		{"first is silent", [2]string{"silent", ""}, 504, 1},
+		{"head cut off", [2]string{"cut head", ""}, 502, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/io/remote/response_test.go
+++ b/io/remote/response_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -137,3 +138,26 @@
 		}
 	})
 }
+
+// TestTruncatedAnswers guards against an answer that is cut at any byte of its head or body
+// and is accepted as complete, or as proof that the call did not run.
+func TestTruncatedAnswers(t *testing.T) {
+	for _, whole := range []string{
+		okResponse(`{"snapshot":41,"shard":3,"rows":[]}`),
+		strings.Replace(okResponse(`{"refused":"busy","ran":false}`), "200 OK", "503 Busy", 1),
+	} {
+		for size := range len(whole) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &pipeServer{response: whole[:size]}
+				client := remote.New(remote.Options{Connections: 1, Dial: p.dial})
+				rows, err := client.Read(t.Context(), "b", core.ReadCall{Snapshot: 41, Shard: 3, Deadline: time.Now().Add(time.Second)})
+				client.Close()
+				p.wg.Wait()
+				var call *core.CallError
+				if !errors.As(err, &call) || call.NotRun {
+					t.Errorf("cut after %q: rows %s, error %v, want an error that is no proof", whole[:size], rows, err)
+				}
+			})
+		}
+	}
+}
