--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -61,14 +61,6 @@
 	idleCheckInterval = time.Second
 	// probeTimeout bounds one health check; pauses of a replica are shorter.
 	probeTimeout = 300 * time.Millisecond
-	// acceptAfterLeave is how long a leaving host still accepts connections: the
-	// load balancer removes a host after two failed checks, one per second.
-	acceptAfterLeave = 2500 * time.Millisecond
-	// graceMargin is how long before the end of the grace period the connections of
-	// running requests are closed. answerMargin is how long before that these
-	// requests are answered.
-	graceMargin  = 700 * time.Millisecond
-	answerMargin = 300 * time.Millisecond
 )
 
 // Options holds the settings of one host.
@@ -385,31 +377,3 @@
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
-
-// drain stops accepting callers and waits for running requests and tasks, within
-// the grace period.
-func (e *Edge) drain(server *http.Server, callers net.Listener) {
-	begin := time.Now()
-	e.leaving.Store(true)
-	e.front.DisableKeepAlive()
-	e.members.Leave()
-	e.log.Info("node: host leaves", "host", e.opts.Host)
-	grace := time.Duration(e.grace.Load())
-	wait := min(acceptAfterLeave, grace/2)
-	timer := time.NewTimer(wait)
-	<-timer.C
-	ctx, cancel := context.WithTimeout(context.Background(), grace-graceMargin-time.Since(begin))
-	defer cancel()
-	finish := time.AfterFunc(grace-graceMargin-answerMargin-time.Since(begin), func() {
-		e.log.Warn("node: requests that still run are given up")
-		e.relay.Finish()
-	})
-	defer finish.Stop()
-	if err := e.front.Shutdown(ctx, server, callers); err != nil {
-		e.log.Warn("node: requests still run at the end of the drain", "cause", err)
-		_ = server.Close() // closes the connections of these requests, as the warning reports
-	}
-	if open := e.taskServer.Drain(ctx); open > 0 {
-		e.log.Warn("node: tasks of other hosts still run at the end of the drain", "tasks", open)
-	}
-}
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -95,7 +95,11 @@
 	directory *directory
 	doc       core.Routing
 	delay     atomic.Int64 // nanoseconds until a replica answers
+	grace     time.Duration
 	stops     map[string]func()
+
+	runsMu sync.Mutex
+	runs   map[string]int // requests that replicas began, by id
 }
 
 func host(i int) string { return fmt.Sprint("host-", i) }
@@ -107,7 +111,7 @@
 func peerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:8002", i) }
 
 func newDeployment(t *testing.T, shards int) *deployment {
-	d := &deployment{t: t, network: newNetwork(), directory: &directory{changed: make(chan struct{})}, stops: map[string]func(){}}
+	d := &deployment{t: t, network: newNetwork(), directory: &directory{changed: make(chan struct{})}, grace: 6 * time.Second, stops: map[string]func(){}, runs: map[string]int{}}
 	d.delay.Store(int64(5 * time.Millisecond))
 	doc := core.Routing{Version: 3, Routes: []core.Route{{
 		Name: "query", Host: "h", Prefix: "/q/", Idempotent: true, Timeout: 2 * time.Second, Target: time.Second, Attempts: 2, TopK: 3, MinRatio: 0.9,
@@ -134,6 +138,9 @@
 		d.t.Fatal(err)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.runsMu.Lock()
+		d.runs[r.Header.Get(names.RequestID)]++
+		d.runsMu.Unlock()
 		<-time.After(time.Duration(d.delay.Load()))
 		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
 		w.Header().Set(names.Stamp, string(in.ID)+"-"+r.Header.Get(names.RequestID))
@@ -149,7 +156,7 @@
 		Host: core.HostID(host(i)), DataCentre: core.DataCentre([]string{"a", "b"}[i%2]),
 		CallerAddress: callerAddress(i), ReadyAddress: readyAddress(i), PeerAddress: peerAddress(i),
 		PeerSeeds: []string{peerAddress(0), peerAddress(9)}, TaskPort: 8003,
-		Names: names, Grace: 6 * time.Second,
+		Names: names, Grace: d.grace,
 		Extra:  budget.ExtraLimits{Window: 10 * time.Second, Ratio: 0.2, Minimum: 54},
 		Listen: d.network.listen, ListenPacket: d.network.listenPacket, Dial: d.network.dial,
 	}, d.directory, slog.New(slog.DiscardHandler))
