test(io/edge): connections in the accept queue end with their listener

Cause: in the in-memory network a connection that was queued when its listener closed stayed open for ever, where a kernel resets it; and two goroutines of the test wrote the error of one request.

Change: the queue is closed with the listener, also for a dial that comes at the same moment; one goroutine records what was read.

--- a/io/edge/drain_test.go
+++ b/io/edge/drain_test.go
@@ -35,28 +35,23 @@
 	const body = "order"
 	head := fmt.Sprintf("POST /order/1 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
 		names.RequestID, r.id, names.Deadline, longTimeout.Milliseconds(), len(body), body[:len(body)-1])
-	responses := make(chan *http.Response, 1)
+	read := make(chan struct{})
 	go func() {
+		defer close(read)
 		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		if err == nil {
 			_, err = io.ReadAll(res.Body)
 			_ = res.Body.Close()
 		}
-		r.err = err
-		responses <- res
+		if r.err = err; err == nil {
+			r.answered, r.status = true, res.StatusCode
+		}
 	}()
-	if _, err := io.WriteString(conn, head); err != nil {
-		r.err = err
-		return
-	}
+	// A write fails if the host has closed the connection, which the reader reports too.
+	_, _ = io.WriteString(conn, head)
 	<-time.After(time.Until(stopped.Add(r.sentAfter)))
-	if _, err := io.WriteString(conn, body[len(body)-1:]); err != nil {
-		r.err = err
-		return
-	}
-	if res := <-responses; r.err == nil {
-		r.answered, r.status = true, res.StatusCode
-	}
+	_, _ = io.WriteString(conn, body[len(body)-1:])
+	<-read
 }
 
 // TestLateRequestsAreAnswered guards against requests that a stopping host takes late in its
--- a/io/edge/network_test.go
+++ b/io/edge/network_test.go
@@ -41,6 +41,11 @@
 	client, server := net.Pipe()
 	select {
 	case l.conns <- server:
+		select {
+		case <-l.closed:
+			l.resetQueued()
+		default:
+		}
 		return client, nil
 	case <-l.closed:
 		return nil, errors.New("connection refused")
@@ -79,10 +84,24 @@
 		delete(l.network.listeners, l.address)
 		l.network.mu.Unlock()
 		close(l.closed)
+		l.resetQueued()
 	})
 	return nil
 }
 
+// resetQueued closes the connections that were not accepted, as a kernel does when a
+// listening socket is closed.
+func (l *listener) resetQueued() {
+	for {
+		select {
+		case c := <-l.conns:
+			_ = c.Close()
+		default:
+			return
+		}
+	}
+}
+
 func (l *listener) Addr() net.Addr { return address(l.address) }
 
 type address string
