fix(io/mirror): report a routing document as loaded when it is in force

Cause: install recorded the version before it called OnRouting, so that Loaded was true while route.New still built its index and the relay had no table.

Ruled out: the order of the directory's own state (loaded is set after a list is applied).

Change: the version is recorded when OnRouting has returned.

Test, seen to fail before: TestLoadedAfterRouting ("the document is reported as loaded, but is not in force").

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -396,16 +396,17 @@
 	}
 }
 
-// install activates a routing document if its version is higher than the active one's.
+// install activates a routing document if its version is higher than the active one's. The
+// document counts as loaded only when OnRouting has returned.
 func (m *Mirror) install(doc core.Routing) {
 	m.mu.Lock()
 	newer := doc.Version > m.routingVersion
-	if newer {
-		m.routingVersion = doc.Version
-	}
 	m.mu.Unlock()
 	if newer {
 		m.OnRouting(doc)
+		m.mu.Lock()
+		m.routingVersion = doc.Version
+		m.mu.Unlock()
 		m.Log.Info("mirror: routing document in force", "version", doc.Version, "routes", len(doc.Routes))
 	}
 }
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -120,7 +120,8 @@
 // the mirror activated.
 type testMirror struct {
 	*mirror.Mirror
-	replicas *picker.Table
+	replicas    *picker.Table
+	installTime time.Duration // how long it takes to activate a document
 
 	mu        sync.Mutex
 	installed []uint64
@@ -134,6 +135,7 @@
 		Feeds:     feeds,
 		Replicas:  m.replicas,
 		OnRouting: func(r core.Routing) {
+			<-time.After(m.installTime)
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			m.installed = append(m.installed, r.Version)
@@ -213,6 +215,30 @@
 	})
 }
 
+// TestLoadedAfterRouting guards against a mirror that reports a routing document as loaded
+// before the document is in force, which takes a while for a large one.
+func TestLoadedAfterRouting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newFakeDirectory()
+		m := startMirror(t, d, nil)
+		m.installTime = time.Second
+		advance(time.Second) // the directory has no document yet
+		d.put(routingItem(4))
+		for range 30 {
+			advance(100 * time.Millisecond)
+			if m.Loaded() && len(m.versions()) == 0 {
+				t.Fatal("the document is reported as loaded, but is not in force")
+			}
+			if _, err := m.Follow(t.Context(), 0, 0); err == nil && len(m.versions()) == 0 {
+				t.Fatal("another host gets a document that is not in force here")
+			}
+		}
+		if !m.Loaded() {
+			t.Error("the document is in force, but not reported as loaded")
+		}
+	})
+}
+
 // TestOutage checks an outage of the directory during which entries expire. Known replicas
 // must be kept during the outage. After it, expired entries must be published again in
 // time, or their replicas are removed two seconds after the outage.
