fix(core/budget): credit requests that move between hosts once

Cause: each host applied the ratio to the best of three windows of its own requests. Hosts that lose callers took the window before, hosts that get them the window itself, for the same callers.

Weighed: a common clock (hosts have none); the least of the windows (nothing is left at the beginning of an overload). A mean with the same weights everywhere can't exceed the best window of all hosts together.

Change: the ratio applies to the mean of the requests of the window and of the window before. Every window that contains the present is checked by itself.

Conclusion: the earlier bound credited what no window had.

--- a/core/budget/extra.go
+++ b/core/budget/extra.go
@@ -20,6 +20,10 @@
 	// initialShare is the fraction of the minimum that may be spent right after a
 	// start. It grows to the whole minimum within a window.
 	initialShare = 0.25
+	// earlierWeight is the weight of the requests of the window before, and the rest that
+	// of the window itself. The same weights on all hosts make the sum over the hosts the
+	// weighted mean of the sums, which the larger of the two sums is never below.
+	earlierWeight = 0.5
 )
 
 // ExtraLimits limits the extra calls (hedges and retries) to each service that all
@@ -30,13 +34,14 @@
 	Minimum float64 // extra calls that are allowed in addition to the ratio
 }
 
-// Extra is the extra-call budget of one host. For each service and any window, it
-// allows the ratio times the number of requests plus a share of the minimum. The
-// number of requests is the largest of three: that of the window itself, of the
-// window that begins half a window earlier, and of the window before. Each host
-// applies the ratio to its own requests and has an equal share of the minimum,
-// unless SetShares sets another, so all hosts together stay within the limits
-// without exchanging messages. It is safe for concurrent use.
+// Extra is the extra-call budget of one host. For each service and any window, all
+// hosts together may make extra calls up to the ratio times the number of requests
+// plus the minimum. The number of requests is the larger of that of the window and
+// that of the window before. Hosts don't exchange messages about it: each applies
+// the ratio to a mean of its own two numbers, with the same weights as all others,
+// since a host can't know which of the two is larger for all hosts together. Each
+// has an equal share of the minimum, unless SetShares sets another. It is safe for
+// concurrent use.
 type Extra struct {
 	mu       sync.Mutex
 	limits   ExtraLimits
@@ -116,55 +121,48 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u, slice := e.usage(s), e.slice(now)
-	if float64(u.used(slice)+1) > e.allowed(s, u, slice) {
-		return false
+	for first := slice - slicesPerWindow; first <= slice; first++ {
+		if float64(u.extra.sum(first, slice)+1) > e.allowed(s, u, first, slice) {
+			return false
+		}
 	}
 	u.extra.add(slice, 1)
 	return true
 }
 
-// Fill returns the unspent fraction of the extra calls to a service, 0 to 1.
+// Fill returns the unspent fraction of the extra calls to a service, 0 to 1, in the window
+// in which it is smallest.
 func (e *Extra) Fill(now time.Time, s core.ServiceName) float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u, slice := e.usage(s), e.slice(now)
-	allowed := e.allowed(s, u, slice)
-	if allowed <= 0 {
-		return 0
+	fill := 1.0
+	for first := slice - slicesPerWindow; first <= slice; first++ {
+		allowed := e.allowed(s, u, first, slice)
+		if allowed <= 0 {
+			return 0
+		}
+		fill = min(fill, 1-float64(u.extra.sum(first, slice))/allowed)
 	}
-	return max(0, 1-float64(u.used(slice))/allowed)
+	return max(0, fill)
 }
 
-// allowed returns how many extra calls may be made in the window that ends in a slice.
-func (e *Extra) allowed(s core.ServiceName, u *usage, slice int64) float64 {
+// allowed returns how many extra calls may be made until the end of slice in a window that
+// begins within the slice first. The requests of the slices in which a window begins or ends
+// may lie outside of it and don't count.
+func (e *Extra) allowed(s core.ServiceName, u *usage, first, slice int64) float64 {
+	requests := earlierWeight*float64(u.requests.sum(first+1-slicesPerWindow, first-1)) +
+		(1-earlierWeight)*float64(u.requests.sum(first+1, slice))
 	// Shortly before a restart, this host may already have spent its share of the
 	// minimum.
 	ramp := min(1, initialShare+(1-initialShare)*float64(slice)/slicesPerWindow)
-	return usableShare * (e.limits.Ratio*float64(u.creditedRequests(slice)) + ramp*e.share(s)*e.limits.Minimum)
+	return usableShare * (e.limits.Ratio*requests + ramp*e.share(s)*e.limits.Minimum)
 }
 
 // used returns the extra calls of the window that ends in a slice and of the slice
 // before that window.
 func (u *usage) used(slice int64) int { return u.extra.sum(slice-slicesPerWindow, slice) }
 
-// creditedRequests returns the number of requests to which the ratio applies in a
-// slice. Every window that contains the slice must stay within its limit, so the
-// smallest number of these windows counts.
-func (u *usage) creditedRequests(slice int64) int {
-	least := -1
-	for first := slice - slicesPerWindow; first <= slice; first++ {
-		most := max(
-			u.requests.sum(first+1, slice),
-			u.requests.sum(first+1-slicesPerWindow/2, min(slice, first-1+slicesPerWindow/2)),
-			u.requests.sum(first+1-slicesPerWindow, first-1),
-		)
-		if least < 0 || most < least {
-			least = most
-		}
-	}
-	return least
-}
-
 func (e *Extra) usage(s core.ServiceName) *usage {
 	u, ok := e.services[s]
 	if !ok {
