fix(io/relay): a retry that is missing after a failure is no overload

Cause: a subrequest whose extra call was refused by the budget counted as overloaded, also when its first call had failed; the test guards against just that.

Change: an empty budget counts as overload only if no call has failed. Calls that were refused, and hedges, count as before.

--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -168,7 +168,9 @@
 			return busy
 		}
 		if sub.attempts > 0 && !paid && !j.relay.Extra.Take(now, sub.service) {
-			sub.reason, sub.overloaded = core.ReasonBudget, true
+			// A retry that is missing after a failure shows no overload: with fewer queries,
+			// the same share would fail.
+			sub.reason, sub.overloaded = core.ReasonBudget, sub.overloaded || !sub.ran
 			j.addEvent(now, sub, noBudget, replica, "")
 			return false
 		}
