feat(core/picker): replicas that leave or ask for no requests

New on the users' pages: a replica that leaves says so in its answers; one that rejects with 503 may state how long it wants no requests. The client read neither, so that such replicas were called, asked again after 3 ms, and probed.

Change: platform names the field, io/client reads both (fractions; 600 s at most; the longest of several; what is no number is ignored and logged once), core/picker decides with the clock passed in. A leaving replica gets nothing for its lifetime, a waiting one nothing until then: calls, retries, hedges, repeats of refused parts, tasks of other hosts, health probes, connections in advance. A call that was picked before the statement arrived is not started after it. The statement ends with the lifetime (born, address, entry). If no replica of a service is left, requests are answered 503 at once, with the time until one is back; queries leave such shards out, or state when enough are back. The answer that bears the statement is delivered as before.

--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -132,6 +132,13 @@
 // minimum for an answer.
 func (q *Query) EnoughPossible() bool { return len(q.states)-q.lostCount >= q.minParts }
 
+// Lost reports whether the part of a shard is lost.
+func (q *Query) Lost(shard int) bool { return q.states[shard] == lost }
+
+// Excess returns how many of the lost parts would have to be found so that the minimum for
+// an answer is possible; it is not above 0 while EnoughPossible.
+func (q *Query) Excess() int { return q.lostCount - (len(q.states) - q.minParts) }
+
 // IncludedCount returns the number of included parts.
 func (q *Query) IncludedCount() int { return q.includedCount }
 
--- a/core/picker/replica.go
+++ b/core/picker/replica.go
@@ -70,6 +70,13 @@
 	Load          *Load // nil if not reported
 }
 
+// Notice is what a replica states about itself in an answer.
+type Notice struct {
+	Leaving bool          // it is about to stop and wants no further requests
+	Wait    time.Duration // it wants no requests for so long; 0 if it states nothing
+	Invalid bool          // it states a time that can't be understood, which is ignored
+}
+
 // Replica is one backend server as this host sees it. The lock of the table guards
 // its fields.
 type Replica struct {
@@ -80,6 +87,11 @@
 	inSubset     bool      // in the subset of the replicas that this host uses
 	warmUntil    time.Time // end of the warm-up, in which it is slow; counted from its first entry
 
+	// What the replica stated in Notices.
+	leaving   bool
+	invalid   bool
+	waitUntil time.Time
+
 	running int
 	calls   []runningCall
 	load    Load
@@ -111,7 +123,23 @@
 // of them differs.
 func (r *Replica) Instance() core.Instance { return r.initial }
 
-func (r *Replica) usable() bool { return !r.inst.Draining && !r.removed && !r.ejected }
+// usable reports whether requests may be sent to the replica.
+func (r *Replica) usable(now time.Time) bool {
+	return r.staying() && !r.ejected && !now.Before(r.waitUntil)
+}
+
+// staying reports whether the replica may get requests later, if not now.
+func (r *Replica) staying() bool { return !r.inst.Draining && !r.removed && !r.leaving }
+
+// note records a notice and reports whether it is news.
+func (r *Replica) note(now time.Time, n Notice) bool {
+	news := n.Leaving && !r.leaving || n.Invalid && !r.invalid || n.Wait > 0 && !now.Before(r.waitUntil)
+	r.leaving, r.invalid = r.leaving || n.Leaving, r.invalid || n.Invalid
+	if until := now.Add(n.Wait); n.Wait > 0 && until.After(r.waitUntil) {
+		r.waitUntil = until
+	}
+	return news
+}
 
 // cost returns the estimated time until the answer to a new call, in nanoseconds, plus
 // penalties for likely failures.
--- a/core/picker/table.go
+++ b/core/picker/table.go
@@ -224,13 +224,13 @@
 	}
 }
 
-// Instances returns the instances in this host's subsets that are not draining.
+// Instances returns the instances in this host's subsets that are not draining or leaving.
 func (t *Table) Instances() []core.Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	all := make([]core.Instance, 0, len(t.byID))
 	for _, r := range t.byID {
-		if !r.inst.Draining && r.inSubset {
+		if r.staying() && r.inSubset {
 			all = append(all, r.inst)
 		}
 	}
@@ -238,11 +238,11 @@
 }
 
 // InSubset returns an instance if it is in this host's subset and usable.
-func (t *Table) InSubset(id core.InstanceID) (core.Instance, bool) {
+func (t *Table) InSubset(now time.Time, id core.InstanceID) (core.Instance, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.byID[id]
-	if !ok || !r.inSubset || !r.usable() {
+	if !ok || !r.inSubset || !r.usable(now) {
 		return core.Instance{}, false
 	}
 	return r.inst, true
@@ -274,7 +274,7 @@
 	defer t.mu.Unlock()
 	var bestCost float64
 	for _, r := range t.byService[s] {
-		if !r.usable() || slices.Contains(tried, r) {
+		if !r.usable(now) || slices.Contains(tried, r) {
 			continue
 		}
 		if r.running >= t.maxCalls(r) {
@@ -305,10 +305,32 @@
 }
 
 // Available reports whether any replica of a service is usable.
-func (t *Table) Available(s core.ServiceName) bool {
+func (t *Table) Available(now time.Time, s core.ServiceName) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.ContainsFunc(t.byService[s], (*Replica).usable)
+	return slices.ContainsFunc(t.byService[s], func(r *Replica) bool { return r.usable(now) })
+}
+
+// Wait returns how long it takes until a replica of a service is usable again that asked for
+// no requests; 0 if there is none. It is meant for a service without a usable replica.
+func (t *Table) Wait(now time.Time, s core.ServiceName) (least time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.byService[s] {
+		if d := r.waitUntil.Sub(now); d > 0 && r.staying() && !r.ejected && (least == 0 || d < least) {
+			least = d
+		}
+	}
+	return least
+}
+
+// Note records what a replica states about itself in an answer, and reports whether it is
+// news. A leaving replica gets no more requests, and one that asks to wait gets none until
+// then, health probes included. The record ends with the replica's lifetime.
+func (t *Table) Note(now time.Time, r *Replica, n Notice) (news bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return r.note(now, n)
 }
 
 // PickTried returns the replica of tried that is expected to answer first; nil if none of
@@ -318,7 +340,7 @@
 	defer t.mu.Unlock()
 	var bestCost float64
 	for _, r := range tried {
-		if !r.usable() || r.running >= t.maxCalls(r) {
+		if !r.usable(now) || r.running >= t.maxCalls(r) {
 			continue
 		}
 		if cost := r.cost(now, expected, t.localDC); best == nil || cost < bestCost {
@@ -337,18 +359,18 @@
 }
 
 // AvailableIn reports whether a service has a usable replica in a data centre.
-func (t *Table) AvailableIn(s core.ServiceName, dc core.DataCentre) bool {
+func (t *Table) AvailableIn(now time.Time, s core.ServiceName, dc core.DataCentre) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.ContainsFunc(t.byService[s], func(r *Replica) bool { return r.usable() && r.inst.DataCentre == dc })
+	return slices.ContainsFunc(t.byService[s], func(r *Replica) bool { return r.usable(now) && r.inst.DataCentre == dc })
 }
 
-// Start records the start of a call. It returns false if calls that started since Pick have
-// used up the limits of Pick; the call must then not be sent.
+// Start records the start of a call. It returns false if since Pick the replica has become
+// unusable or calls have used up the limits of Pick; the call must then not be sent.
 func (t *Table) Start(now time.Time, r *Replica) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.running >= t.maxCalls(r) {
+	if !r.usable(now) || r.running >= t.maxCalls(r) {
 		return false
 	}
 	r.started(now)
@@ -369,7 +391,7 @@
 	defer t.mu.Unlock()
 	var due []*Replica
 	for _, r := range t.byID {
-		if r.ejected && !r.inst.Draining && !r.probing && !now.Before(r.probeAt) {
+		if r.ejected && r.staying() && !r.probing && !now.Before(r.probeAt) && !now.Before(r.waitUntil) {
 			r.probing = true
 			due = append(due, r)
 		}
--- a/core/picker/table_test.go
+++ b/core/picker/table_test.go
@@ -171,7 +171,7 @@
 	if calls > 8 {
 		t.Errorf("%d calls to silent replicas, want at most 8", calls)
 	}
-	if table.Available(service(0)) {
+	if table.Available(now, service(0)) {
 		t.Error("the shard is available although no replica answers")
 	}
 	now = now.Add(second)
@@ -215,7 +215,7 @@
 	table := newTable(t, now, 1)
 	table.Remove(now, "0-home", true)
 	table.Remove(now, "0-away", true)
-	if !table.Available(service(0)) {
+	if !table.Available(now, service(0)) {
 		t.Fatal("replicas whose entries are held are not usable")
 	}
 	table.Put(now.Add(second), core.Instance{ID: "0-home", Service: service(0), Address: "10.0.0.4:80", DataCentre: "home"})
--- a/core/routing.go
+++ b/core/routing.go
@@ -105,6 +105,7 @@
 	Parts      string // stamps of the parts of a gathered answer
 	Missing    string // number of shards missing from a gathered answer
 	RetryAfter string // seconds, with fractions
+	Leaving    string // 1 when a replica is about to stop
 }
 
 // Field is one HTTP header field.
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -36,6 +36,8 @@
 	// connection is no longer used, so that no request is sent while the replica
 	// closes the connection.
 	idleMargin = 500 * time.Millisecond
+	// maxWait bounds the time for which a replica can ask for no requests.
+	maxWait = 10 * time.Minute
 	// maxHeadBytes bounds the head of a response, which usually has a few hundred
 	// bytes.
 	maxHeadBytes = 16 << 10
@@ -112,6 +114,9 @@
 	// AddressReused is set when another instance uses the address now.
 	AddressReused bool
 	Load          *picker.Load
+	Leaving       bool          // the replica is about to stop
+	Wait          time.Duration // the replica wants no requests for so long
+	InvalidWait   bool          // the replica stated a time that can't be understood
 }
 
 // Result is the outcome of a call.
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -266,9 +266,28 @@
 	if text, ok := res.get(c.names.Load); ok {
 		r.Load = parseLoad(text)
 	}
+	if text, ok := res.get(c.names.Leaving); ok {
+		r.Leaving = text == "1"
+	}
+	if res.status == http.StatusServiceUnavailable {
+		r.Wait, r.InvalidWait = c.wait(res)
+	}
 	return r
 }
 
+// wait returns the longest valid time that the Retry-After fields of a response state, and
+// whether one of them is invalid.
+func (c *conn) wait(res response) (longest time.Duration, invalid bool) {
+	for _, f := range res.fields {
+		if !strings.EqualFold(f.Name, c.names.RetryAfter) {
+			continue
+		}
+		d, ok := parseWait(f.Value)
+		longest, invalid = max(longest, d), invalid || !ok
+	}
+	return longest, invalid
+}
+
 // abort closes the connection. The read loop then ends the call.
 func (c *conn) abort() {
 	c.mu.Lock()
--- a/io/client/response.go
+++ b/io/client/response.go
@@ -190,6 +190,19 @@
 	return 0
 }
 
+// parseWait parses a number of seconds, which may have a fraction. It returns false if the
+// text is no such number. A longer time than maxWait counts as maxWait.
+func parseWait(text string) (time.Duration, bool) {
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, false
+	}
+	s, err := strconv.ParseFloat(text, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return 0, false
+	}
+	return time.Duration(min(s, maxWait.Seconds()) * float64(time.Second)), true
+}
+
 // parseLoad parses "running,waiting,slots". Some replicas add a fourth value: the service
 // time in percent of the usual one. Further values are ignored. parseLoad returns nil if
 // the text is invalid.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -154,7 +154,7 @@
 	e.extra = budget.NewExtra(o.Extra, e.hostCount())
 	e.grace.Store(int64(o.Grace))
 	e.peers = peer.NewClient(o.Host, inc, taskDial(o.Dial, o.TaskPort))
-	e.taskClient = tasks.New(tasks.Deps{Self: self, Views: detector, Reachability: detector, Near: e.replicas.AvailableIn, Peers: e.peers, Log: log})
+	e.taskClient = tasks.New(tasks.Deps{Self: self, Views: detector, Reachability: detector, Near: e.availableIn, Peers: e.peers, Log: log})
 	e.relay = relay.New(relay.Deps{
 		Self:     o.Host,
 		Tasks:    e.taskClient,
@@ -198,6 +198,11 @@
 	}
 }
 
+// availableIn reports whether a service has a usable replica in a data centre.
+func (e *Edge) availableIn(s core.ServiceName, dc core.DataCentre) bool {
+	return e.replicas.AvailableIn(time.Now(), s, dc)
+}
+
 // hostCount returns the number of hosts that share limits, this one included. The
 // number is assumed until the other hosts are known.
 func (e *Edge) hostCount() int { return e.members.HostCount(time.Now()) }
--- a/io/edge/warm.go
+++ b/io/edge/warm.go
@@ -16,7 +16,7 @@
 // reconnect queues a new connection to an instance that closed its last one while
 // it was idle. Otherwise the next query would wait until the connection is set up.
 func (e *Edge) reconnect(id core.InstanceID) {
-	if in, ok := e.replicas.InSubset(id); ok {
+	if in, ok := e.replicas.InSubset(time.Now(), id); ok {
 		e.queueWarming(in) // warmInstance checks whether this host still calls the service
 	}
 }
@@ -56,13 +56,16 @@
 // prepared reports whether this host knows the other hosts and enough replicas to
 // serve the active routing document.
 func (e *Edge) prepared() bool {
-	return e.members.Joined(time.Now()) && e.relay.Table().Servable(e.replicas.Available)
+	return e.members.Joined(time.Now()) && e.relay.Table().Servable(e.available)
 }
 
+// available reports whether a service has a usable replica.
+func (e *Edge) available(s core.ServiceName) bool { return e.replicas.Available(time.Now(), s) }
+
 // servicesWithoutReplica returns the routed services without an available replica.
 func (e *Edge) servicesWithoutReplica() (services []core.ServiceName) {
 	for _, s := range e.relay.Table().Services() {
-		if !e.replicas.Available(s) {
+		if !e.available(s) {
 			services = append(services, s)
 		}
 	}
@@ -136,6 +139,7 @@
 	healthy := false
 	select {
 	case res := <-result:
+		e.relay.Note(time.Now(), r, res)
 		healthy = res.Err == nil && !res.Reply.AddressReused && (res.Reply.Status == http.StatusOK || res.NotRun)
 	case <-timer.C:
 		call.Abandon(0)
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -176,20 +176,20 @@
 		d.put(instanceItem("i-1", false))
 		m := startMirror(t, d, nil)
 		advance(time.Second)
-		if !m.Loaded() || !m.replicas.Available("tickets") {
+		if !m.Loaded() || !m.replicas.Available(time.Now(), "tickets") {
 			t.Fatal("the initial state was not loaded")
 		}
 		d.put(routingItem(5))
 		advance(400 * time.Millisecond)
 		d.put(instanceItem("i-1", true))
 		advance(400 * time.Millisecond)
-		if m.replicas.Available("tickets") {
+		if m.replicas.Available(time.Now(), "tickets") {
 			t.Error("a draining replica is available")
 		}
 		d.put(instanceItem("i-2", false))
 		d.withLock(func() { d.compacted = d.revision })
 		advance(400 * time.Millisecond)
-		if !m.replicas.Available("tickets") {
+		if !m.replicas.Available(time.Now(), "tickets") {
 			t.Error("an entry was missed after the history was discarded")
 		}
 		if got := m.versions(); !slices.Equal(got, []uint64{2, 5}) {
@@ -264,7 +264,7 @@
 		}
 		d.put(instanceItem("i-1", false))
 		advance(2 * time.Second)
-		if m.replicas.Size() != 1 || !m.replicas.Available("tickets") {
+		if m.replicas.Size() != 1 || !m.replicas.Available(time.Now(), "tickets") {
 			t.Errorf("%d replicas are known, want only the one that was published again", m.replicas.Size())
 		}
 	})
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -292,6 +292,7 @@
 		AddressReused: res.Reply.AddressReused,
 		Load:          res.Reply.Load,
 	}
+	r.Note(time.Now(), replica, res)
 	if r.Replicas.Ended(time.Now(), replica, e) {
 		inst := replica.Instance()
 		r.Client.CloseIdle(inst.ID)
--- a/io/relay/query.go
+++ b/io/relay/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"oriolebarrow/core"
@@ -15,8 +16,8 @@
 func (j *job) serveQuery(ctx context.Context) Reply {
 	j.query = gather.New(len(j.route.Gather), j.route.TopK, j.route.MinRatio)
 	j.setServices(j.route.Gather)
-	if !j.reachable() {
-		return unavailable(core.ReasonNoReplica, retryNoReplica)
+	if now := time.Now(); !j.reachable(now) {
+		return unavailable(core.ReasonNoReplica, j.queryRetryAfter(now, retryNoReplica))
 	}
 	j.set = j.relay.setFor(j.route.Gather[0])
 	if after, ok := j.admit(); !ok {
@@ -89,15 +90,32 @@
 // reachable reports whether enough shards have a usable replica, so that no shard
 // is called for a query that cannot be answered. It settles the subrequests of
 // shards without one.
-func (j *job) reachable() bool {
+func (j *job) reachable(now time.Time) bool {
 	for i := range j.subs {
-		if !j.relay.Replicas.Available(j.subs[i].service) {
+		if !j.relay.Replicas.Available(now, j.subs[i].service) {
 			j.settleUnavailable(&j.subs[i])
 		}
 	}
 	return j.query.EnoughPossible()
 }
 
+// queryRetryAfter returns after which time enough shards may have a usable replica again, or
+// usual if no replica asked to wait.
+func (j *job) queryRetryAfter(now time.Time, usual time.Duration) time.Duration {
+	excess := j.query.Excess()
+	if excess <= 0 {
+		return usual
+	}
+	var waits []time.Duration
+	for i := range j.subs {
+		if j.query.Lost(i) {
+			waits = append(waits, j.relay.retryAfter(now, j.subs[i].service, usual))
+		}
+	}
+	slices.Sort(waits)
+	return waits[excess-1]
+}
+
 func (j *job) settleUnavailable(sub *subrequest) {
 	if sub.reason == "" {
 		sub.reason = core.ReasonNoReplica
@@ -161,7 +179,7 @@
 		}
 	}
 	if !j.mayHaveRun() {
-		return unavailable(core.ReasonBusy, retrySoon)
+		return unavailable(core.ReasonBusy, j.queryRetryAfter(time.Now(), retrySoon))
 	}
 	if !time.Now().Before(j.deadline.Add(-answerMargin)) {
 		return Reply{Status: http.StatusGatewayTimeout, Reason: core.ReasonDeadline}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -182,6 +182,33 @@
 	return reply
 }
 
+// retryAfter returns the Retry-After of a request that no replica of a service has run: the
+// time until one takes requests again if all asked to wait, and usual otherwise.
+func (r *Relay) retryAfter(now time.Time, s core.ServiceName, usual time.Duration) time.Duration {
+	if r.Replicas.Available(now, s) {
+		return usual
+	}
+	return max(usual, r.Replicas.Wait(now, s))
+}
+
+// Note records what a replica states about itself in the result of a call.
+func (r *Relay) Note(now time.Time, replica *picker.Replica, res client.Result) {
+	n := picker.Notice{Leaving: res.Reply.Leaving, Wait: res.Reply.Wait, Invalid: res.Reply.InvalidWait}
+	if n == (picker.Notice{}) || res.Reply.AddressReused || !r.Replicas.Note(now, replica, n) {
+		return
+	}
+	inst := replica.Instance()
+	if n.Leaving {
+		r.Client.CloseIdle(inst.ID)
+		r.Meter.Count("relay_replicas_leaving", 1)
+	}
+	if n.Wait > 0 {
+		r.Meter.Count("relay_replicas_waiting", 1)
+	}
+	r.Log.Info("relay: notice of a replica", "replica", inst.ID, "service", inst.Service,
+		"leaving", n.Leaving, "wait_ms", n.Wait.Milliseconds(), "invalid_wait", n.Invalid)
+}
+
 func unavailable(reason core.Reason, after time.Duration) Reply {
 	return Reply{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: after}
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -25,7 +25,7 @@
 	"oriolebarrow/io/relay"
 )
 
-var headerNames = core.HeaderNames{RequestID: "Req-Id", Deadline: "Left-Ms", Stamp: "Stamp", Expect: "Expect-Instance", Instance: "Instance", NotRun: "Not-Run", Load: "Load"}
+var headerNames = core.HeaderNames{RequestID: "Req-Id", Deadline: "Left-Ms", Stamp: "Stamp", Expect: "Expect-Instance", Instance: "Instance", NotRun: "Not-Run", Load: "Load", RetryAfter: "Retry-After", Leaving: "Leaving"}
 
 const (
 	serviceTime = 10 * time.Millisecond
@@ -106,7 +106,7 @@
 		mode, load := b.modes[address], b.load
 		b.received++
 		switch mode {
-		case "shed":
+		case "shed", "asks to wait":
 		case "shed once":
 			b.modes[address] = ""
 		default:
@@ -156,6 +156,10 @@
 		took = 8 * serviceTime
 	case "shed", "shed once":
 		status, extra, took = "503 Busy", "Not-Run: 1\r\n", time.Millisecond
+	case "asks to wait":
+		status, extra, took = "503 Busy", "Not-Run: 1\r\nRetry-After: 2.0\r\n", time.Millisecond
+	case "leaving":
+		extra = "Leaving: 1\r\n"
 	case "unavailable":
 		status = "503 Unavailable"
 	case "failing":
--- a/io/relay/single.go
+++ b/io/relay/single.go
@@ -23,7 +23,7 @@
 	j.relay.Extra.RecordRequests(now, service, 1)
 	if !j.attempt(now, sub, retrySent) {
 		sub.reason = core.ReasonNoReplica
-		return unavailable(core.ReasonNoReplica, retryNoReplica)
+		return unavailable(core.ReasonNoReplica, j.relay.retryAfter(now, service, retryNoReplica))
 	}
 	defer j.abandon()
 	for !sub.settled {
@@ -77,7 +77,7 @@
 		return replicaReply(*sub.last)
 	}
 	if !sub.mayRun() {
-		return unavailable(sub.reason, retrySoon)
+		return unavailable(sub.reason, j.relay.retryAfter(time.Now(), sub.service, retrySoon))
 	}
 	return Reply{Status: http.StatusBadGateway, Reason: sub.reason}
 }
