fix(io/relay): bound the lines of notices, reject at once when all wait

- A replica that rejects with a tiny Retry-After is news with each rejection, so that "relay: notice of a replica" could come at the rate of calls.
The line shares the limit of 100 a second with the answers that are not complete.
- A refused request waited 3 ms for a repeat although no replica was left.

--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -404,7 +404,8 @@
 	if retry && j.attempt(now, sub, retrySent) {
 		return
 	}
-	if res.NotRun && sub.refusedRetries < maxRefusedRetries && len(sub.tried) > 0 && !sub.ran {
+	again := res.NotRun && sub.refusedRetries < maxRefusedRetries && len(sub.tried) > 0 && !sub.ran
+	if again && j.relay.Replicas.Available(now, sub.service) {
 		sub.refusedRetryAt = now.Add(refusedRetryDelay << sub.refusedRetries)
 		sub.refusedRetries++
 		return
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -205,8 +205,10 @@
 	if n.Wait > 0 {
 		r.Meter.Count("relay_replicas_waiting", 1)
 	}
-	r.Log.Info("relay: notice of a replica", "replica", inst.ID, "service", inst.Service,
-		"leaving", n.Leaving, "wait_ms", n.Wait.Milliseconds(), "invalid_wait", n.Invalid)
+	if skipped, ok := r.allowLine(false); ok {
+		r.Log.Info("relay: notice of a replica", "replica", inst.ID, "service", inst.Service,
+			"leaving", n.Leaving, "wait_ms", n.Wait.Milliseconds(), "invalid_wait", n.Invalid, "left_out", skipped)
+	}
 }
 
 func unavailable(reason core.Reason, after time.Duration) Reply {
