test(bench/soak): repeated rejections, odd entries, replicas that leave or wait

Change: three faults of replicas, also of all replicas of the service for orders at once, since a rejected order is first tried at the other one; a target "other writer" with nine kinds of entries that stay until the end. A replica that left starts a new lifetime.

--- a/bench/soak/gateway.go
+++ b/bench/soak/gateway.go
@@ -101,7 +101,7 @@
 			ID: core.InstanceID(fmt.Sprint("i-", i)), Service: s, Slots: 8, Born: 1,
 			Address: fmt.Sprintf("%s:%d", g.opts.ip(2), 9000+i), DataCentre: dataCentre(i),
 		}
-		rep, err := newReplica(in, fmt.Sprintf("%s:%d", g.opts.ip(3), 9000+i), g.names, g.journal)
+		rep, err := newReplica(in, fmt.Sprintf("%s:%d", g.opts.ip(3), 9000+i), g.names, g.journal, g.store.PutInstance)
 		if err != nil {
 			return err
 		}
@@ -206,6 +206,7 @@
 			g.publish("a")
 		},
 	}}
+	targets = append(targets, oddEntryTarget(g.store), g.ordersTarget())
 	for i, p := range g.storeProxies {
 		targets = append(targets, proxyTarget(fmt.Sprint("store for host-", i), p, nil))
 	}
@@ -218,6 +219,31 @@
 	return targets
 }
 
+// ordersTarget returns the replicas of the service for orders as one target, for faults that
+// show only when no other replica is left to try.
+func (g *gateway) ordersTarget() target {
+	var replicas []*replica
+	for _, r := range g.replicas {
+		if r.instance.Service == "orders" {
+			replicas = append(replicas, r)
+		}
+	}
+	return target{
+		name:   "all replicas of orders",
+		faults: []string{replicaRepeats, replicaWaits, replicaLeaves},
+		set: func(fault string) {
+			for _, r := range replicas {
+				r.fault.Store(fault)
+			}
+		},
+		clear: func() {
+			for _, r := range replicas {
+				r.clearFaults()
+			}
+		},
+	}
+}
+
 func proxyFaultNames() []string {
 	return []string{string(Delay), string(Reset), string(CutTo), string(CutFrom), string(Silent)}
 }
--- a/bench/soak/replica.go
+++ b/bench/soak/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -79,12 +80,20 @@
 	replicaFails = "fails"
 	replicaLoses = "loses_answers"
 	replicaExtra = "extra_bytes" // sends a second response that no request asked for
+	// Rejects the first call of each request, and sends the rejection a second time when the
+	// next request arrives on the connection.
+	replicaRepeats = "repeats_rejections"
+	replicaWaits   = "asks_to_wait" // rejects all requests and asks for none for waitSeconds
+	replicaLeaves  = "leaves"       // says that it leaves, and starts a new lifetime at the end of the fault
 	// With these, the replica sends an endless header or body until the host closes the
 	// connection.
 	replicaEndlessHead = "endless_head"
 	replicaEndlessBody = "endless_body"
 )
 
+// waitSeconds is the time for which replicaWaits asks for no requests.
+const waitSeconds = "0.8"
+
 const (
 	// An endless response is sent in chunks of endlessChunkBytes, one every endlessInterval:
 	// fast enough to exceed each of a host's limits within a second.
@@ -107,16 +116,21 @@
 	proxy       *proxy
 	fault       atomic.Value // string
 	maxAccepted atomic.Int64 // most bytes of one endless response that a host accepted
+	rejected    sync.Map     // ids of requests that replicaRepeats has rejected
+	publish     func(core.Instance)
+	lifetime    atomic.Int64
+	left        atomic.Bool // it has said in this lifetime that it leaves
 }
 
-func newReplica(in core.Instance, listenAddress string, names core.HeaderNames, j *journal) (*replica, error) {
-	r := &replica{instance: in, names: names, journal: j}
+func newReplica(in core.Instance, listenAddress string, names core.HeaderNames, j *journal, publish func(core.Instance)) (*replica, error) {
+	r := &replica{instance: in, names: names, journal: j, publish: publish}
 	r.fault.Store("")
+	r.lifetime.Store(in.Born)
 	l, err := net.Listen("tcp", listenAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "soak: listen for a replica")
 	}
-	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
+	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute, ConnContext: withLateCopy}
 	go func() { _ = r.server.Serve(l) }() // returns after close
 	if r.proxy, err = newProxy(in.Address, listenAddress); err != nil {
 		_ = r.server.Close()
@@ -132,7 +146,7 @@
 
 // target returns the replica, with its proxy, as a target of disturbances.
 func (r *replica) target() target {
-	ownFaults := []string{replicaSlow, replicaSheds, replicaFails, replicaLoses, replicaExtra, replicaEndlessHead, replicaEndlessBody}
+	ownFaults := []string{replicaSlow, replicaSheds, replicaFails, replicaLoses, replicaExtra, replicaEndlessHead, replicaEndlessBody, replicaRepeats, replicaWaits, replicaLeaves}
 	proxyFaults := proxyFaultNames()
 	return target{
 		name:   "replica " + string(r.instance.ID),
@@ -151,6 +165,11 @@
 func (r *replica) clearFaults() {
 	r.fault.Store("")
 	r.proxy.setFault(NoFault)
+	if r.left.Swap(false) {
+		in := r.instance
+		in.Born = r.lifetime.Add(1)
+		r.publish(in)
+	}
 }
 
 // ServeHTTP implements http.Handler.
@@ -179,10 +198,24 @@
 	case expected != "" && expected != string(r.instance.ID):
 		refuse(http.StatusMisdirectedRequest)
 		return
+	case fault == replicaWaits:
+		h.Set(r.names.RetryAfter, waitSeconds)
+		fallthrough
 	case fault == replicaSheds:
 		refuse(http.StatusServiceUnavailable)
 		return
 	}
+	late := req.Context().Value(lateCopyKey{}).(*lateCopy)
+	late.send()
+	if _, known := r.rejected.LoadOrStore(id, true); fault == replicaRepeats && !known {
+		late.text = fmt.Sprintf("HTTP/1.1 503 Busy\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", r.names.RequestID, id, r.names.NotRun)
+		refuse(http.StatusServiceUnavailable)
+		return
+	}
+	if fault == replicaLeaves {
+		r.left.Store(true)
+		h.Set(r.names.Leaving, "1")
+	}
 	serviceTime := normalServiceTime
 	if fault == replicaSlow {
 		serviceTime = slowServiceTime
@@ -218,6 +251,28 @@
 	}
 }
 
+// lateCopy is the second copy of a response on one connection.
+type lateCopy struct {
+	conn net.Conn
+	text string
+}
+
+type lateCopyKey struct{}
+
+// withLateCopy gives each connection a lateCopy. Its requests are served one by one.
+func withLateCopy(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, lateCopyKey{}, &lateCopy{conn: c})
+}
+
+// send sends the copy, if there is one, before the response to the request that is being
+// served, which net/http writes later.
+func (l *lateCopy) send() {
+	if l.text != "" {
+		_, _ = io.WriteString(l.conn, l.text) // the server's next write reports a closed connection
+		l.text = ""
+	}
+}
+
 // sendEndless sends first and then next again and again, until the host closes the
 // connection or has accepted more than maxEndlessBytes.
 func (r *replica) sendEndless(w http.ResponseWriter, first, next string) {
