test(io/client): idle connections are opened at the same time for certain

Cause, in the test: it sends its first requests one after the other and takes for granted that each opens a connection. If the response to the first comes before the second is sent, one connection carries both, and the four calls of the order open one more.

Change: the replica responds only when all first requests have been sent, and the test checks the number of idle connections. Its other checks are unchanged.

--- a/io/client/repeat_test.go
+++ b/io/client/repeat_test.go
@@ -21,6 +21,7 @@
 type repeatingReplica struct {
 	dials, open, most atomic.Int32
 	ran               atomic.Int32
+	release           chan struct{} // closed to let it respond
 }
 
 func (r *repeatingReplica) dial(context.Context, string, string) (net.Conn, error) {
@@ -54,6 +55,7 @@
 		if err != nil {
 			return
 		}
+		<-r.release
 		if n == 0 {
 			rejection = fmt.Sprintf("HTTP/1.1 503 Busy\r\nReq-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", req.Header.Get("Req-Id"))
 			_, _ = io.WriteString(c, rejection)
@@ -84,7 +86,7 @@
 	} {
 		t.Run(fmt.Sprintf("%d of %d connections are idle", c.idle, c.limit), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := &repeatingReplica{}
+				r := &repeatingReplica{release: make(chan struct{})}
 				cl := client.New(client.Options{Names: names, Dial: r.dial})
 				defer cl.Close()
 				to := client.Target{ID: "i-1", Address: "10.0.0.1:80", Connections: c.limit}
@@ -96,11 +98,16 @@
 				for n := range c.idle {
 					send(fmt.Sprint("first ", n))
 				}
+				synctest.Wait() // until each has its own connection
+				close(r.release)
 				for range c.idle {
 					<-results
 				}
 				synctest.Wait()
 				before := r.dials.Load()
+				if int(before) != c.idle {
+					t.Fatalf("%d connections are idle, want %d", before, c.idle)
+				}
 				var calls []*client.Call
 				for n := range 4 {
 					ran := r.ran.Load()
