feat(io/usage): count network bytes by purpose and data centre

Operators pay for traffic between data centres and could not tell which part of a host causes it. Bytes of connections are counted by the side that opens them, packets of the failure detector by their sender.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -18,6 +18,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,7 @@
 	"oriolebarrow/io/relay"
 	"oriolebarrow/io/swim"
 	"oriolebarrow/io/tasks"
+	"oriolebarrow/io/usage"
 )
 
 const (
@@ -112,6 +114,7 @@
 	sharingHosts atomic.Int64 // hosts that share the budget and the connections
 	log          *slog.Logger
 	replicas     *picker.Table
+	traffic      *usage.Counter
 	client       *client.Client
 	relay        *relay.Relay
 	front        *front.Front
@@ -133,11 +136,13 @@
 	self := core.NewHost(o.Host, o.DataCentre, o.PeerAddress)
 	inc := core.Incarnation(time.Now().UnixNano())
 	detector := member.New(self, inc, rand.New(rand.NewPCG(uint64(inc), seed(o.Host))))
+	replicas := picker.New(o.Host, o.DataCentre)
+	traffic := usage.New(o.Meter, o.DataCentre, locator(replicas, detector))
 	feeds, err := feed.New(feed.Deps{
 		Self:         self,
 		Reachability: detector,
 		Placer:       place.New(place.DefaultSetSize),
-		Dial:         feed.Dial(o.Dial),
+		Dial:         traffic.Dial(usage.Feed, o.Dial),
 	})
 	if err != nil {
 		return nil, err
@@ -145,15 +150,16 @@
 	e := &Edge{
 		opts:     o,
 		log:      log,
-		replicas: picker.New(o.Host, o.DataCentre),
+		replicas: replicas,
+		traffic:  traffic,
 		members:  swim.New(swim.Deps{Detector: detector, Seeds: o.PeerSeeds, Log: log, Meter: o.Meter}),
 		feeds:    feeds,
 		warming:  make(chan core.Instance, warmQueueSize),
 	}
-	e.client = client.New(client.Options{Names: o.Names, Dial: o.Dial, Meter: o.Meter, LastConnClosed: e.reconnect, BufferBytes: o.BufferBytes})
+	e.client = client.New(client.Options{Names: o.Names, Dial: traffic.Dial(usage.Replicas, o.Dial), Meter: o.Meter, LastConnClosed: e.reconnect, BufferBytes: o.BufferBytes})
 	e.extra = budget.NewExtra(o.Extra, e.hostCount())
 	e.grace.Store(int64(o.Grace))
-	e.peers = peer.NewClient(o.Host, inc, taskDial(o.Dial, o.TaskPort))
+	e.peers = peer.NewClient(o.Host, inc, taskDial(traffic.Dial(usage.Tasks, o.Dial), o.TaskPort))
 	e.taskClient = tasks.New(tasks.Deps{Self: self, Views: detector, Reachability: detector, Near: e.availableIn, Peers: e.peers, Log: log})
 	e.relay = relay.New(relay.Deps{
 		Self:     o.Host,
@@ -186,6 +192,26 @@
 	return e, nil
 }
 
+// locator returns a function that finds the data centre of an address: that of a replica, or
+// of the host with the same IP address, since hosts use several ports.
+func locator(replicas *picker.Table, hosts core.Reachability) usage.Locate {
+	return func(address string) core.DataCentre {
+		if dc, ok := replicas.Locate(address); ok {
+			return dc
+		}
+		ip, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return ""
+		}
+		for _, h := range hosts.Reachable(time.Now()).Hosts() {
+			if strings.HasPrefix(h.Address(), ip+":") {
+				return h.DataCentre()
+			}
+		}
+		return ""
+	}
+}
+
 // taskDial returns a dial function that replaces the port a host announces by
 // the port for tasks.
 func taskDial(dial client.Dial, port int) peer.Dial {
@@ -331,7 +357,7 @@
 	group.Go(func() error { return serveChecks(checker, l.checks) })
 	group.Go(func() error { return e.feedServer.Serve(work, l.hosts) })
 	group.Go(func() error { return e.taskServer.Serve(work, l.tasks) })
-	group.Go(func() error { return e.members.Run(work, l.packets) })
+	group.Go(func() error { return e.members.Run(work, e.traffic.Packets(usage.Membership, l.packets)) })
 	group.Go(func() error { return e.mirror.Run(work) })
 	group.Go(func() error { return e.becomeReady(work) })
 	group.Go(func() error { return e.warmQueued(work) })
