fix(core/picker,io/edge): keep calls in the data centre through pauses of replicas

Of 81,243 first calls, 11,588 found the local replica 'slow' because one delayed call raises its slowness for seconds, and 9,046 found it full: each host divides a replica's connections by all 81 hosts, so that the one host that makes the data centre's calls to a shard had one connection.

Change: a delayed call counts as slowness only if a second one was delayed after it (core/picker, pauseFilter); owners divide the connections of their shards by the hosts that may own them (assign.MaxCallers).

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -217,6 +217,10 @@
 	return owned, true
 }
 
+// MaxCallers returns how many hosts may call an owned service at the same time: one host of
+// each data centre and, while the owner changes, the previous one.
+func MaxCallers(dataCentres int) int { return 2 * max(1, dataCentres) }
+
 // owner returns the host with the greatest hash for a service. The caller holds
 // Assigner.mu.
 func (a *Assigner) owner(hosts []core.Host, dc core.DataCentre, s core.ServiceName) core.Host {
--- a/core/picker/replica.go
+++ b/core/picker/replica.go
@@ -100,6 +100,7 @@
 	slowness     float64   // average duration of its calls, without queueing, relative to the expected one
 	failureShare float64   // average share of failed calls
 	updatedAt    time.Time // of slowness and failureShare
+	pauses       pauseFilter
 
 	silentCalls int // consecutive silent calls, see trackSilence
 	ejected     bool
@@ -203,8 +204,11 @@
 	if e.Failed || e.Refused || e.Silent {
 		failure = 1
 	} else if e.Expected > 0 {
-		ratio := min(maxSlowness, float64(e.Took)/(float64(e.Expected)*queueFactor))
-		r.slowness += sampleWeight * (ratio - r.slowness)
+		usual := float64(e.Expected) * queueFactor
+		if !r.pauses.isPause(now.Add(-e.Took), now, time.Duration(usual)) {
+			ratio := min(maxSlowness, float64(e.Took)/usual)
+			r.slowness += sampleWeight * (ratio - r.slowness)
+		}
 	}
 	if !e.Abandoned {
 		r.failureShare += sampleWeight * (failure - r.failureShare)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -110,8 +110,9 @@
 	cache        shareCache // guarded by mu
 	opts         Options
 	extra        *budget.Extra
-	grace        atomic.Int64 // nanoseconds
-	sharingHosts atomic.Int64 // hosts that share the budget and the connections
+	grace        atomic.Int64                             // nanoseconds
+	sharingHosts atomic.Int64                             // hosts that share the budget and the connections
+	ownedCallers atomic.Pointer[map[core.ServiceName]int] // see callers; for the services that this host owns
 	log          *slog.Logger
 	replicas     *picker.Table
 	traffic      *usage.Counter
@@ -170,7 +171,7 @@
 		Splitter: route.NewSplitter(seed(o.Host)),
 		Log:      log,
 		Meter:    o.Meter,
-		Hosts:    e.hostCount,
+		Callers:  e.callers,
 	})
 	e.front = front.New(front.Deps{Relay: e.relay, Names: o.Names, Limits: e.callerLimits})
 	e.mirror = mirror.New(mirror.Deps{
--- a/io/edge/shares.go
+++ b/io/edge/shares.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/assign"
 	"oriolebarrow/core/route"
 )
 
@@ -11,6 +12,7 @@
 // routing table.
 type shareCache struct {
 	valid  bool
+	joined bool   // whether this host knew the other hosts
 	view   uint64 // version
 	table  *route.Table
 	shares map[core.ServiceName]float64
@@ -33,12 +35,14 @@
 func (e *Edge) extraShares(t *route.Table) map[core.ServiceName]float64 {
 	now := time.Now()
 	version, dataCentres := e.taskClient.Membership(now)
+	joined := e.members.Joined(now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.cache.valid && e.cache.view == version && e.cache.table == t {
+	if e.cache.valid && e.cache.view == version && e.cache.table == t && e.cache.joined == joined {
 		return e.cache.shares
 	}
 	shares := make(map[core.ServiceName]float64)
+	callers := make(map[core.ServiceName]int)
 	for _, r := range t.QueryRoutes() {
 		owned, divided := e.taskClient.Owned(now, r.Gather)
 		if !divided {
@@ -48,17 +52,34 @@
 			shares[s] = max(0, shares[s]) // stays 0 if only other hosts call the service
 		}
 		for _, s := range owned {
-			shares[s] = 1 / float64(2*max(1, dataCentres))
+			shares[s] = 1 / float64(assign.MaxCallers(dataCentres))
+			if joined { // otherwise this host may own far less than it seems
+				callers[s] = assign.MaxCallers(dataCentres)
+			}
 		}
 	}
-	e.cache = shareCache{valid: true, view: version, table: t, shares: shares}
+	e.cache = shareCache{valid: true, joined: joined, view: version, table: t, shares: shares}
 	e.extra.SetShares(shares)
+	e.ownedCallers.Store(&callers)
+	e.setHostLimits(t)
 	for _, in := range e.replicas.Instances() {
 		e.queueWarming(in) // this host may call it from now on
 	}
 	return shares
 }
 
+// callers returns how many hosts share the connections to the replicas of a service. All
+// hosts do, unless hosts own the service: then one host of each data centre calls it, and
+// during a handover the previous owner too.
+func (e *Edge) callers(s core.ServiceName) int {
+	if owned := e.ownedCallers.Load(); owned != nil {
+		if n, ok := (*owned)[s]; ok {
+			return n
+		}
+	}
+	return e.hostCount()
+}
+
 // updateShares adjusts this host's shares of the budget and of the connections to
 // the current hosts and routing table.
 func (e *Edge) updateShares() {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -51,7 +51,7 @@
 	}})
 	t.Cleanup(c.Close)
 	r := relay.New(relay.Deps{
-		Replicas: replicas, Client: c, Splitter: route.NewSplitter(0), Log: slog.New(slog.DiscardHandler), Hosts: func() int { return 1 },
+		Replicas: replicas, Client: c, Splitter: route.NewSplitter(0), Log: slog.New(slog.DiscardHandler), Callers: func(core.ServiceName) int { return 1 },
 		Extra: budget.NewExtra(budget.ExtraLimits{Window: 10 * time.Second}, 1),
 	})
 	r.SetTable(route.New(core.Routing{
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	r := relay.New(relay.Deps{Replicas: replicas, Client: c, Extra: e, Splitter: s, Hosts: hostCount, Log: log})
+//	r := relay.New(relay.Deps{Replicas: replicas, Client: c, Extra: e, Splitter: s, Callers: callers, Log: log})
 //	r.SetTable(table)
 //	reply := r.Do(ctx, request)
 package relay
@@ -78,8 +78,8 @@
 	Splitter *route.Splitter
 	Log      *slog.Logger
 	Meter    core.Meter
-	// Hosts returns how many hosts share the connections to a replica.
-	Hosts func() int
+	// Callers returns how many hosts share the connections to a replica of a service.
+	Callers func(core.ServiceName) int
 	// Self and Tasks let other hosts execute parts of a query. Tasks may be nil;
 	// then this host calls all replicas itself.
 	Self  core.HostID
@@ -285,7 +285,7 @@
 	if !ok || u.Connections <= 0 {
 		return picker.HostLimits{Calls: 1, Share: 1}
 	}
-	hosts := r.Hosts() + 1
+	hosts := r.Callers(s) + 1
 	return picker.HostLimits{
 		Calls: max(1, min(maxConnections, u.Connections/hosts)),
 		Share: min(1, float64(u.Connections)/float64(hosts)),
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -203,7 +203,7 @@
 		Extra:    budget.NewExtra(budget.ExtraLimits{Window: 10 * time.Second, Ratio: 0.2, Minimum: 54}, 1),
 		Splitter: route.NewSplitter(0),
 		Log:      slog.New(slog.DiscardHandler),
-		Hosts:    func() int { return 1 },
+		Callers:  func(core.ServiceName) int { return 1 },
 		Self:     "host-0",
 		Tasks:    tasks,
 	})
--- a/io/usage/usage.go
+++ b/io/usage/usage.go
@@ -69,14 +69,15 @@
 
 // name returns the name of the counter for traffic with an address.
 func (c *Counter) name(p Purpose, address string) string {
+	scope := "_other_dc_bytes"
 	switch c.locate(address) {
 	case c.local:
-		return "network_" + string(p) + "_same_dc_bytes"
+		scope = "_same_dc_bytes"
 	case "":
-		return "network_" + string(p) + "_unknown_dc_bytes"
-	default:
-		return "network_" + string(p) + "_other_dc_bytes"
+		scope = "_unknown_dc_bytes"
 	}
+	name := "network_" + string(p) + scope
+	return name
 }
 
 // conn counts the bytes of a connection in both directions.
