--- a/core/await/await.go
+++ b/core/await/await.go
@@ -19,6 +19,7 @@
 package await
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -81,6 +82,13 @@
 	return call, true
 }
 
+// Services returns the services with waiting calls, in no particular order.
+func (q *Queue[T]) Services() []core.ServiceName {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.Collect(maps.Keys(q.waiting))
+}
+
 func (e entry[T]) precedes(other entry[T], now time.Time) bool {
 	if late, otherLate := e.late(now), other.late(now); late != otherLate {
 		return otherLate
--- a/core/delta/delta.go
+++ b/core/delta/delta.go
@@ -23,14 +23,22 @@
 // Log holds the newest change of each item; a removed item stays as a tombstone. It is
 // not safe for concurrent use.
 type Log struct {
-	items      map[core.InstanceID]core.DirectoryItem // the routing document has an empty ID
+	items      map[itemKey]core.DirectoryItem
 	tombstones int
 	newest     core.Revision
 	compacted  core.Revision // removals up to this revision may be missing
 }
 
+// itemKey identifies an item. An instance may have the ID of an evacuation.
+type itemKey struct {
+	id         core.InstanceID // empty for the routing document
+	evacuation bool
+}
+
+func keyOf(i core.DirectoryItem) itemKey { return itemKey{i.ID, i.Evacuation != nil} }
+
 // New returns an empty Log.
-func New() *Log { return &Log{items: make(map[core.InstanceID]core.DirectoryItem)} }
+func New() *Log { return &Log{items: make(map[itemKey]core.DirectoryItem)} }
 
 // Revision returns the newest revision that was applied.
 func (l *Log) Revision() core.Revision { return l.newest }
@@ -48,17 +56,17 @@
 // same item.
 func (l *Log) Apply(update core.DirectoryUpdate) {
 	for _, item := range update.Items {
-		old, known := l.items[item.ID]
+		old, known := l.items[keyOf(item)]
 		if known && old.Revision > item.Revision {
 			continue
 		}
-		if known && isTombstone(old) {
+		if known && old.Removed() {
 			l.tombstones--
 		}
-		if isTombstone(item) {
+		if item.Removed() {
 			l.tombstones++
 		}
-		l.items[item.ID] = item
+		l.items[keyOf(item)] = item
 	}
 	l.newest = max(l.newest, update.Revision)
 	if l.tombstones > maxTombstones {
@@ -66,14 +74,11 @@
 	}
 }
 
-// isTombstone reports whether an item records a removal or names no usable replica.
-func isTombstone(i core.DirectoryItem) bool { return i.Instance == nil && i.Routing == nil }
-
 // compact deletes all tombstones.
 func (l *Log) compact() {
-	for id, item := range l.items {
-		if isTombstone(item) {
-			delete(l.items, id)
+	for key, item := range l.items {
+		if item.Removed() {
+			delete(l.items, key)
 		}
 	}
 	l.tombstones = 0
@@ -82,7 +87,7 @@
 
 // All returns all items except the removed ones.
 func (l *Log) All() core.DirectoryUpdate {
-	return l.collect(func(i core.DirectoryItem) bool { return !isTombstone(i) })
+	return l.collect(func(i core.DirectoryItem) bool { return !i.Removed() })
 }
 
 // Since returns the changes after a revision. It returns false if removals after that
--- a/core/delta/delta_test.go
+++ b/core/delta/delta_test.go
@@ -64,3 +64,31 @@
 		t.Errorf("got %+v, want only the change of revision 9", all)
 	}
 }
+
+// TestEvacuations guards against evacuations that followers miss, or that are stored as the
+// routing document or as an instance with the same ID.
+func TestEvacuations(t *testing.T) {
+	l := delta.New()
+	begun := core.EvacuationItem(4, core.Evacuation{DataCentre: "a"})
+	instance := core.DirectoryItem{ID: begun.ID, Revision: 3, Instance: &core.Instance{ID: begun.ID}}
+	routing := core.DirectoryItem{Revision: 2, Routing: &core.Routing{Version: 1}}
+	ended := core.EvacuationItem(5, core.Evacuation{DataCentre: "a", Ended: true})
+	for _, c := range []struct {
+		change   core.DirectoryItem
+		all      []core.DirectoryItem
+		sinceTwo []core.DirectoryItem
+	}{
+		{routing, []core.DirectoryItem{routing}, nil},
+		{instance, []core.DirectoryItem{routing, instance}, []core.DirectoryItem{instance}},
+		{begun, []core.DirectoryItem{routing, instance, begun}, []core.DirectoryItem{instance, begun}},
+		{ended, []core.DirectoryItem{routing, instance}, []core.DirectoryItem{instance, ended}},
+	} {
+		l.Apply(core.DirectoryUpdate{Revision: c.change.Revision, Items: []core.DirectoryItem{c.change}})
+		if diff := cmp.Diff(c.all, l.All().Items); diff != "" {
+			t.Errorf("all items: %s", diff)
+		}
+		if changes, ok := l.Since(2); !ok || cmp.Diff(c.sinceTwo, changes.Items) != "" {
+			t.Errorf("changes: %s", cmp.Diff(c.sinceTwo, changes.Items))
+		}
+	}
+}
--- a/core/picker/replica.go
+++ b/core/picker/replica.go
@@ -84,6 +84,7 @@
 	inst         core.Instance // last directory entry
 	missingSince time.Time     // when its entry vanished; zero if it did not
 	removed      bool
+	evacuated    bool      // its data centre is evacuated
 	inSubset     bool      // in the subset of the replicas that this host uses
 	warmUntil    time.Time // end of the warm-up, in which it is slow; counted from its first entry
 
@@ -128,8 +129,11 @@
 	return r.staying() && !r.ejected && !now.Before(r.waitUntil)
 }
 
-// staying reports whether the replica may get requests later, if not now.
-func (r *Replica) staying() bool { return !r.inst.Draining && !r.removed && !r.leaving }
+// staying reports whether the replica may get requests later, if not now. The end of an
+// evacuation is not foreseeable, so an evacuated replica does not count.
+func (r *Replica) staying() bool {
+	return !r.inst.Draining && !r.removed && !r.leaving && !r.evacuated
+}
 
 // note records a notice and reports whether it is news.
 func (r *Replica) note(now time.Time, n Notice) bool {
--- a/core/picker/table.go
+++ b/core/picker/table.go
@@ -49,6 +49,7 @@
 	byID       map[core.InstanceID]*Replica
 	byService  map[core.ServiceName][]*Replica
 	hostLimits map[core.ServiceName]HostLimits
+	evacuated  map[core.DataCentre]bool
 }
 
 // HostLimits limits this host's use of the replicas of a service to its share of their
@@ -85,6 +86,7 @@
 	}
 	if !ok {
 		r = newReplica(now, in)
+		r.evacuated = t.evacuated[in.DataCentre]
 		t.byID[in.ID] = r
 		t.byService[in.Service] = append(t.byService[in.Service], r)
 		t.selectSubset(in.Service)
@@ -93,7 +95,7 @@
 	changed := r.inst.Draining != in.Draining || !r.missingSince.IsZero()
 	r.missingSince = time.Time{}
 	r.inst = in
-	return changed
+	return t.updateEvacuated(r) || changed
 }
 
 // Remove removes an instance. If hold is set, it only marks the instance as missing,
@@ -191,13 +193,14 @@
 func (t *Table) selectSubset(s core.ServiceName) {
 	replicas := t.byService[s]
 	limits, limited := t.hostLimits[s]
-	n := len(replicas)
+	n := countNotEvacuated(replicas)
 	if limited && limits.Share < 1 {
 		n = min(n, max(minSubset, int(limits.Share*float64(n))))
 	}
 	ranked := slices.Clone(replicas)
 	slices.SortFunc(ranked, func(a, b *Replica) int {
 		return cmp.Or(
+			compareTrue(!a.evacuated, !b.evacuated),
 			compareTrue(a.inst.DataCentre == t.localDC, b.inst.DataCentre == t.localDC),
 			cmp.Compare(t.rendezvousWeight(b), t.rendezvousWeight(a)),
 		)
--- a/core/routing.go
+++ b/core/routing.go
@@ -67,13 +67,32 @@
 	Born       int64         // start of this run in Unix milliseconds; distinguishes runs that share an ID
 }
 
-// DirectoryItem is one item of the directory: the entry of an instance, or the
-// routing document.
+// Evacuation states whether a data centre is evacuated: while it is, its replicas get no
+// requests.
+type Evacuation struct {
+	DataCentre DataCentre
+	Ended      bool
+}
+
+// DirectoryItem is one item of the directory: the entry of an instance, the routing
+// document, or the evacuation of a data centre.
 type DirectoryItem struct {
-	ID       InstanceID // empty for the routing document
-	Revision Revision   // revision of the item's last change
-	Instance *Instance  // nil when the entry was removed or cannot be used
-	Routing  *Routing
+	ID         InstanceID // empty for the routing document; not that of an instance for an evacuation
+	Revision   Revision   // revision of the item's last change
+	Instance   *Instance  // nil when the entry was removed or cannot be used
+	Routing    *Routing
+	Evacuation *Evacuation
+}
+
+// EvacuationItem returns the item of an evacuation. Its ID is not empty, since hosts of an
+// earlier version store an item without ID as the routing document.
+func EvacuationItem(r Revision, e Evacuation) DirectoryItem {
+	return DirectoryItem{ID: InstanceID("evacuate/" + string(e.DataCentre)), Revision: r, Evacuation: &e}
+}
+
+// Removed reports whether the item records a removal or names no usable replica.
+func (i DirectoryItem) Removed() bool {
+	return i.Instance == nil && i.Routing == nil && (i.Evacuation == nil || i.Evacuation.Ended)
 }
 
 // DirectoryUpdate holds items of a directory up to a revision: all of them, or those
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -174,6 +174,7 @@
 		OnRouting:     e.installRouting,
 		OnAvailable:   e.queueWarming,
 		OnUnavailable: e.client.CloseInstance,
+		OnEvacuation:  e.applyEvacuation,
 		Log:           log,
 		Meter:         o.Meter,
 	})
@@ -257,6 +258,7 @@
 	Hosts        int           // that share limits, this one included
 	Replicas     int
 	Connections  int // to replicas
+	Evacuated    []core.DataCentre
 }
 
 // Status returns the current state of the host.
@@ -267,6 +269,7 @@
 		Hosts:        e.hostCount(),
 		Replicas:     e.replicas.Size(),
 		Connections:  e.client.Connections(),
+		Evacuated:    e.mirror.Evacuated(),
 	}
 	if t := e.relay.Table(); t != nil {
 		s.Version = t.Version()
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -98,8 +98,9 @@
 	grace     time.Duration
 	stops     map[string]func()
 
-	runsMu sync.Mutex
-	runs   map[string]int // requests that replicas began, by id
+	runsMu  sync.Mutex
+	runs    map[string]int          // requests that replicas began, by id
+	reached map[core.DataCentre]int // requests and health probes that reached replicas
 }
 
 func host(i int) string { return fmt.Sprint("host-", i) }
@@ -111,7 +112,7 @@
 func peerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:8002", i) }
 
 func newDeployment(t *testing.T, shards int) *deployment {
-	d := &deployment{t: t, network: newNetwork(), directory: &directory{changed: make(chan struct{})}, grace: 6 * time.Second, stops: map[string]func(){}, runs: map[string]int{}}
+	d := &deployment{t: t, network: newNetwork(), directory: &directory{changed: make(chan struct{})}, grace: 6 * time.Second, stops: map[string]func(){}, runs: map[string]int{}, reached: map[core.DataCentre]int{}}
 	d.delay.Store(int64(5 * time.Millisecond))
 	doc := core.Routing{Version: 3, Routes: []core.Route{{
 		Name: "query", Host: "h", Prefix: "/q/", Idempotent: true, Timeout: 2 * time.Second, Target: time.Second, Attempts: 2, TopK: 3, MinRatio: 0.9,
@@ -140,6 +141,7 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.runsMu.Lock()
 		d.runs[r.Header.Get(names.RequestID)]++
+		d.reached[in.DataCentre]++
 		d.runsMu.Unlock()
 		<-time.After(time.Duration(d.delay.Load()))
 		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
--- a/io/edge/warm.go
+++ b/io/edge/warm.go
@@ -21,6 +21,15 @@
 	}
 }
 
+// applyEvacuation adapts this host after a change of the evacuated data centres: waiting calls
+// pick a replica again, and replicas that may now be used get a connection.
+func (e *Edge) applyEvacuation() {
+	e.relay.ReassignWaiting(time.Now())
+	for _, in := range e.replicas.Instances() {
+		e.queueWarming(in)
+	}
+}
+
 // becomeReady marks the host as ready. It first waits for the directory, for the
 // other hosts, which share calls and limits with this one, and for connections to
 // replicas. Only the wait for the directory is unlimited.
@@ -79,7 +88,7 @@
 	if t == nil {
 		return
 	}
-	if !e.callsService(t, in.Service) {
+	if !e.callsService(t, in.Service) || e.replicas.Evacuated(in.DataCentre) {
 		return
 	}
 	e.client.Warm(ctx, client.Target{ID: in.ID, Address: in.Address, Connections: e.relay.HostLimits(t, in.Service).Calls})
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -19,6 +19,7 @@
 
 	"oriolebarrow/core"
 	"oriolebarrow/core/delta"
+	"oriolebarrow/core/evac"
 	"oriolebarrow/core/picker"
 )
 
@@ -59,6 +60,7 @@
 	OnRouting     func(core.Routing)    // activates a newer routing document
 	OnAvailable   func(core.Instance)   // called for a new or changed replica that may get calls; may be nil
 	OnUnavailable func(core.InstanceID) // called for a replica that gets no more calls; may be nil
+	OnEvacuation  func()                // called when the set of evacuated data centres has changed; may be nil
 	Log           *slog.Logger
 	Meter         core.Meter // may be nil
 }
@@ -81,6 +83,7 @@
 	// skipReadUntil only if no host can be followed.
 	avoidUntil    map[core.HostID]time.Time
 	skipReadUntil time.Time
+	evacuations   *evac.State
 
 	mu             sync.Mutex
 	history        *delta.Log
@@ -91,6 +94,7 @@
 	unreachable    bool          // neither the directory nor another host supplies data
 	reachableSince time.Time     // when the last outage of the directory ended
 	graceEnd       time.Time     // until then, missing entries are kept
+	evacuated      []core.DataCentre
 }
 
 var _ core.FeedSource = (*Mirror)(nil)
@@ -104,7 +108,16 @@
 	if d.OnUnavailable == nil {
 		d.OnUnavailable = func(core.InstanceID) {}
 	}
-	return &Mirror{Deps: d, avoidUntil: make(map[core.HostID]time.Time), history: delta.New(), changed: make(chan struct{})}
+	if d.OnEvacuation == nil {
+		d.OnEvacuation = func() {}
+	}
+	return &Mirror{
+		Deps:        d,
+		avoidUntil:  make(map[core.HostID]time.Time),
+		evacuations: evac.New(),
+		history:     delta.New(),
+		changed:     make(chan struct{}),
+	}
 }
 
 // Loaded reports whether the directory was loaded completely and contains a routing
@@ -359,6 +372,8 @@
 			present[item.ID] = true
 		}
 	}
+	// Evacuations come first, so that no entry of the list is usable before.
+	m.updateEvacuations(func(s *evac.State) { s.Replace(update.Items) })
 	now := time.Now()
 	for _, id := range m.Replicas.Retain(now, m.keepsMissing(now), func(id core.InstanceID) bool { return present[id] }) {
 		m.Log.Info("mirror: entry is missing in the list", "replica", id, "held", m.keepsMissing(now))
@@ -375,9 +390,11 @@
 
 // apply applies changes from a directory that was read age ago.
 func (m *Mirror) apply(update core.DirectoryUpdate, age time.Duration) {
+	m.updateEvacuations(func(s *evac.State) { s.Apply(update.Items) })
 	now := time.Now()
 	for _, item := range update.Items {
 		switch {
+		case item.Evacuation != nil:
 		case item.Routing != nil:
 			m.install(*item.Routing)
 		case item.Instance != nil:
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -79,7 +79,7 @@
 	}
 	var current []core.DirectoryItem
 	for i, it := range update.Items {
-		if last[it.ID] == i && (it.Instance != nil || it.Routing != nil) {
+		if last[it.ID] == i && !it.Removed() {
 			current = append(current, it)
 		}
 	}
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -201,8 +201,9 @@
 	j.slotWaits++
 	j.relay.Meter.Count("relay_slot_waits", 1)
 	j.relay.waiting.Add(sub.service, waiter{j, sub}, j.latestStart)
-	// The last running call may have ended since Pick; then no end of a call offers a slot.
-	if replica, _ := j.relay.Replicas.Pick(now, sub.service, j.expected, sub.tried); replica != nil {
+	// Since Pick, the last running call may have ended, or the data centre may have been
+	// evacuated; then no end of a call offers a slot.
+	if replica, busy := j.relay.Replicas.Pick(now, sub.service, j.expected, sub.tried); replica != nil || !busy {
 		j.relay.offerSlot(now, sub.service)
 	}
 }
@@ -219,7 +220,7 @@
 func (j *job) resume(now time.Time, sub *subrequest) {
 	sub.waiting = false
 	if !sub.settled && !j.attempt(now, sub, retrySent) && sub.running == 0 {
-		j.settle(sub)
+		j.settleUnavailable(sub)
 	}
 	if !sub.waiting {
 		j.relay.offerSlot(now, sub.service) // the call may have used another slot, or none
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -137,6 +137,14 @@
 	}
 }
 
+// ReassignWaiting lets the subrequests that wait for a slot pick a replica again. It must be
+// called when an evacuation began or ended; otherwise they would wait for the end of a call.
+func (r *Relay) ReassignWaiting(now time.Time) {
+	for _, s := range r.waiting.Services() {
+		r.offerSlot(now, s) // each passes the offer on unless it waits again
+	}
+}
+
 // SetTable makes a version of the routing document the active one.
 func (r *Relay) SetTable(t *route.Table) { r.table.Store(t) }
 
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -35,17 +35,18 @@
 // backends are the in-memory replicas of a set of shards, two of each shard.
 type backends struct {
 	mu       sync.Mutex
-	ran      map[string]int    // executed requests, by address
-	received int               // requests
-	modes    map[string]string // by address; see answer and rejectTwice
-	rejected map[string]bool   // requests that rejectTwice rejected, by address and id
-	load     string            // the load that each replica reports; empty for none
+	ran      map[string]int         // executed requests, by address
+	received int                    // requests
+	arrivals map[string][]time.Time // of requests, by address
+	modes    map[string]string      // by address; see answer and rejectTwice
+	rejected map[string]bool        // requests that rejectTwice rejected, by address and id
+	load     string                 // the load that each replica reports; empty for none
 
 	endlessBytes atomic.Int64 // bytes sent by replicas in the mode "endless"
 }
 
 func newBackends() *backends {
-	return &backends{ran: map[string]int{}, modes: map[string]string{}, rejected: map[string]bool{}}
+	return &backends{ran: map[string]int{}, arrivals: map[string][]time.Time{}, modes: map[string]string{}, rejected: map[string]bool{}}
 }
 
 func (b *backends) setMode(mode string, addresses ...string) {
@@ -105,6 +106,7 @@
 		b.mu.Lock()
 		mode, load := b.modes[address], b.load
 		b.received++
+		b.arrivals[address] = append(b.arrivals[address], time.Now())
 		switch mode {
 		case "shed", "asks to wait":
 		case "shed once":
