feat(io/mirror): directory that returns from an older copy

Cause: after a return, hosts applied changes of the new era to their old base, took entries of replicas that are gone from the copy, dropped lost entries at once, and handed older documents to starting hosts; delta kept the old revision after a list with a lower one. Change: platform reads Store-Era, everything is ordered by (era, revision), a new era needs a complete list. core/known keeps the last entries of present and removed replicas, core/evac holds evacuations for the grace period, a routing document of the same version takes effect only if written again in a higher era. The request between hosts carries the era: a host of a lower era refuses, one of a higher era answers with the complete list. platform/fake returns from older copies. A truncated watch continues after its last event. Tests of platform compare Instance.Sequence too, since it is read now.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -112,6 +112,7 @@
 	metrics.Gauge("gateway_replicas", func() int64 { return int64(host.Status().Replicas) })
 	metrics.Gauge("gateway_connections", func() int64 { return int64(host.Status().Connections) })
 	metrics.Gauge("gateway_evacuated_data_centres", func() int64 { return int64(len(host.Status().Evacuated)) })
+	metrics.Gauge("gateway_directory_era", func() int64 { return int64(host.Status().Era) })
 }
 
 // serveMetrics serves the metrics at an address until stop is called.
--- a/core/delta/delta.go
+++ b/core/delta/delta.go
@@ -25,7 +25,7 @@
 type Log struct {
 	items      map[itemKey]core.DirectoryItem
 	tombstones int
-	newest     core.Revision
+	newest     core.Position
 	compacted  core.Revision // removals up to this revision may be missing
 }
 
@@ -40,20 +40,21 @@
 // New returns an empty Log.
 func New() *Log { return &Log{items: make(map[itemKey]core.DirectoryItem)} }
 
-// Revision returns the newest revision that was applied.
-func (l *Log) Revision() core.Revision { return l.newest }
+// Position returns the newest position that was applied.
+func (l *Log) Position() core.Position { return l.newest }
 
-// Replace replaces all items by a complete list. Removals up to the list's revision are
-// no longer known.
+// Replace replaces all items by a complete list, which may be of another era. Removals up to
+// the list's revision are no longer known.
 func (l *Log) Replace(update core.DirectoryUpdate) {
 	clear(l.items)
 	l.tombstones = 0
+	l.newest = update.Position()
 	l.compacted = update.Revision
 	l.Apply(update)
 }
 
-// Apply applies changes. It ignores a change that is older than the one it has for the
-// same item.
+// Apply applies changes of the same era. It ignores a change that is older than the one it
+// has for the same item.
 func (l *Log) Apply(update core.DirectoryUpdate) {
 	for _, item := range update.Items {
 		old, known := l.items[keyOf(item)]
@@ -68,7 +69,7 @@
 		}
 		l.items[keyOf(item)] = item
 	}
-	l.newest = max(l.newest, update.Revision)
+	l.newest.Revision = max(l.newest.Revision, update.Revision)
 	if l.tombstones > maxTombstones {
 		l.compact()
 	}
@@ -82,7 +83,7 @@
 		}
 	}
 	l.tombstones = 0
-	l.compacted = l.newest
+	l.compacted = l.newest.Revision
 }
 
 // All returns all items except the removed ones.
@@ -90,7 +91,7 @@
 	return l.collect(func(i core.DirectoryItem) bool { return !i.Removed() })
 }
 
-// Since returns the changes after a revision. It returns false if removals after that
+// Since returns the changes after a revision of the same era. It returns false if removals after that
 // revision may be missing.
 func (l *Log) Since(after core.Revision) (core.DirectoryUpdate, bool) {
 	if after < l.compacted {
@@ -101,7 +102,7 @@
 
 // collect returns the items that keep selects, ordered by revision.
 func (l *Log) collect(keep func(core.DirectoryItem) bool) core.DirectoryUpdate {
-	update := core.DirectoryUpdate{Revision: l.newest}
+	update := core.DirectoryUpdate{Era: l.newest.Era, Revision: l.newest.Revision}
 	for _, item := range l.items {
 		if keep(item) {
 			update.Items = append(update.Items, item)
--- a/core/delta/delta_test.go
+++ b/core/delta/delta_test.go
@@ -42,8 +42,8 @@
 // follow applies the leader's changes to the follower, or its complete list if some
 // may be missing.
 func follow(leader, follower *delta.Log) {
-	update, ok := leader.Since(follower.Revision())
-	if !ok || follower.Revision() == 0 {
+	update, ok := leader.Since(follower.Position().Revision)
+	if !ok || follower.Position().Era != leader.Position().Era || follower.Position().Revision == 0 {
 		follower.Replace(leader.All())
 		return
 	}
@@ -92,3 +92,26 @@
 		}
 	}
 }
+
+// TestNewEra guards against changes of an earlier era that stay in the log because their
+// revisions are higher.
+func TestNewEra(t *testing.T) {
+	l := delta.New()
+	item := func(r core.Revision) core.DirectoryItem {
+		return core.DirectoryItem{ID: "a", Revision: r, Instance: &core.Instance{ID: "a", Born: int64(r)}}
+	}
+	l.Replace(core.DirectoryUpdate{Era: 3, Revision: 9, Items: []core.DirectoryItem{item(9)}})
+	l.Apply(core.DirectoryUpdate{Era: 3, Revision: 12, Items: []core.DirectoryItem{{ID: "b", Revision: 12}}})
+	l.Replace(core.DirectoryUpdate{Era: 4, Revision: 5, Items: []core.DirectoryItem{item(4)}})
+	l.Apply(core.DirectoryUpdate{Era: 4, Revision: 6, Items: []core.DirectoryItem{item(6)}})
+	want := core.DirectoryUpdate{Era: 4, Revision: 6, Items: []core.DirectoryItem{item(6)}}
+	if diff := cmp.Diff(want, l.All()); diff != "" {
+		t.Errorf("all items: %s", diff)
+	}
+	if changes, ok := l.Since(5); !ok || cmp.Diff(want, changes) != "" {
+		t.Errorf("changes: %v %s", ok, cmp.Diff(want, changes))
+	}
+	if _, ok := l.Since(4); ok {
+		t.Error("changes from before the list are offered")
+	}
+}
--- a/core/errs.go
+++ b/core/errs.go
@@ -34,3 +34,7 @@
 // ErrHistoryGone is returned when a directory, or a host that serves its changes,
 // no longer has the changes after a revision.
 var ErrHistoryGone = errors.New("core: changes after the given revision are no longer available")
+
+// ErrLowerEra is returned when a directory, or a host that serves its changes, is in a lower
+// era than the caller.
+var ErrLowerEra = errors.New("core: directory data of a lower era")
--- a/core/evac/evac_test.go
+++ b/core/evac/evac_test.go
@@ -1,8 +1,10 @@
 package evac_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -120,3 +122,51 @@
 		}
 	})
 }
+
+// TestReturn guards against an evacuation that ends, or begins again, because the directory
+// returned from an older copy, and against one that the keys no longer decide afterwards.
+func TestReturn(t *testing.T) {
+	now := time.Now()
+	until := now.Add(2 * time.Second)
+	type items = []core.DirectoryItem
+	for _, c := range []struct {
+		name    string
+		before  items
+		copied  items
+		changes items // in the new era
+		within  bool  // in force until the end of the grace period
+		after   bool
+	}{
+		{"never", nil, nil, nil, false, false},
+		{"lost", items{begin(9, "a")}, nil, nil, true, false},
+		{"lost and written again", items{begin(9, "a")}, nil, items{begin(5, "a")}, true, true},
+		{"lost, written and ended", items{begin(9, "a")}, nil, items{begin(5, "a"), end(6, "a")}, false, false},
+		{"kept", items{begin(3, "a")}, items{begin(3, "a")}, nil, true, true},
+		{"kept and ended", items{begin(3, "a")}, items{begin(3, "a")}, items{end(5, "a")}, false, false},
+		{"end lost", items{begin(3, "a"), end(9, "a")}, items{begin(3, "a")}, nil, false, true},
+		{"end lost and written again", items{begin(3, "a"), end(9, "a")}, items{begin(3, "a")}, items{end(5, "a")}, false, false},
+		{"end lost, begun again", items{begin(3, "a"), end(9, "a")}, items{begin(3, "a")}, items{begin(5, "a")}, true, true},
+		{"not known before", nil, items{begin(3, "a")}, nil, true, true},
+		{"begin and end lost", items{begin(8, "a"), end(9, "a")}, nil, nil, false, false},
+	} {
+		for _, returns := range []int{1, 2} {
+			t.Run(fmt.Sprint(c.name, ", ", returns, " returns"), func(t *testing.T) {
+				s := evac.New()
+				s.Apply(c.before)
+				for i := range returns {
+					s.Return(c.copied, until.Add(time.Duration(i)*time.Second))
+				}
+				end := until.Add(time.Duration(returns-1) * time.Second)
+				s.Apply(c.changes)
+				s.Expire(end.Add(-1))
+				if got := len(s.Active()) > 0; got != c.within {
+					t.Errorf("within the grace period: %v, want %v", got, c.within)
+				}
+				s.Expire(end)
+				if got := len(s.Active()) > 0; got != c.after {
+					t.Errorf("after the grace period: %v, want %v", got, c.after)
+				}
+			})
+		}
+	}
+}
--- a/core/routing.go
+++ b/core/routing.go
@@ -65,6 +65,7 @@
 	Draining   bool
 	Warmup     time.Duration // remaining time in which the replica is slow after its start
 	Born       int64         // start of this run in Unix milliseconds; distinguishes runs that share an ID
+	Sequence   int64         // rises when the replica writes its entry again
 }
 
 // Evacuation states whether a data centre is evacuated: while it is, its replicas get no
@@ -81,6 +82,7 @@
 	Revision   Revision   // revision of the item's last change
 	Instance   *Instance  // nil when the entry was removed or cannot be used
 	Routing    *Routing
+	RoutingEra Era // in which the document was written; set by the host that read it
 	Evacuation *Evacuation
 }
 
@@ -95,19 +97,39 @@
 	return i.Instance == nil && i.Routing == nil && (i.Evacuation == nil || i.Evacuation.Ended)
 }
 
+// Era counts how often a directory has returned from an older copy. Revisions of different
+// eras can't be compared: later eras give the same ones out again.
+type Era uint64
+
+// Position is a point in the history of a directory.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
+// Before reports whether a position is earlier than another one.
+func (p Position) Before(other Position) bool {
+	return p.Era < other.Era || p.Era == other.Era && p.Revision < other.Revision
+}
+
 // DirectoryUpdate holds items of a directory up to a revision: all of them, or those
-// that changed since an earlier revision.
+// that changed since an earlier revision of the same era.
 type DirectoryUpdate struct {
+	Era      Era
 	Revision Revision
 	Items    []DirectoryItem // in the order of their changes
 }
 
+// Position returns the position up to which the update describes the directory.
+func (u DirectoryUpdate) Position() Position { return Position{Era: u.Era, Revision: u.Revision} }
+
 // Directory reads the published instances and the routing document.
 type Directory interface {
 	// List returns all items.
 	List(ctx context.Context) (DirectoryUpdate, error)
 	// Watch returns the changes after a revision as soon as there are any, or none
-	// when wait has passed. After ErrHistoryGone, List must be called again.
+	// when wait has passed. After ErrHistoryGone, and if the update's era is not that of
+	// the revision, List must be called again.
 	Watch(ctx context.Context, after Revision, wait time.Duration) (DirectoryUpdate, error)
 }
 
@@ -152,16 +174,18 @@
 	// Sources returns the hosts to follow, best first, and whether this host should
 	// read the directory itself.
 	Sources(now time.Time) (hosts []Host, reads bool)
-	// Follow returns the changes after a revision as Directory.Watch does, or all
-	// items after revision 0.
-	Follow(ctx context.Context, h Host, after Revision, wait time.Duration) (FeedUpdate, error)
+	// Follow returns the changes after a revision of an era as Directory.Watch does, or
+	// all items after revision 0 or if the host's era is higher. A host of a lower era
+	// returns ErrLowerEra.
+	Follow(ctx context.Context, h Host, era Era, after Revision, wait time.Duration) (FeedUpdate, error)
 	// MarkDown reports that a host could not be reached.
 	MarkDown(now time.Time, h Host)
 }
 
 // FeedSource serves the directory's content to other hosts.
 type FeedSource interface {
-	// Follow returns the changes after a revision as soon as there are any, or none
-	// when wait has passed. After revision 0 it returns all items at once.
-	Follow(ctx context.Context, after Revision, wait time.Duration) (FeedUpdate, error)
+	// Follow returns the changes after a revision of an era as soon as there are any, or
+	// none when wait has passed. After revision 0, and if the source's era is higher, it
+	// returns all items at once. A source of a lower era returns ErrLowerEra.
+	Follow(ctx context.Context, era Era, after Revision, wait time.Duration) (FeedUpdate, error)
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -259,6 +259,7 @@
 	Replicas     int
 	Connections  int // to replicas
 	Evacuated    []core.DataCentre
+	Era          core.Era // of the directory
 }
 
 // Status returns the current state of the host.
@@ -270,6 +271,7 @@
 		Replicas:     e.replicas.Size(),
 		Connections:  e.client.Connections(),
 		Evacuated:    e.mirror.Evacuated(),
+		Era:          e.mirror.Era(),
 	}
 	if t := e.relay.Table(); t != nil {
 		s.Version = t.Version()
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -8,7 +8,7 @@
 //	err = server.Serve(ctx, listener)
 //
 //	c, err := feed.New(feed.Deps{Self: self, Reachability: detector, Placer: placer})
-//	update, err := c.Follow(ctx, host, revision, wait)
+//	update, err := c.Follow(ctx, host, era, revision, wait)
 package feed
 
 import (
@@ -40,8 +40,9 @@
 // ErrFollow is returned when another host cannot be reached or the call to it fails.
 var ErrFollow = errors.New("feed: cannot follow host")
 
-// request asks for the changes of the directory after a revision.
+// request asks for the changes of the directory after a revision of an era.
 type request struct {
+	Era    core.Era      `json:"era"`
 	After  core.Revision `json:"after"`
 	WaitMS int64         `json:"wait_ms"`
 }
@@ -52,7 +53,8 @@
 	Update      core.DirectoryUpdate `json:"news"`
 	AgeMS       int64                `json:"age_ms"`
 	GraceMS     int64                `json:"lapsing_ms"`
-	HistoryGone bool                 `json:"gone"` // the changes after the revision are no longer available
+	HistoryGone bool                 `json:"gone"`      // the changes after the revision are no longer available
+	LowerEra    bool                 `json:"lower_era"` // this host has only data of a lower era
 }
 
 // codec encodes messages as JSON compressed with zstd.
@@ -139,10 +141,13 @@
 }
 
 func (s *Server) follow(ctx context.Context, r *request) (*reply, error) {
-	update, err := s.source.Follow(ctx, r.After, time.Duration(r.WaitMS)*time.Millisecond)
+	update, err := s.source.Follow(ctx, r.Era, r.After, time.Duration(r.WaitMS)*time.Millisecond)
 	if errors.Is(err, core.ErrHistoryGone) {
 		return &reply{HistoryGone: true}, nil
 	}
+	if errors.Is(err, core.ErrLowerEra) {
+		return &reply{LowerEra: true}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -221,19 +226,22 @@
 func (c *Client) MarkDown(now time.Time, h core.Host) { c.Reachability.MarkDown(now, h.ID()) }
 
 // Follow implements core.Feeds. It closes a connection on which a call failed.
-func (c *Client) Follow(ctx context.Context, h core.Host, after core.Revision, wait time.Duration) (core.FeedUpdate, error) {
+func (c *Client) Follow(ctx context.Context, h core.Host, era core.Era, after core.Revision, wait time.Duration) (core.FeedUpdate, error) {
 	conn, err := c.connect(ctx, h)
 	if err != nil {
 		return core.FeedUpdate{}, err
 	}
 	var answer reply
-	if err := conn.Invoke(ctx, followMethod, c.codec, &request{After: after, WaitMS: wait.Milliseconds()}, &answer); err != nil {
+	if err := conn.Invoke(ctx, followMethod, c.codec, &request{Era: era, After: after, WaitMS: wait.Milliseconds()}, &answer); err != nil {
 		c.closeConn(h.ID(), conn)
 		return core.FeedUpdate{}, errors.Wrapf(ErrFollow, "%s: %v", h.ID(), err)
 	}
 	if answer.HistoryGone {
 		return core.FeedUpdate{}, core.ErrHistoryGone
 	}
+	if answer.LowerEra {
+		return core.FeedUpdate{}, errors.Wrapf(core.ErrLowerEra, "%s", h.ID())
+	}
 	return core.FeedUpdate{
 		Update:      answer.Update,
 		Age:         time.Duration(answer.AgeMS) * time.Millisecond,
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -12,6 +12,8 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +22,7 @@
 	"oriolebarrow/core"
 	"oriolebarrow/core/delta"
 	"oriolebarrow/core/evac"
+	"oriolebarrow/core/known"
 	"oriolebarrow/core/picker"
 )
 
@@ -84,12 +87,14 @@
 	avoidUntil    map[core.HostID]time.Time
 	skipReadUntil time.Time
 	evacuations   *evac.State
+	entries       *known.Entries
 
 	mu             sync.Mutex
 	history        *delta.Log
 	changed        chan struct{} // closed and replaced at each change
 	readAt         time.Time     // when this host or the followed one read the directory
-	routingVersion uint64        // of the active routing document, 0 for none
+	routing        *core.Routing // the active routing document, nil for none
+	routingEra     core.Era      // of the active routing document
 	loaded         bool          // a complete list was applied
 	unreachable    bool          // neither the directory nor another host supplies data
 	reachableSince time.Time     // when the last outage of the directory ended
@@ -115,6 +120,7 @@
 		Deps:        d,
 		avoidUntil:  make(map[core.HostID]time.Time),
 		evacuations: evac.New(),
+		entries:     known.New(),
 		history:     delta.New(),
 		changed:     make(chan struct{}),
 	}
@@ -125,7 +131,7 @@
 func (m *Mirror) Loaded() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.loaded && m.routingVersion > 0
+	return m.loaded && m.routing != nil
 }
 
 // Age returns the time since this host or the followed one last read the directory, and 0
@@ -187,7 +193,7 @@
 // read makes one call to the directory and applies its result.
 func (m *Mirror) read(ctx context.Context) (changed bool, err error) {
 	m.mu.Lock()
-	loaded, after, inGrace := m.loaded, m.history.Revision(), time.Now().Before(m.graceEnd)
+	loaded, at, inGrace := m.loaded, m.history.Position(), time.Now().Before(m.graceEnd)
 	m.mu.Unlock()
 	m.Meter.Count("directory_calls", 1)
 	if !loaded {
@@ -197,18 +203,22 @@
 	if inGrace {
 		wait = batchInterval // expireMissing must run soon
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	watchCtx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
-	update, err := m.Directory.Watch(ctx, after, wait)
-	if errors.Is(err, core.ErrHistoryGone) {
-		m.Log.Info("mirror: directory no longer has the changes; listing all items", "revision", after)
+	update, err := m.Directory.Watch(watchCtx, at.Revision, wait)
+	switch {
+	case errors.Is(err, core.ErrHistoryGone):
+		m.Log.Info("mirror: directory no longer has the changes; listing all items", "revision", at.Revision)
 		return m.list(ctx)
-	}
-	if err != nil {
+	case err != nil:
 		return false, err
+	case update.Era < at.Era:
+		return false, errors.Wrapf(core.ErrLowerEra, "watch: got %d, want %d", update.Era, at.Era)
+	case update.Era > at.Era: // its changes are those after another revision
+		return m.list(ctx)
 	}
 	m.markReachable()
-	m.apply(update, 0)
+	m.apply(withRoutingEra(update), 0, false)
 	return len(update.Items) > 0, nil
 }
 
@@ -220,8 +230,11 @@
 	if err != nil {
 		return false, err
 	}
+	if at := m.position(); update.Era < at.Era {
+		return false, errors.Wrapf(core.ErrLowerEra, "list: got %d, want %d", update.Era, at.Era)
+	}
 	m.markReachable()
-	m.replace(update, 0)
+	m.replace(withRoutingEra(update), 0)
 	return true, nil
 }
 
@@ -250,21 +263,17 @@
 
 // follow obtains changes from another host and applies them.
 func (m *Mirror) follow(ctx context.Context, h core.Host, wait time.Duration) (changed bool, err error) {
-	m.mu.Lock()
-	after := m.history.Revision()
-	if !m.loaded {
-		after = 0
-	}
-	m.mu.Unlock()
+	at := m.position()
+	after := at.Revision
 	m.Meter.Count("directory_follows", 1)
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
-	update, err := m.Feeds.Follow(ctx, h, after, wait)
+	update, err := m.Feeds.Follow(ctx, h, at.Era, after, wait)
 	if errors.Is(err, core.ErrHistoryGone) {
 		after = 0
-		update, err = m.Feeds.Follow(ctx, h, after, wait)
+		update, err = m.Feeds.Follow(ctx, h, at.Era, after, wait)
 	}
-	switch {
+	switch got := update.Update.Position(); {
 	case err != nil:
 		if ctx.Err() != nil {
 			m.Feeds.MarkDown(time.Now(), h)
@@ -272,8 +281,8 @@
 		return false, err
 	case update.Age > maxAge:
 		return false, errors.Wrapf(ErrStale, "%s: read %v ago", h.ID(), update.Age)
-	case update.Update.Revision < after:
-		return false, errors.Wrapf(ErrStale, "%s: revision %d, want at least %d", h.ID(), update.Update.Revision, after)
+	case got.Before(at):
+		return false, errors.Wrapf(ErrStale, "%s: era %d, revision %d, want at least %d, %d", h.ID(), got.Era, got.Revision, at.Era, at.Revision)
 	}
 	m.markReachable()
 	// Adopts the grace period of the other host if it ends later.
@@ -282,60 +291,15 @@
 		m.reachableSince, m.graceEnd = until.Add(-graceTime), until
 	}
 	m.mu.Unlock()
-	if after == 0 {
+	if after == 0 || update.Update.Era > at.Era {
 		m.replace(update.Update, update.Age)
 		return true, nil
 	}
-	m.apply(update.Update, update.Age)
+	m.apply(update.Update, update.Age, false)
 	// false: no pause is needed, since the other host already batches changes.
 	return false, nil
 }
 
-// Follow returns the changes after a revision, for another host that follows this one. If
-// there are none, it waits for one, but no longer than wait and followWait. For revision 0
-// it returns all items at once.
-func (m *Mirror) Follow(ctx context.Context, after core.Revision, wait time.Duration) (core.FeedUpdate, error) {
-	timer := time.NewTimer(min(wait, followWait))
-	defer timer.Stop()
-	for timedOut := false; ; {
-		update, changed, err := m.changesSince(after)
-		if update.Age > maxAge {
-			return update, nil // the other host rejects it as too old
-		}
-		if err != nil || timedOut || after == 0 || len(update.Update.Items) > 0 {
-			return update, err
-		}
-		select {
-		case <-ctx.Done():
-			return core.FeedUpdate{}, ctx.Err()
-		case <-timer.C:
-			timedOut = true
-		case <-changed:
-		}
-	}
-}
-
-// changesSince returns the changes after a revision, and a channel that is closed at the
-// next change.
-func (m *Mirror) changesSince(after core.Revision) (core.FeedUpdate, <-chan struct{}, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.loaded || m.routingVersion == 0 {
-		return core.FeedUpdate{}, nil, ErrNotLoaded
-	}
-	now := time.Now()
-	update := core.FeedUpdate{Age: now.Sub(m.readAt), OutageGrace: max(0, m.graceEnd.Sub(now))}
-	if after == 0 {
-		update.Update = m.history.All()
-		return update, m.changed, nil
-	}
-	var ok bool
-	if update.Update, ok = m.history.Since(after); !ok {
-		return core.FeedUpdate{}, nil, core.ErrHistoryGone
-	}
-	return update, m.changed, nil
-}
-
 // markUnreachable records that neither the directory nor another host supplied data. All
 // hosts may then be tried again at once.
 func (m *Mirror) markUnreachable(err error) {
@@ -361,42 +325,47 @@
 	m.unreachable = false
 	m.reachableSince = time.Now()
 	m.graceEnd = m.reachableSince.Add(graceTime)
-	m.Log.Info("mirror: directory regained", "revision", m.history.Revision())
+	m.Log.Info("mirror: directory regained", "revision", m.history.Position().Revision)
 }
 
 // replace applies a complete list: it removes replicas that are not listed.
 func (m *Mirror) replace(update core.DirectoryUpdate, age time.Duration) {
+	// Evacuations come first, so that no entry of the list is usable before.
+	if at := m.position(); m.returned(at, update) {
+		update = m.applyReturn(at, update)
+	} else {
+		m.entries.Replace(update.Items)
+		m.updateEvacuations(func(s *evac.State) { s.Replace(update.Items) })
+	}
 	present := make(map[core.InstanceID]bool, len(update.Items))
 	for _, item := range update.Items {
 		if item.Instance != nil {
 			present[item.ID] = true
 		}
 	}
-	// Evacuations come first, so that no entry of the list is usable before.
-	m.updateEvacuations(func(s *evac.State) { s.Replace(update.Items) })
 	now := time.Now()
 	for _, id := range m.Replicas.Retain(now, m.keepsMissing(now), func(id core.InstanceID) bool { return present[id] }) {
 		m.Log.Info("mirror: entry is missing in the list", "replica", id, "held", m.keepsMissing(now))
 		m.notifyUnavailable(id)
 	}
-	m.mu.Lock()
-	m.history.Replace(update)
-	m.mu.Unlock()
-	m.apply(update, age)
-	m.mu.Lock()
-	m.loaded = true
-	m.mu.Unlock()
+	m.apply(update, age, true)
 }
 
-// apply applies changes from a directory that was read age ago.
-func (m *Mirror) apply(update core.DirectoryUpdate, age time.Duration) {
-	m.updateEvacuations(func(s *evac.State) { s.Apply(update.Items) })
+// apply applies changes from a directory that was read age ago. complete is set if these are
+// all items, and replace has applied their evacuations and has removed the other replicas.
+func (m *Mirror) apply(update core.DirectoryUpdate, age time.Duration, complete bool) {
+	if !complete {
+		m.entries.Apply(update.Items)
+		m.updateEvacuations(func(s *evac.State) { s.Apply(update.Items) })
+	}
 	now := time.Now()
-	for _, item := range update.Items {
+	update.Items = slices.Clone(update.Items)
+	for i := range update.Items {
+		item := &update.Items[i]
 		switch {
 		case item.Evacuation != nil:
 		case item.Routing != nil:
-			m.install(*item.Routing)
+			item.Routing, item.RoutingEra = m.install(item.RoutingEra, item.Routing)
 		case item.Instance != nil:
 			m.put(now, *item.Instance)
 		case item.ID != "":
@@ -405,27 +374,42 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.history.Apply(update)
+	if complete {
+		m.history.Replace(update)
+		m.loaded = true
+	} else {
+		m.history.Apply(update)
+	}
 	m.readAt = now.Add(-age)
-	if len(update.Items) > 0 {
+	if complete || len(update.Items) > 0 {
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
 }
 
-// install activates a routing document if its version is higher than the active one's. The
-// document counts as loaded only when OnRouting has returned.
-func (m *Mirror) install(doc core.Routing) {
+// install activates a routing document if its version is higher than the active one's, or if it
+// was written again in a higher era. It returns the document that is active then, and its era;
+// other hosts get no other one. The document counts as loaded only when OnRouting has returned.
+func (m *Mirror) install(era core.Era, doc *core.Routing) (*core.Routing, core.Era) {
 	m.mu.Lock()
-	newer := doc.Version > m.routingVersion
+	active, activeEra := m.routing, m.routingEra
 	m.mu.Unlock()
-	if newer {
-		m.OnRouting(doc)
-		m.mu.Lock()
-		m.routingVersion = doc.Version
-		m.mu.Unlock()
+	switch {
+	case doc.Version == 0:
+		return doc, era // as if there were none
+	case active == nil, doc.Version > active.Version:
+	case doc.Version == active.Version && era > activeEra:
+	default:
+		return active, activeEra
+	}
+	if active == nil || !reflect.DeepEqual(active, doc) {
+		m.OnRouting(*doc)
 		m.Log.Info("mirror: routing document in force", "version", doc.Version, "routes", len(doc.Routes))
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.routing, m.routingEra = doc, era
+	return doc, era
 }
 
 // put adds or updates a replica. If it changed, OnAvailable or OnUnavailable is called.
@@ -467,15 +451,18 @@
 	return m.unreachable || now.Before(m.graceEnd)
 }
 
-// expireMissing removes the kept entries that were not published again in time.
+// expireMissing removes the kept entries that were not published again in time, and ends what
+// a return of the directory has held.
 func (m *Mirror) expireMissing() {
+	now := time.Now()
 	m.mu.Lock()
 	since := m.reachableSince
 	m.mu.Unlock()
-	for _, id := range m.Replicas.Expire(time.Now(), since) {
+	for _, id := range m.Replicas.Expire(now, since) {
 		m.Log.Info("mirror: missing entry expired", "replica", id)
 		m.OnUnavailable(id)
 	}
+	m.updateEvacuations(func(s *evac.State) { s.Expire(now) })
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -21,6 +21,7 @@
 // fakeDirectory is a directory in memory that can be down.
 type fakeDirectory struct {
 	mu        sync.Mutex
+	era       core.Era
 	revision  core.Revision
 	items     []core.DirectoryItem // all changes in order
 	down      bool
@@ -43,6 +44,17 @@
 	d.changed = make(chan struct{})
 }
 
+// returnFrom makes the directory return from its copy of an earlier revision.
+func (d *fakeDirectory) returnFrom(r core.Revision) {
+	d.withLock(func() {
+		d.era++
+		d.revision = r
+		d.items = slices.DeleteFunc(slices.Clone(d.items), func(i core.DirectoryItem) bool { return i.Revision > r })
+		close(d.changed)
+		d.changed = make(chan struct{})
+	})
+}
+
 // withLock runs change while it holds the lock.
 func (d *fakeDirectory) withLock(change func()) {
 	d.mu.Lock()
@@ -58,11 +70,11 @@
 	if d.down {
 		return core.DirectoryUpdate{}, nil, errors.New("down")
 	}
-	if after < d.compacted {
+	if after < d.compacted || after > d.revision {
 		return core.DirectoryUpdate{}, nil, core.ErrHistoryGone
 	}
 	i, _ := slices.BinarySearchFunc(d.items, after+1, func(it core.DirectoryItem, r core.Revision) int { return int(it.Revision) - int(r) })
-	return core.DirectoryUpdate{Revision: d.revision, Items: slices.Clone(d.items[i:])}, d.changed, nil
+	return core.DirectoryUpdate{Era: d.era, Revision: d.revision, Items: slices.Clone(d.items[i:])}, d.changed, nil
 }
 
 func (d *fakeDirectory) List(context.Context) (core.DirectoryUpdate, error) {
@@ -229,7 +241,7 @@
 			if m.Loaded() && len(m.versions()) == 0 {
 				t.Fatal("the document is reported as loaded, but is not in force")
 			}
-			if _, err := m.Follow(t.Context(), 0, 0); err == nil && len(m.versions()) == 0 {
+			if _, err := m.Follow(t.Context(), 0, 0, 0); err == nil && len(m.versions()) == 0 {
 				t.Fatal("another host gets a document that is not in force here")
 			}
 		}
@@ -289,6 +301,8 @@
 }
 
 func (f *fakeFeeds) Sources(time.Time) (hosts []core.Host, reads bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for id := range f.sources {
 		hosts = append(hosts, core.NewHost(id, "a", "10.0.0.9:1"))
 	}
@@ -302,15 +316,18 @@
 	f.downCalls++
 }
 
-func (f *fakeFeeds) set(mode string) {
+func (f *fakeFeeds) set(mode string) { f.withLock(func() { f.mode = mode }) }
+
+// withLock runs change while it holds the lock.
+func (f *fakeFeeds) withLock(change func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.mode = mode
+	change()
 }
 
-func (f *fakeFeeds) Follow(ctx context.Context, h core.Host, after core.Revision, wait time.Duration) (core.FeedUpdate, error) {
+func (f *fakeFeeds) Follow(ctx context.Context, h core.Host, era core.Era, after core.Revision, wait time.Duration) (core.FeedUpdate, error) {
 	f.mu.Lock()
-	mode := f.mode
+	mode, source := f.mode, f.sources[h.ID()]
 	f.mu.Unlock()
 	switch mode {
 	case "silent":
@@ -319,7 +336,10 @@
 	case "refused":
 		return core.FeedUpdate{}, errors.New("refused")
 	}
-	return f.sources[h.ID()].Follow(ctx, after, wait)
+	if source == nil {
+		return core.FeedUpdate{}, errors.New("no longer a source")
+	}
+	return source.Follow(ctx, era, after, wait)
 }
 
 // TestFollower guards against a host that reads the directory although another host does.
