--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -181,6 +181,7 @@
 		OnRouting:     e.installRouting,
 		OnAvailable:   e.queueWarming,
 		OnUnavailable: e.client.CloseInstance,
+		OnEvacuation:  e.applyEvacuation,
 		Log:           log,
 		Meter:         o.Meter,
 	})
@@ -284,6 +285,8 @@
 	Hosts        int           // that share limits, this one included
 	Replicas     int
 	Connections  int // to replicas
+	Evacuated    []core.DataCentre
+	Era          core.Era // of the directory
 }
 
 // Status returns the current state of the host.
@@ -294,6 +297,8 @@
 		Hosts:        e.hostCount(),
 		Replicas:     e.replicas.Size(),
 		Connections:  e.client.Connections(),
+		Evacuated:    e.mirror.Evacuated(),
+		Era:          e.mirror.Era(),
 	}
 	if t := e.relay.Table(); t != nil {
 		s.Version = t.Version()
