feat(core/warm): limit of the requests to cold replicas

A cold replica crashes well above the rate that it tolerates. Each host gets a quota for each cold replica from rendezvous hashing; picker asks for it in Pick, PickTried and Start, relay waits for a turn or gives the part up, client reports the remaining warm-up and sends nothing late. Without warmup_per_s or the two bounds nothing is limited.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -70,6 +70,8 @@
 		ReadyAddress:  settings.ReadyAddress,
 		Names:         platform.Names(),
 		Extra:         settings.Extra,
+		Warm:          settings.Warm,
+		DataCentres:   settings.DataCentres,
 		Grace:         settings.Grace,
 		PeerAddress:   settings.PeerAddress,
 		PeerSeeds:     settings.PeerSeeds,
@@ -153,7 +155,7 @@
 			log.Error("node: settings not reloaded", "path", path, "cause", err)
 			continue
 		}
-		host.Reload(edge.Reloadable{Extra: settings.Extra, Grace: settings.Grace})
+		host.Reload(edge.Reloadable{Extra: settings.Extra, Grace: settings.Grace, Warm: settings.Warm})
 	}
 }
 
--- a/core/core.go
+++ b/core/core.go
@@ -82,6 +82,7 @@
 	ReasonTableFull      Reason = "table_full"
 	ReasonDraining       Reason = "draining"
 	ReasonBusy           Reason = "busy" // a backend server has no free slot
+	ReasonCold           Reason = "cold" // cold replicas are at their limit
 	ReasonUnknownCaller  Reason = "unknown_caller"
 	ReasonUnknownService Reason = "unknown_service"
 	ReasonRate           Reason = "rate"
--- a/core/picker/replica.go
+++ b/core/picker/replica.go
@@ -75,6 +75,7 @@
 	Leaving bool          // it is about to stop and wants no further requests
 	Wait    time.Duration // it wants no requests for so long; 0 if it states nothing
 	Invalid bool          // it states a time that can't be understood, which is ignored
+	Warmup  time.Duration // it is cold for so long; 0 if it states nothing
 }
 
 // Replica is one backend server as this host sees it. The lock of the table guards
@@ -85,7 +86,7 @@
 	missingSince time.Time     // when its entry vanished; zero if it did not
 	removed      bool
 	inSubset     bool      // in the subset of the replicas that this host uses
-	warmUntil    time.Time // end of the warm-up, in which it is slow; counted from its first entry
+	warmUntil    time.Time // end of the warm-up, in which it is slow
 
 	// What the replica stated in Notices.
 	leaving   bool
--- a/core/picker/table.go
+++ b/core/picker/table.go
@@ -22,6 +22,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/warm"
 )
 
 // holdMissing is the time for which a replica stays usable after its entry vanished
@@ -49,6 +50,8 @@
 	byID       map[core.InstanceID]*Replica
 	byService  map[core.ServiceName][]*Replica
 	hostLimits map[core.ServiceName]HostLimits
+	warm       *warm.Limiter
+	cold       []Cold // see NewlyCold
 }
 
 // HostLimits limits this host's use of the replicas of a service to its share of their
@@ -70,6 +73,7 @@
 		byID:       make(map[core.InstanceID]*Replica),
 		byService:  make(map[core.ServiceName][]*Replica),
 		hostLimits: make(map[core.ServiceName]HostLimits),
+		warm:       warm.New(self, localDC),
 	}
 }
 
@@ -88,8 +92,12 @@
 		t.byID[in.ID] = r
 		t.byService[in.Service] = append(t.byService[in.Service], r)
 		t.selectSubset(in.Service)
+		t.markCold(now, r, in.Warmup, true)
 		return true
 	}
+	if statesWarmup(r.inst, in) {
+		t.markCold(now, r, in.Warmup, false)
+	}
 	changed := r.inst.Draining != in.Draining || !r.missingSince.IsZero()
 	r.missingSince = time.Time{}
 	r.inst = in
@@ -281,6 +289,9 @@
 			busy = true
 			continue
 		}
+		if !t.warm.Allow(now, r.initial.ID) {
+			continue
+		}
 		cost := r.cost(now, expected, t.localDC)
 		if !r.inSubset {
 			cost += outsideSubsetCost
@@ -330,6 +341,7 @@
 func (t *Table) Note(now time.Time, r *Replica, n Notice) (news bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.markCold(now, r, n.Warmup, false)
 	return r.note(now, n)
 }
 
@@ -340,7 +352,7 @@
 	defer t.mu.Unlock()
 	var bestCost float64
 	for _, r := range tried {
-		if !r.usable(now) || r.running >= t.maxCalls(r) {
+		if !r.usable(now) || r.running >= t.maxCalls(r) || !t.warm.Allow(now, r.initial.ID) {
 			continue
 		}
 		if cost := r.cost(now, expected, t.localDC); best == nil || cost < bestCost {
@@ -370,9 +382,10 @@
 func (t *Table) Start(now time.Time, r *Replica) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !r.usable(now) || r.running >= t.maxCalls(r) {
+	if !r.usable(now) || r.running >= t.maxCalls(r) || !t.warm.Allow(now, r.initial.ID) {
 		return false
 	}
+	t.warm.Sent(now, r.initial.ID)
 	r.started(now)
 	return true
 }
--- a/core/routing.go
+++ b/core/routing.go
@@ -35,7 +35,9 @@
 type Upstream struct {
 	Name        ServiceName
 	HealthPath  string
-	Connections int // most connections that a replica accepts from all hosts together
+	Connections int           // most connections that a replica accepts from all hosts together
+	Warmup      time.Duration // how long a replica is cold after its start
+	WarmupRate  float64       // requests per second that a cold replica tolerates; 0 for no limit
 }
 
 // CallerLimits bounds the size of a caller's request and the time it takes to
@@ -65,6 +67,7 @@
 	Draining   bool
 	Warmup     time.Duration // remaining time in which the replica is slow after its start
 	Born       int64         // start of this run in Unix milliseconds; distinguishes runs that share an ID
+	Sequence   int64         // rises with each version of the entry
 }
 
 // DirectoryItem is one item of the directory: the entry of an instance, or the
@@ -106,6 +109,7 @@
 	Missing    string // number of shards missing from a gathered answer
 	RetryAfter string // seconds, with fractions
 	Leaving    string // 1 when a replica is about to stop
+	Warmup     string // remaining time in milliseconds for which a replica is cold
 }
 
 // Field is one HTTP header field.
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -38,6 +38,8 @@
 	idleMargin = 500 * time.Millisecond
 	// maxWait bounds the time for which a replica can ask for no requests.
 	maxWait = 10 * time.Minute
+	// maxWarmup bounds the time for which a replica can state that it is cold.
+	maxWarmup = time.Hour
 	// maxHeadBytes bounds the head of a response, which usually has a few hundred
 	// bytes.
 	maxHeadBytes = 16 << 10
@@ -56,6 +58,7 @@
 // is reported as an ErrBadResponse that contains its text.
 var (
 	ErrNoConn      = errors.New("client: no connection is available")
+	ErrTooLate     = errors.New("client: time to send has passed")
 	ErrClosed      = errors.New("client: connection closed before the response")
 	ErrDial        = errors.New("client: dial failed")
 	ErrBadResponse = errors.New("client: bad response")
@@ -102,6 +105,8 @@
 	Earlier []*Call
 	// BodyBytes lowers the client's limit on the body of the response; 0 keeps it.
 	BodyBytes int
+	// SendBy is the time after which the request is not sent any more; zero for no limit.
+	SendBy time.Time
 }
 
 // Reply is the response of a replica.
@@ -117,6 +122,7 @@
 	Leaving       bool          // the replica is about to stop
 	Wait          time.Duration // the replica wants no requests for so long
 	InvalidWait   bool          // the replica stated a time that can't be understood
+	Warmup        time.Duration // the replica stays cold for so long; 0 if it states nothing
 }
 
 // Result is the outcome of a call.
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -74,6 +74,11 @@
 
 // run sends the request of a call.
 func (c *conn) run(call *Call) {
+	if by := call.request.SendBy; !by.IsZero() && time.Now().After(by) {
+		c.pool.put(c)
+		call.finish(Result{Err: ErrTooLate, NotRun: true})
+		return
+	}
 	if !call.attach(c) {
 		c.pool.put(c)
 		call.finish(Result{Err: ErrClosed, NotRun: true})
@@ -269,6 +274,9 @@
 	if text, ok := res.get(c.names.Leaving); ok {
 		r.Leaving = text == "1"
 	}
+	if text, ok := res.get(c.names.Warmup); ok && !r.AddressReused {
+		r.Warmup = parseWarmup(text)
+	}
 	if res.status == http.StatusServiceUnavailable {
 		r.Wait, r.InvalidWait = c.wait(res)
 	}
--- a/io/client/response.go
+++ b/io/client/response.go
@@ -203,6 +203,16 @@
 	return time.Duration(min(s, maxWait.Seconds()) * float64(time.Second)), true
 }
 
+// parseWarmup parses a number of milliseconds, which may have a fraction. It returns 0 if the
+// text is no such number. A longer time than maxWarmup counts as maxWarmup.
+func parseWarmup(text string) time.Duration {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || !(ms > 0) {
+		return 0
+	}
+	return time.Duration(min(ms, float64(maxWarmup.Milliseconds())) * float64(time.Millisecond))
+}
+
 // parseLoad parses "running,waiting,slots". Some replicas add a fourth value: the service
 // time in percent of the usual one. Further values are ignored. parseLoad returns nil if
 // the text is invalid.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -31,6 +31,7 @@
 	"oriolebarrow/core/picker"
 	"oriolebarrow/core/place"
 	"oriolebarrow/core/route"
+	"oriolebarrow/core/warm"
 	"oriolebarrow/io/client"
 	"oriolebarrow/io/feed"
 	"oriolebarrow/io/front"
@@ -74,6 +75,8 @@
 	TaskPort      int      // the same on all hosts
 	Names         core.HeaderNames
 	Extra         budget.ExtraLimits
+	Warm          warm.Bounds   // on the requests to cold replicas
+	DataCentres   int           // of the deployment
 	Grace         time.Duration // from the stop request until the process is killed
 	Meter         core.Meter    // may be nil
 	BufferBytes   int64         // bound on the answers of replicas that are being read; 0 means the client's default
@@ -99,6 +102,7 @@
 type Reloadable struct {
 	Extra budget.ExtraLimits
 	Grace time.Duration
+	Warm  warm.Bounds
 }
 
 // Edge is one host. Lock order: mu is taken before the locks of the extra-call
@@ -125,6 +129,7 @@
 	ready        atomic.Bool
 	leaving      atomic.Bool
 	warming      chan core.Instance // replicas to connect to
+	withheld     int64              // requests to cold replicas that were withheld; used by probeEjected only
 }
 
 // New returns a host. Run starts it.
@@ -153,6 +158,7 @@
 	e.client = client.New(client.Options{Names: o.Names, Dial: o.Dial, Meter: o.Meter, LastConnClosed: e.reconnect, BufferBytes: o.BufferBytes})
 	e.extra = budget.NewExtra(o.Extra, e.hostCount())
 	e.grace.Store(int64(o.Grace))
+	e.replicas.SetWarmBounds(time.Now(), o.Warm)
 	e.peers = peer.NewClient(o.Host, inc, taskDial(o.Dial, o.TaskPort))
 	e.taskClient = tasks.New(tasks.Deps{Self: self, Views: detector, Reachability: detector, Near: e.availableIn, Peers: e.peers, Log: log})
 	e.relay = relay.New(relay.Deps{
@@ -230,6 +236,7 @@
 	t := route.New(doc)
 	e.relay.SetTable(t)
 	e.setHostLimits(t)
+	e.replicas.SetWarmRates(time.Now(), t.Upstreams())
 }
 
 // setHostLimits sets this host's share of the connections to the replicas of each
@@ -278,6 +285,7 @@
 func (e *Edge) Reload(s Reloadable) {
 	e.extra.SetLimits(time.Now(), s.Extra)
 	e.grace.Store(int64(s.Grace))
+	e.replicas.SetWarmBounds(time.Now(), s.Warm)
 	e.log.Info("node: settings reloaded", "host", e.opts.Host, "extra_ratio", s.Extra.Ratio,
 		"extra_minimum", s.Extra.Minimum, "grace", s.Grace)
 }
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -73,6 +73,7 @@
 	running        int       // calls that have not ended
 	hedgeAt        time.Time // zero unless a hedge is scheduled
 	waiting        bool      // for a free slot, or about to be resumed with one
+	turnAt         time.Time // zero unless it waits for a turn at a cold replica
 	settled        bool      // no further answer is awaited
 	ran            bool      // a call ended and may have run
 	overloaded     bool      // a replica was at capacity, or the extra-call budget was empty
@@ -165,7 +166,7 @@
 			if busy {
 				j.awaitSlot(now, sub)
 			}
-			return busy
+			return busy || j.awaitTurn(now, sub)
 		}
 		if sub.attempts > 0 && !paid && !j.relay.Extra.Take(now, sub.service) {
 			// A retry that is missing after a failure shows no overload: with fewer queries,
@@ -257,6 +258,7 @@
 		Earlier:        earlier,
 
 		BodyBytes: bodyBytes,
+		SendBy:    j.sendBy(now, replica),
 	}, func(res client.Result) { j.callEnded(sub, replica, res) })
 	j.calls = append(j.calls, sentCall{call, sub})
 }
@@ -336,6 +338,7 @@
 		if sub.settled {
 			continue
 		}
+		j.takeTurn(now, sub)
 		if !sub.refusedRetryAt.IsZero() && !now.Before(sub.refusedRetryAt) {
 			sub.refusedRetryAt = time.Time{}
 			if !j.retryRefused(now, sub) && sub.running == 0 {
@@ -382,6 +385,7 @@
 func (j *job) settle(sub *subrequest) {
 	sub.settled = true
 	j.stopWaiting(sub)
+	j.leaveTurn(sub)
 	if j.query != nil {
 		j.query.MarkLost(sub.index)
 	}
@@ -429,6 +433,9 @@
 		if !sub.refusedRetryAt.IsZero() && sub.refusedRetryAt.Before(last) {
 			last = sub.refusedRetryAt
 		}
+		if !sub.turnAt.IsZero() && sub.turnAt.Before(last) {
+			last = sub.turnAt
+		}
 	}
 	return last
 }
@@ -474,6 +481,7 @@
 	for i := range j.subs {
 		sub := &j.subs[i]
 		j.stopWaiting(sub)
+		j.leaveTurn(sub)
 		if sub.waiting {
 			j.relay.offerSlot(time.Now(), sub.service) // its slot, which it doesn't use
 		}
--- a/io/relay/log.go
+++ b/io/relay/log.go
@@ -133,6 +133,8 @@
 			b.WriteString("=" + string(sub.reason))
 		case sub.waiting:
 			b.WriteString("=waiting") // for a free slot
+		case !sub.turnAt.IsZero():
+			b.WriteString("=" + string(core.ReasonCold))
 		}
 		for _, r := range sub.tried {
 			b.WriteString("/" + string(r.Instance().ID))
--- a/io/relay/query.go
+++ b/io/relay/query.go
@@ -157,6 +157,7 @@
 	}
 	sub.settled = true
 	j.stopWaiting(sub)
+	j.leaveTurn(sub)
 	j.relay.observePartSize(j.route, len(res.Reply.Body))
 	return true
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -94,6 +94,7 @@
 	otherLimiter    *telem.LineLimiter // log lines of all other answers
 
 	waiting *await.Queue[waiter] // subrequests that wait for a free slot
+	turns   turnCounts           // subrequests that wait for a turn at a cold replica
 
 	// finish is closed by Finish.
 	finish     chan struct{}
@@ -186,14 +187,14 @@
 // time until one takes requests again if all asked to wait, and usual otherwise.
 func (r *Relay) retryAfter(now time.Time, s core.ServiceName, usual time.Duration) time.Duration {
 	if r.Replicas.Available(now, s) {
-		return usual
+		return max(usual, r.coldWait(now, s))
 	}
 	return max(usual, r.Replicas.Wait(now, s))
 }
 
 // Note records what a replica states about itself in the result of a call.
 func (r *Relay) Note(now time.Time, replica *picker.Replica, res client.Result) {
-	n := picker.Notice{Leaving: res.Reply.Leaving, Wait: res.Reply.Wait, Invalid: res.Reply.InvalidWait}
+	n := picker.Notice{Leaving: res.Reply.Leaving, Wait: res.Reply.Wait, Invalid: res.Reply.InvalidWait, Warmup: res.Reply.Warmup}
 	if n == (picker.Notice{}) || res.Reply.AddressReused || !r.Replicas.Note(now, replica, n) {
 		return
 	}
--- a/io/relay/single.go
+++ b/io/relay/single.go
@@ -22,8 +22,10 @@
 	now := time.Now()
 	j.relay.Extra.RecordRequests(now, service, 1)
 	if !j.attempt(now, sub, retrySent) {
-		sub.reason = core.ReasonNoReplica
-		return unavailable(core.ReasonNoReplica, j.relay.retryAfter(now, service, retryNoReplica))
+		if sub.reason == "" {
+			sub.reason = core.ReasonNoReplica
+		}
+		return unavailable(sub.reason, j.relay.retryAfter(now, service, retryNoReplica))
 	}
 	defer j.abandon()
 	for !sub.settled {
