--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -41,8 +41,9 @@
 	// of the process.
 	maxPause = 150 * time.Millisecond
 	maxDelay = MaxSendDelay + maxPause
-	// outdatedAfter is the length of a pause after which the known hosts are outdated, and
-	// settleTime the time until they are known again: a round of pings and its spreading.
+	// outdatedAfter is the length of a pause after which the known hosts are outdated.
+	// settleTime is the time after the end of such a pause or after a start in which this host
+	// and the others learn of each other: a round of pings and its spreading.
 	outdatedAfter = time.Second
 	settleTime    = 2 * time.Second
 	// memory is how long a host that was lost still counts: as long as usual warm-ups take, so
@@ -97,7 +98,7 @@
 	seen      map[core.HostID]time.Time
 	changedAt time.Time // when the last change happened on which the quotas depend
 	lastCall  time.Time
-	settledAt time.Time // before this, the known hosts are outdated
+	settledAt time.Time // before this, the hosts may not know of each other
 
 	replicas map[core.InstanceID]*replica
 	withheld int64
@@ -140,6 +141,9 @@
 	}
 	maps.DeleteFunc(l.seen, func(_ core.HostID, at time.Time) bool { return now.Sub(at) > memory })
 	hosts := slices.Sorted(maps.Keys(l.seen))
+	if m.Known && !l.members.Known {
+		l.settledAt = now.Add(settleTime) // the others may not count this host yet
+	}
 	same := l.members.Known == m.Known && l.members.DataCentres == m.DataCentres &&
 		maps.Equal(l.members.Owned, m.Owned) && slices.Equal(l.hosts, hosts)
 	l.members, l.hosts = m, hosts
