--- a/core/warm/warm_test.go
+++ b/core/warm/warm_test.go
@@ -193,8 +193,9 @@
 			}
 			now := start.Add(c.wait)
 			l.SetMembers(now, c.after)
-			if n := send(l, now); early != c.early || n != c.quota {
-				t.Errorf("%d requests were allowed before and %d after %v, want %d and %d", early, n, c.wait, c.early, c.quota)
+			if n, q := send(l, now), l.Quota(now, cold.ID); early != c.early || n != c.quota || q != c.quota {
+				t.Errorf("%d requests were allowed before and %d of a quota of %d after %v, want %d and %d of %d",
+					early, n, q, c.wait, c.early, c.quota, c.quota)
 			}
 		})
 	}
