--- a/io/client/client_test.go
+++ b/io/client/client_test.go
@@ -20,7 +20,7 @@
 
 var names = core.HeaderNames{
 	RequestID: "Req-Id", Deadline: "Left-Ms", Stamp: "Stamp", Expect: "Expect-Instance", Instance: "Instance",
-	NotRun: "Not-Run", Load: "Load", RetryAfter: "Retry-After", Leaving: "Leaving",
+	NotRun: "Not-Run", Load: "Load", RetryAfter: "Retry-After", Leaving: "Leaving", Warmup: "Warm-Left",
 }
 
 // replica is a stand-in that sends the next script as its response to each request.
