--- a/io/relay/cold_test.go
+++ b/io/relay/cold_test.go
@@ -65,24 +65,36 @@
 			t.Errorf("order before a turn: got %d after %v, want 200 after its turn and the call", reply.Status, took)
 		}
 		<-time.After(2 * warm.Window)
-		do(r, "/q/", 7)
-		before = cold()
+		do(r, "/q/", 7) // reports the duration of calls
 		<-time.After(warm.Window)
-		statuses := make(chan int, 10)
+		first = time.Now()
+		for i := range 4 {
+			do(r, "/v/", 20+i)
+		}
+		before = cold()
+		<-time.After(time.Until(first.Add(warm.Window - 100*time.Millisecond)))
+		type result struct {
+			status int
+			took   time.Duration
+		}
+		results := make(chan result, 10)
 		for i := range 10 {
 			go func() {
-				reply, _ := do(r, "/v/", 10+i)
-				statuses <- reply.Status
+				reply, took := do(r, "/v/", 30+i)
+				results <- result{reply.Status, took}
 			}()
 		}
-		served := 0
+		served, rejected := 0, 0
 		for range 10 {
-			if <-statuses == 200 {
+			switch res := <-results; {
+			case res.status == 200:
 				served++
+			case res.status == 503 && res.took < time.Millisecond:
+				rejected++
 			}
 		}
-		if n := cold() - before; n != 4 || served != 4 {
-			t.Errorf("of ten at once, %d were served with %d calls, want 4", served, n)
+		if n := cold() - before; n != 4 || served != 4 || rejected != 6 {
+			t.Errorf("of ten before four turns, %d were served with %d calls and %d rejected at once, want 4, 4 and 6", served, n, rejected)
 		}
 		awaitCalls()
 	})
