--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -50,10 +50,10 @@
 	// that the parts of a split data centre divide the quotas as before.
 	memory = time.Minute
 	// remoteDivisor is the planned requests divided by those for the other data centres.
-	remoteDivisor = 4
+	remoteDivisor = 8
 	// othersDivisor is the requests of a data centre divided by those for hosts that are not
 	// the owner.
-	othersDivisor = 4
+	othersDivisor = 8
 	// rampStep is the time in which the planned requests double after the warm-up, and rampTime
 	// the time after which there is no limit.
 	rampStep = 500 * time.Millisecond
@@ -342,19 +342,14 @@
 	return remote
 }
 
-// part returns the part of a number of requests that a host with a rank gets: an equal one or, if
-// there are more hosts, one request if it is among the first.
+// part returns the part of a number of requests that a host with a rank gets if they are dealt to
+// the known hosts in turn, in the order of their ranks.
 func (l *Limiter) part(requests, rank int) int {
-	n := len(l.hosts)
-	switch {
-	case rank < 0:
+	if rank < 0 || rank >= requests {
 		return 0
-	case n <= requests:
-		return requests / n
-	case rank < requests:
-		return 1
 	}
-	return 0
+	n := len(l.hosts)
+	return (requests - rank + n - 1) / n
 }
 
 // rank returns the position of this host among the known ones by rendezvous hashing for a replica;
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -17,6 +17,7 @@
 
 	"oriolebarrow/core"
 	"oriolebarrow/core/budget"
+	"oriolebarrow/core/warm"
 	"oriolebarrow/io/edge"
 )
 
@@ -96,6 +97,7 @@
 	doc       core.Routing
 	delay     atomic.Int64 // nanoseconds until a replica answers
 	grace     time.Duration
+	warm      warm.Bounds
 	stops     map[string]func()
 
 	runsMu sync.Mutex
@@ -157,6 +159,7 @@
 		CallerAddress: callerAddress(i), ReadyAddress: readyAddress(i), PeerAddress: peerAddress(i),
 		PeerSeeds: []string{peerAddress(0), peerAddress(9)}, TaskPort: 8003,
 		Names: names, Grace: d.grace,
+		Warm: d.warm, DataCentres: 2,
 		Extra:  budget.ExtraLimits{Window: 10 * time.Second, Ratio: 0.2, Minimum: 54},
 		Listen: d.network.listen, ListenPacket: d.network.listenPacket, Dial: d.network.dial,
 	}, d.directory, slog.New(slog.DiscardHandler))
