--- a/core/warm/sum_test.go
+++ b/core/warm/sum_test.go
@@ -90,7 +90,6 @@
 	dataCentres int
 	hosts       []*modelHost
 	splits      [][2]time.Duration // times in which each data centre is split in two
-	cutStart    bool               // whether the first processes know only their part
 	rng         *rand.Rand
 	arrivals    []time.Duration
 }
--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -136,6 +136,10 @@
 // pauses of the process.
 func (l *Limiter) SetMembers(now time.Time, m Members) {
 	now = l.observe(now)
+	maps.DeleteFunc(l.replicas, func(_ core.InstanceID, r *replica) bool { return now.Sub(r.coldUntil) > rampTime+Window })
+	if l.bounds == (Bounds{}) {
+		return
+	}
 	for _, h := range m.Local {
 		l.seen[h] = now
 	}
@@ -150,7 +154,6 @@
 	if !same {
 		l.changed(now)
 	}
-	maps.DeleteFunc(l.replicas, func(_ core.InstanceID, r *replica) bool { return now.Sub(r.coldUntil) > rampTime+Window })
 }
 
 // Limited reports whether cold replicas of a service have a limit.
--- a/io/client/prompt_test.go
+++ b/io/client/prompt_test.go
@@ -96,6 +96,8 @@
 					}
 				}
 				<-time.After(5 * time.Second)
+				s.mu.Lock()
+				defer s.mu.Unlock()
 				if s.longest > 0 || c.whole && s.read != replicas {
 					t.Errorf("an answer was unread for %v; %d of %d were read", s.longest, s.read, replicas)
 				}
--- a/io/relay/cold_test.go
+++ b/io/relay/cold_test.go
@@ -50,7 +50,7 @@
 			}
 		}
 		reply, took := do(r, "/o/", 4)
-		if back := first.Add(warm.Window).Sub(time.Now()); reply.Status != 503 || reply.Reason != core.ReasonCold || took > time.Millisecond ||
+		if back := time.Until(first.Add(warm.Window)); reply.Status != 503 || reply.Reason != core.ReasonCold || took > time.Millisecond ||
 			reply.RetryAfter < back-time.Millisecond || reply.RetryAfter > back+time.Millisecond {
 			t.Errorf("order beyond the quota: got %d %s after %v, retry after %v, want 503 at once and %v", reply.Status, reply.Reason, took, reply.RetryAfter, back)
 		}
