fix(io/relay): answer 503 exactly when no replica has run a request

Cause: a call whose connection was still being opened, a delegated task that was not sent or whose replicas all refused, a write that failed before its first byte, and a caller that left while its request waited counted as possibly run, so that the answer was 502 or 504. The reverse also happened: a query for which some parts had arrived counted as not run once its other shards had refused, and was answered with 503.

Change: before it answers without enough parts, a request ends its calls and tasks and asks each for its outcome (client.Call.Unsent, core.TaskResult.NotRun, peer errors that state NotRun), for 3 ms at most. A part that arrived counts as run. A delegate ends a task 9 ms before the asking host's last moment, so that its result is still received.

--- a/core/task.go
+++ b/core/task.go
@@ -43,6 +43,9 @@
 	OverloadedMissing int        `json:"lacking"` // those among them that are still missing
 	AdmitShare        float64    `json:"room"`    // share of queries over these shards that the host would admit
 	SlotsInUse        float64    `json:"in_use"`  // share of the slots of the shards' replicas, see demand.Meter.InUse
+	// NotRun lists the shards that no replica has run and none will, by index in the task. It is
+	// sent at the end of the task.
+	NotRun []int `json:"not_run,omitempty"`
 }
 
 // TaskBatch is a host and the shards, by index in the query, whose replicas it
--- a/io/client/call.go
+++ b/io/client/call.go
@@ -51,6 +51,14 @@
 	})
 }
 
+// Unsent reports whether the call was abandoned before its request was sent. Then it never
+// will be.
+func (c *Call) Unsent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.abandoned && c.connNumber.Load() == 0
+}
+
 // abort cancels the dial and closes the connection of the call. c.mu must be held.
 func (c *Call) abort() {
 	if c.cancel != nil {
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -37,9 +37,14 @@
 	number uint64
 	read   *bufio.Reader
 
+	// writing is held from before a request becomes the running call until its write has
+	// returned. It is locked before mu.
+	writing sync.Mutex
+
 	mu          sync.Mutex
 	call        *Call // the running call, if any
 	written     bool  // the whole request was written
+	neverSent   bool  // the write of the running call failed before its first byte
 	closed      bool
 	lastUsed    time.Time
 	idleTimeout time.Duration // stated by the replica; 0 when unknown
@@ -79,9 +84,11 @@
 		call.finish(Result{Err: ErrClosed, NotRun: true})
 		return
 	}
+	c.writing.Lock()
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
+		c.writing.Unlock()
 		c.pool.release()
 		call.finish(Result{Err: ErrClosed, NotRun: true})
 		return
@@ -100,14 +107,20 @@
 	c.write(append(head, call.request.Body...), nil)
 }
 
-// write sends a request. A large body is passed separately from the head; the write then
-// has a deadline.
+// write sends a request and unlocks writing. A large body is passed separately from the head;
+// the write then has a deadline.
 func (c *conn) write(head, body []byte) {
+	defer c.writing.Unlock()
 	if body != nil {
 		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 		defer func() { _ = c.raw.SetWriteDeadline(time.Time{}) }()
 	}
-	_, err := c.raw.Write(head)
+	n, err := c.raw.Write(head)
+	if err != nil && n == 0 {
+		c.mu.Lock()
+		c.neverSent = true
+		c.mu.Unlock()
+	}
 	if err == nil && body != nil {
 		_, err = c.raw.Write(body)
 	}
@@ -191,7 +204,12 @@
 		return
 	}
 	c.pool.release()
-	call.finish(Result{Err: errors.Wrapf(ErrClosed, "%s: %v", call.target.Address, err), NoResponse: true})
+	c.writing.Lock() // the close ends the write
+	c.mu.Lock()
+	neverSent := c.neverSent
+	c.mu.Unlock()
+	c.writing.Unlock()
+	call.finish(Result{Err: errors.Wrapf(ErrClosed, "%s: %v", call.target.Address, err), NotRun: neverSent, NoResponse: true})
 }
 
 // receive reads the response to a call and reports whether the connection stays open.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -129,9 +129,16 @@
 	x, err := l.start(ctx, &wire.Frame{Body: &wire.Frame_ReadBatch{ReadBatch: batchToWire(b)}}, b.Query.Deadline,
 		callbacks{onFrame: r.receive, onClosed: func(err error) { r.done <- err }})
 	if err != nil {
-		return ownerLostError("read", h, err)
+		return notRunError("read", h, core.ReasonOwnerLost, err)
 	}
 	defer x.end()
+	// lost returns the error for a batch that ended without the owner's last reply.
+	lost := func(err error) error {
+		if x.end() {
+			return notRunError("read", h, core.ReasonOwnerLost, err)
+		}
+		return ownerLostError("read", h, err)
+	}
 	timer := time.NewTimer(ackTimeout)
 	defer timer.Stop()
 	for {
@@ -143,7 +150,7 @@
 				return notRunError("read", h, r.refused, nil)
 			}
 			if err != nil {
-				return ownerLostError("read", h, err)
+				return lost(err)
 			}
 			return nil
 		case <-timer.C:
@@ -152,7 +159,7 @@
 			}
 			b.Unacknowledged()
 		case <-ctx.Done():
-			return ownerLostError("read", h, ctx.Err())
+			return lost(ctx.Err())
 		}
 	}
 }
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -78,19 +78,18 @@
 	overloaded     bool      // a replica was at capacity, or the extra-call budget was empty
 	// delegated is set when another host calls the replicas.
 	delegated bool
+	notRun    bool          // the delegate states that no replica has run the request nor will
 	last      *client.Reply // last answer of a replica; nil in a query
 	reason    core.Reason   // cause of the last failure
 }
 
-// mayRun reports whether a replica has run the request or may still do so.
-func (sub *subrequest) mayRun() bool { return sub.ran || sub.running > 0 }
-
 // event is what a job waits for: the end of a call, a free slot for a subrequest, or an event
 // of a delegated task.
 type event struct {
 	sub     *subrequest
 	replica *picker.Replica
 	result  client.Result
+	call    int        // index in job.calls
 	slot    bool       // a replica has a free slot for sub; replica and result are not set
 	task    *taskEvent // if not nil, the only field that is set
 }
@@ -98,7 +97,8 @@
 // sentCall is a call of a subrequest.
 type sentCall struct {
 	*client.Call
-	sub *subrequest
+	sub   *subrequest
+	ended bool // its end has been handled
 }
 
 // job is the state of one request while one goroutine serves it.
@@ -120,7 +120,9 @@
 	timer        *time.Timer
 	query        *gather.Query // nil for a request that one replica answers
 	tasks        chan taskEvent
-	taskCount    int       // delegated tasks
+	taskCount    int // delegated tasks
+	tasksOpen    int // those whose end has not been handled
+	cancelTasks  context.CancelFunc
 	pastClose    bool      // the closing time has passed
 	set          *shardSet // nil for a request that one replica answers
 	queries      int       // see core.Task.Queries
@@ -237,6 +239,7 @@
 	sub.hedgeAt = now.Add(j.hedgeDelay(now, sub))
 	j.callCount++
 	inst := replica.Instance()
+	index := len(j.calls)
 	bodyBytes := 0
 	if j.query != nil {
 		bodyBytes = j.relay.partLimit(j.route)
@@ -257,8 +260,8 @@
 		Earlier:        earlier,
 
 		BodyBytes: bodyBytes,
-	}, func(res client.Result) { j.callEnded(sub, replica, res) })
-	j.calls = append(j.calls, sentCall{call, sub})
+	}, func(res client.Result) { j.callEnded(sub, replica, index, res) })
+	j.calls = append(j.calls, sentCall{Call: call, sub: sub})
 }
 
 // earlierCalls returns the calls of a subrequest so far.
@@ -277,7 +280,7 @@
 
 // callEnded records the end of a call and passes it to the job's goroutine. It runs
 // on the goroutine of the connection.
-func (j *job) callEnded(sub *subrequest, replica *picker.Replica, res client.Result) {
+func (j *job) callEnded(sub *subrequest, replica *picker.Replica, index int, res client.Result) {
 	r := j.relay
 	succeeded := res.Err == nil && res.Reply.Status < http.StatusInternalServerError
 	if succeeded {
@@ -308,7 +311,7 @@
 			r.logDemand(now, j.set)
 		}
 	}
-	j.results <- event{sub: sub, replica: replica, result: res}
+	j.results <- event{sub: sub, replica: replica, result: res, call: index}
 	r.offerSlot(time.Now(), sub.service)
 }
 
@@ -396,8 +399,6 @@
 	if res.NotRun {
 		sub.reason, message = core.ReasonBusy, callRefused
 		sub.overloaded = sub.overloaded || res.Err == nil && !res.Reply.AddressReused
-	} else {
-		sub.ran = true
 	}
 	j.addCallEvent(now, e, message)
 	retry := sub.attempts < j.route.Attempts && (j.route.Idempotent || res.NotRun)
--- a/io/relay/query.go
+++ b/io/relay/query.go
@@ -25,7 +25,8 @@
 	}
 	defer j.abandon()
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // ends the delegated tasks
+	defer cancel()
+	j.cancelTasks = cancel
 	now := time.Now()
 	j.queries = 1 + j.set.rejected.Take(now)
 	closeAt := j.closeAt()
@@ -52,7 +53,7 @@
 		}
 		e, got, ok := j.wait(ctx, j.wakeAt(last))
 		if !ok {
-			return Reply{Status: http.StatusGatewayTimeout, Reason: core.ReasonCallerLeft}
+			return j.endedReply(http.StatusGatewayTimeout, core.ReasonCallerLeft)
 		}
 		now = time.Now()
 		switch {
@@ -140,7 +141,7 @@
 // added to the query.
 func (j *job) handleCall(now time.Time, e event) bool {
 	sub := e.sub
-	sub.running--
+	j.callHandled(e)
 	if sub.settled {
 		return false
 	}
@@ -189,13 +190,3 @@
 	}
 	return Reply{Status: http.StatusBadGateway, Reason: core.ReasonBackendError}
 }
-
-// mayHaveRun reports whether any replica has run the request or may still do so.
-func (j *job) mayHaveRun() bool {
-	for i := range j.subs {
-		if sub := &j.subs[i]; sub.mayRun() || sub.delegated && sub.reason == "" {
-			return true
-		}
-	}
-	return false
-}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -75,8 +75,12 @@
 	b.mu.Lock()
 	mode := b.modes[address]
 	b.mu.Unlock()
-	if mode == "down" {
+	switch mode {
+	case "down":
 		return nil, errors.New("connection refused")
+	case "no connection":
+		<-ctx.Done()
+		return nil, ctx.Err()
 	}
 	local, remote := net.Pipe()
 	go b.serve(remote, address)
@@ -106,7 +110,7 @@
 		mode, load := b.modes[address], b.load
 		b.received++
 		switch mode {
-		case "shed", "asks to wait":
+		case "shed", "sheds late", "asks to wait":
 		case "shed once":
 			b.modes[address] = ""
 		default:
@@ -156,6 +160,8 @@
 		took = 8 * serviceTime
 	case "shed", "shed once":
 		status, extra, took = "503 Busy", "Not-Run: 1\r\n", time.Millisecond
+	case "sheds late":
+		status, extra, took = "503 Busy", "Not-Run: 1\r\n", 2*serviceTime
 	case "asks to wait":
 		status, extra, took = "503 Busy", "Not-Run: 1\r\nRetry-After: 2.0\r\n", time.Millisecond
 	case "leaving":
@@ -415,10 +421,18 @@
 	mode    string
 	queries atomic.Int64 // sum of core.Task.Queries
 	divide  atomic.Bool  // the last argument of Plan
+	all     bool         // whether the host gets all shards
 }
 
-func (f *fakeTasks) Plan(_ time.Time, _ []core.ServiceName, divide bool) []core.TaskBatch {
+func (f *fakeTasks) Plan(_ time.Time, services []core.ServiceName, divide bool) []core.TaskBatch {
 	f.divide.Store(divide)
+	if f.all {
+		b := core.TaskBatch{Host: core.NewHost("host-1", "b", "10.0.9.9:1")}
+		for i := range services {
+			b.Shards = append(b.Shards, i)
+		}
+		return []core.TaskBatch{b}
+	}
 	return []core.TaskBatch{{Host: core.NewHost("host-1", "b", "10.0.9.9:1"), Shards: []int{2, 3, 5, 7, 11, 13}}}
 }
 
@@ -430,6 +444,12 @@
 	case "lost":
 		<-time.After(40 * time.Millisecond)
 		return &core.CallError{Op: "read", Reason: core.ReasonOwnerLost}
+	case "no link":
+		<-ctx.Done()
+		return &core.CallError{Op: "read", Reason: core.ReasonOwnerLost, NotRun: true}
+	case "silent":
+		<-ctx.Done()
+		return &core.CallError{Op: "read", Reason: core.ReasonOwnerLost}
 	case "overloaded":
 		sink(core.TaskResult{AdmitShare: 0.3})
 	case "wrong":
--- a/io/relay/single.go
+++ b/io/relay/single.go
@@ -30,20 +30,21 @@
 		last := j.deadline.Add(-answerMargin)
 		now := time.Now()
 		if !now.Before(last) {
-			return j.deadlineReply(sub)
+			return j.endedReply(http.StatusGatewayTimeout, core.ReasonDeadline)
 		}
 		if j.relay.finishing() {
-			return j.drainingReply(sub)
+			sub.reason = core.ReasonDraining
+			return j.endedReply(http.StatusBadGateway, core.ReasonDraining)
 		}
 		e, got, ok := j.wait(ctx, j.wakeAt(last))
 		if !ok {
-			return Reply{Status: http.StatusGatewayTimeout, Reason: core.ReasonCallerLeft}
+			return j.endedReply(http.StatusGatewayTimeout, core.ReasonCallerLeft)
 		}
 		now = time.Now()
 		if got && e.slot {
 			j.resume(now, e.sub)
 		} else if got {
-			sub.running--
+			j.callHandled(e)
 			if reply, final := j.finalReply(now, e); final {
 				return reply
 			}
@@ -76,28 +77,12 @@
 	if sub.last != nil && !impliesNotRun(sub.last.Status) {
 		return replicaReply(*sub.last)
 	}
-	if !sub.mayRun() {
+	if !j.mayHaveRun() {
 		return unavailable(sub.reason, j.relay.retryAfter(time.Now(), sub.service, retrySoon))
 	}
 	return Reply{Status: http.StatusBadGateway, Reason: sub.reason}
 }
 
-// drainingReply returns the reply to a request that still runs when Finish is called.
-func (j *job) drainingReply(sub *subrequest) Reply {
-	sub.reason = core.ReasonDraining
-	if !sub.mayRun() {
-		return unavailable(core.ReasonDraining, retrySoon)
-	}
-	return Reply{Status: http.StatusBadGateway, Reason: core.ReasonDraining}
-}
-
-func (j *job) deadlineReply(sub *subrequest) Reply {
-	if !sub.mayRun() {
-		return unavailable(core.ReasonDeadline, retrySoon)
-	}
-	return Reply{Status: http.StatusGatewayTimeout, Reason: core.ReasonDeadline}
-}
-
 // impliesNotRun reports whether callers take a status as proof that the request did
 // not run. A replica's answer with such a status is no proof, so it is not passed on.
 func impliesNotRun(status int) bool {
--- a/io/relay/task.go
+++ b/io/relay/task.go
@@ -47,6 +47,7 @@
 			j.subs[s].delegated = true
 		}
 		j.taskCount++
+		j.tasksOpen++
 		go j.runTask(ctx, b, j.newTask(now, b, closeAt))
 	}
 }
@@ -78,6 +79,12 @@
 
 func (j *job) runTask(ctx context.Context, b *core.TaskBatch, t core.Task) {
 	post := func(e taskEvent) {
+		// The end of a task is awaited after ctx has ended, see awaitTasks.
+		select {
+		case j.tasks <- e:
+			return
+		default:
+		}
 		select {
 		case j.tasks <- e:
 		case <-ctx.Done():
@@ -95,8 +102,10 @@
 			j.relay.logDemand(now, j.set)
 		}
 		j.merge(e.batch, e.result)
+		j.recordNotRun(e.batch, e.result)
 		return
 	}
+	j.tasksOpen--
 	lost := 0
 	for _, s := range e.batch.Shards {
 		if sub := &j.subs[s]; !sub.settled {
@@ -124,7 +133,7 @@
 		if !j.query.Add(sub.index, p.Stamp, nil) {
 			j.relay.Log.Error("relay: duplicate part in a task result", "request", j.req.ID, "peer", b.Host.ID())
 		}
-		sub.settled = true
+		sub.settled, sub.ran = true, true
 	}
 	j.query.AddRecords(r.Records)
 }
@@ -133,13 +142,15 @@
 // delegate cannot have started the task, this host calls the replicas itself.
 // Otherwise the subrequest is settled, since the delegate may have used all attempts.
 func (j *job) reclaim(now time.Time, sub *subrequest, err error) {
-	var call *core.CallError
-	notRun := errors.As(err, &call) && call.NotRun
+	notRun := notStarted(err)
 	sub.reason = core.ReasonOwnerLost
-	if err == nil {
+	switch {
+	case err == nil && sub.notRun:
+		sub.reason = core.ReasonBusy
+	case err == nil:
 		sub.reason = core.ReasonBackendError
 	}
-	sub.ran = sub.ran || !notRun
+	sub.ran = sub.ran || !notRun && !sub.notRun
 	if notRun {
 		j.relay.Extra.RecordRequests(now, sub.service, j.queries) // the delegate has not recorded them
 	}
@@ -148,6 +159,12 @@
 	}
 }
 
+// notStarted reports whether an error proves that the other host has not started a task.
+func notStarted(err error) bool {
+	var call *core.CallError
+	return errors.As(err, &call) && call.NotRun
+}
+
 // Execute executes a task of another host. It calls sink with the parts that have
 // arrived when the task is complete or at its closing time, and again with parts that
 // arrive later.
@@ -191,7 +208,7 @@
 // executeTask runs until each shard has returned its part or failed, until shortly
 // before the deadline, or until Finish is called or ctx ends.
 func (j *job) executeTask(ctx context.Context, closeAt time.Time, sink func(core.TaskResult)) {
-	last := j.deadline.Add(-answerMargin)
+	last := j.deadline.Add(-answerMargin - taskMargin) // the asking host answers at answerMargin
 	unsent := newUnsentParts(j)
 	for {
 		now := time.Now()
@@ -201,7 +218,7 @@
 				j.pastClose = true
 				j.updateShedder(now)
 			}
-			unsent.send(sink, j.countOverload(now))
+			unsent.send(sink, j.countOverload(now), j.notRunShards(done))
 		}
 		if done {
 			return
@@ -251,17 +268,18 @@
 
 // send passes the parts to sink. The first call also reports the overload, even if
 // there are no parts.
-func (u *unsentParts) send(sink func(core.TaskResult), o overload) {
+func (u *unsentParts) send(sink func(core.TaskResult), o overload, notRun []int) {
 	if u.overloadSent {
 		o = overload{}
 	}
 	u.overloadSent = true
-	if len(u.parts) == 0 && o.shards == 0 {
+	if len(u.parts) == 0 && o.shards == 0 && len(notRun) == 0 {
 		return
 	}
 	sink(core.TaskResult{
 		Parts: u.parts, Records: u.merged.Body(), Overloaded: o.shards, OverloadedMissing: o.missing,
 		AdmitShare: u.job.set.shedder.Share(), SlotsInUse: u.job.set.demand.InUse(),
+		NotRun: notRun,
 	})
 	u.reset()
 }
