feat(core/shed): divide what is admitted by priority, returns and callers

Cause: load shedding admitted queries by a hash of their id, blind to kind, urgency and caller: the urgent kind was rejected as often as the long one, and a caller that repeated at once was served more often. Requests to one replica waited for a slot until their deadline.

Change: the share itself follows the results of queries as before. Below 1 it is divided among the kinds by priority, above a floor of 0.4 times the rate of all requests; callers that return when told go before new ones, for at most half of what their kind may do; callers get equal numbers. A caller that repeats the same request before it was told to is rejected with the rest of its time. Retry-After is the next place in the order of arrival. A request to one replica is rejected at once if the calls that wait before it take longer than its deadline. Each rejection has a line (relay: request rejected) and a counter by route and reason. Nothing is decided anew while the share is 1 and no rejected caller is due, or while slots are free.

TestRejectedQueriesReported, TestShare unchanged; TestAdmit and TestRetryAfter ask the same of the new interface.

--- a/core/await/await.go
+++ b/core/await/await.go
@@ -63,6 +63,20 @@
 	return true
 }
 
+// Before returns how many calls to a service would get a slot before a call with this latest
+// start that is added now. Calls that are late don't, unless that one is late as well.
+func (q *Queue[T]) Before(now time.Time, s core.ServiceName, latestStart time.Time) (n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	own := entry[T]{latestStart: latestStart}
+	for _, e := range q.waiting[s] {
+		if !own.precedes(e, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Next removes and returns the call that gets the next free slot.
 func (q *Queue[T]) Next(now time.Time, s core.ServiceName) (call T, ok bool) {
 	q.mu.Lock()
--- a/core/await/await_test.go
+++ b/core/await/await_test.go
@@ -59,3 +59,21 @@
 		t.Error("an empty queue has a next call")
 	}
 }
+
+// TestBefore guards against an estimate of the wait that counts calls which yield, or leaves out
+// those that were added before with the same latest start.
+func TestBefore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := await.New[int]()
+	for i, after := range []time.Duration{-20 * ms, -10 * ms, 30 * ms, 50 * ms, 50 * ms, 90 * ms} {
+		q.Add("s", i, now.Add(after))
+	}
+	for after, want := range map[time.Duration]int{20 * ms: 0, 30 * ms: 1, 50 * ms: 3, 100 * ms: 4, -30 * ms: 4, -15 * ms: 5, -5 * ms: 6} {
+		if n := q.Before(now, "s", now.Add(after)); n != want {
+			t.Errorf("%d calls are before one with latest start %v, want %d", n, after, want)
+		}
+	}
+	if n := q.Before(now, "other", now); n != 0 {
+		t.Errorf("%d calls wait for a service without any", n)
+	}
+}
--- a/core/shed/load_test.go
+++ b/core/shed/load_test.go
@@ -50,6 +50,7 @@
 
 type query struct {
 	id               uint64
+	content          uint64 // the same in all attempts of a caller
 	host             *host
 	begin            time.Duration
 	firstTry         bool // false for a retry of a caller
@@ -161,7 +162,7 @@
 	if sim.faultActive() && sim.scenario.burst > 0 {
 		rate *= sim.scenario.burst
 	}
-	sim.submit(&query{begin: sim.clock.Elapsed(), firstTry: true})
+	sim.submit(&query{begin: sim.clock.Elapsed(), content: sim.rng.Uint64(), firstTry: true})
 	sim.clock.After(time.Duration(sim.rng.ExpFloat64()/rate*float64(time.Second)), sim.arrive)
 }
 
@@ -175,14 +176,19 @@
 	case sim.clock.Elapsed() >= faultTo+time.Second && q.firstTry:
 		sim.afterCallers++
 	}
-	if sim.reject && !q.host.shedder.Admit(sim.clock.Now(), q.id) {
-		sim.rejected++
-		if q.firstTry {
-			sim.clock.After(q.host.shedder.RetryAfter(callerTimeout, target, sim.rng.Uint64()), func() {
-				sim.submit(&query{begin: sim.clock.Elapsed(), rejected: true})
-			})
+	if sim.reject {
+		d := q.host.shedder.Admit(sim.clock.Now(), shed.Demand{
+			Route: "q", Cost: serviceTime, Target: target, Remaining: callerTimeout, Content: q.content, Hash: q.id,
+		})
+		if !d.Admitted {
+			sim.rejected++
+			if q.firstTry {
+				sim.clock.After(d.RetryAfter, func() {
+					sim.submit(&query{begin: sim.clock.Elapsed(), content: q.content, rejected: true})
+				})
+			}
+			return
 		}
-		return
 	}
 	for s := range shards {
 		sim.send(q, s, true)
@@ -327,7 +333,7 @@
 		return
 	}
 	if q.firstTry {
-		sim.submit(&query{begin: sim.clock.Elapsed(), rejected: q.rejected})
+		sim.submit(&query{begin: sim.clock.Elapsed(), content: q.content, rejected: q.rejected})
 	}
 }
 
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -9,11 +9,15 @@
 // query that had enough parts. Other failures do not lower the share, since admitting
 // fewer queries would not prevent them.
 //
+// While the share is below 1, it is divided among what competes: kinds of queries by priority,
+// with a floor for each; callers that return when told before new queries; and callers among
+// each other, so that none gains by repeating its query at once or often.
+//
 // # Usage
 //
 //	s := shed.New()
-//	if !s.Admit(now, hash) {
-//		return reject(s.RetryAfter(remaining, target, hash))
+//	if d := s.Admit(now, shed.Demand{Route: "search", Priority: 1, Cost: cost, Hash: hash}); !d.Admitted {
+//		return reject(d.Reason, d.RetryAfter)
 //	}
 //	s.Ended(enough, overloaded)
 package shed
@@ -39,11 +43,6 @@
 	minShare = 0.3
 	// peerShareTTL is how long a share reported by other hosts is used.
 	peerShareTTL = 2 * time.Second
-	// minRetryFraction and maxRetryFraction limit the fraction of the remaining time after
-	// which a rejected caller may retry. They differ so that callers do not return all at
-	// once, and are small enough for a caller to be served before its deadline.
-	minRetryFraction = 0.1
-	maxRetryFraction = 0.3
 )
 
 // Shedder sheds queries over one set of shards: it admits a share of them, which it adapts
@@ -53,10 +52,29 @@
 	share       float64
 	peerShare   float64 // smallest share of other hosts, as last set by SetPeerShare
 	peerShareAt time.Time
+	kinds       map[string]*kind // by route
+	order       []*kind          // in the order of their first query
 }
 
 // New returns a Shedder that admits all queries.
-func New() *Shedder { return &Shedder{share: 1} }
+func New() *Shedder { return &Shedder{share: 1, kinds: make(map[string]*kind)} }
+
+// Reasons of a rejection.
+const (
+	ReasonShare = "share" // the admitted share is used up
+	ReasonEarly = "early" // the caller repeats a rejected query before it was told to
+	ReasonLate  = "late"  // the query can't be served before its deadline
+	ReasonQueue = "queue" // the requests that wait before it take too long
+)
+
+// Decision says whether a query is admitted.
+type Decision struct {
+	Admitted   bool
+	Reason     string        // of a rejection
+	RetryAfter time.Duration // after which a rejected caller may retry; 0 if that would be in vain
+	Share      float64       // admitted share of the work
+	Chance     float64       // admitted share of such queries
+}
 
 // Share returns the share of queries that this host admits by its own observations, 0 to 1.
 func (s *Shedder) Share() float64 {
@@ -74,15 +92,75 @@
 	s.peerShare, s.peerShareAt = share, now
 }
 
-// Admit reports whether a query is admitted. The hash of its request ID decides.
-func (s *Shedder) Admit(now time.Time, hash uint64) bool {
+// Admit decides whether a query is admitted.
+func (s *Shedder) Admit(now time.Time, d Demand) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	share := s.share
+	k := s.kind(d)
+	share := s.current(now)
+	who := d.identity()
+	if wait := k.early(now, who); wait > 0 {
+		return Decision{Reason: ReasonEarly, RetryAfter: wait, Share: share}
+	}
+	if share < 1 && d.Remaining > 0 && d.Remaining < d.Cost {
+		return Decision{Reason: ReasonLate, Share: share}
+	}
+	k.work.add(now, max(1, float64(d.Cost)))
+	k.count.add(now, 1)
+	k.addCaller(now, d.Caller)
+	returning := k.takeInvitation(now, who)
+	if returning {
+		k.returned.add(now, 1)
+	}
+	chance := 1.0
+	if share < 1 {
+		chance = s.chance(now, k, d.Caller, share, returning)
+	}
+	if chance >= 1 || float64(d.Hash) < chance*math.MaxUint64 {
+		k.repeats.add(now, who)
+		return Decision{Admitted: true, Share: share, Chance: chance}
+	}
+	return Decision{Reason: ReasonShare, RetryAfter: k.invite(now, d, chance), Share: share, Chance: chance}
+}
+
+// chance returns the admitted share of the queries of a caller of a kind.
+func (s *Shedder) chance(now time.Time, k *kind, caller string, share float64, returning bool) float64 {
+	for _, a := range allocate(now, s.order, share) {
+		if a.kind != k {
+			continue
+		}
+		returned, fresh := k.split(now, a.admit)
+		if returning {
+			return returned
+		}
+		return k.callerShare(now, caller, fresh)
+	}
+	return share
+}
+
+// current returns the admitted share of the work, by the observations of this host and of
+// other hosts.
+func (s *Shedder) current(now time.Time) float64 {
 	if now.Sub(s.peerShareAt) < peerShareTTL {
-		share = min(share, max(minShare, s.peerShare))
+		return min(s.share, max(minShare, s.peerShare))
+	}
+	return s.share
+}
+
+// kind returns the record of a query's kind.
+func (s *Shedder) kind(d Demand) *kind {
+	route := d.Route
+	if _, ok := s.kinds[route]; !ok && len(s.kinds) >= maxKinds {
+		route = ""
+	}
+	k, ok := s.kinds[route]
+	if !ok {
+		k = &kind{callers: make(map[string]*sum)}
+		s.kinds[route] = k
+		s.order = append(s.order, k)
 	}
-	return share >= 1 || float64(hash) < share*math.MaxUint64
+	k.priority = d.Priority
+	return k
 }
 
 // Ended adapts the share to the result of an admitted query: enough says whether the
@@ -101,15 +179,3 @@
 		s.share = max(minShare, s.share-shedStep)
 	}
 }
-
-// RetryAfter returns how long a rejected caller must wait before it may retry, given its
-// remaining time and the target latency of its query. It returns 0 if a retry could not be
-// served before the deadline. The hash spreads the retries of different callers.
-func (s *Shedder) RetryAfter(remaining, target time.Duration, hash uint64) time.Duration {
-	fraction := minRetryFraction + (maxRetryFraction-minRetryFraction)*float64(hash>>11)/(1<<53)
-	wait := time.Duration(fraction * float64(remaining))
-	if wait+target > remaining {
-		return 0
-	}
-	return wait
-}
--- a/core/shed/shed_test.go
+++ b/core/shed/shed_test.go
@@ -43,18 +43,21 @@
 func TestAdmit(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := shed.New()
-	if !s.Admit(now, math.MaxUint64) || !s.Admit(now, 0) {
+	admit := func(now time.Time, hash uint64) bool {
+		return s.Admit(now, shed.Demand{Route: "q", Cost: time.Millisecond, Remaining: time.Second, Content: hash, Hash: hash}).Admitted
+	}
+	if !admit(now, math.MaxUint64) || !admit(now, 0) {
 		t.Error("a query is rejected with a share of 1")
 	}
 	s.SetPeerShare(now, 0.5)
-	if s.Admit(now, math.MaxUint64/4*3) || !s.Admit(now, math.MaxUint64/4) {
+	if admit(now, math.MaxUint64/4*3) || !admit(now, math.MaxUint64/4) {
 		t.Error("with a reported share of 0.5, want the lower half of the hashes admitted")
 	}
 	s.SetPeerShare(now, 0)
-	if !s.Admit(now, math.MaxUint64/10) {
+	if !admit(now, math.MaxUint64/10) {
 		t.Error("no query is admitted with a reported share of 0")
 	}
-	if !s.Admit(now.Add(time.Minute), math.MaxUint64) {
+	if !admit(now.Add(time.Minute), math.MaxUint64) {
 		t.Error("a share that was reported a minute ago is still used")
 	}
 }
@@ -63,12 +66,25 @@
 // to be served before their deadline.
 func TestRetryAfter(t *testing.T) {
 	const remaining, target = 600 * time.Millisecond, 100 * time.Millisecond
+	now := time.Unix(1000, 0)
 	s := shed.New()
-	early, late := s.RetryAfter(remaining, target, 0), s.RetryAfter(remaining, target, math.MaxUint64)
-	if early <= 0 || late <= early || late > remaining/3 || late+target > remaining {
-		t.Errorf("callers retry after %v to %v of %v", early, late, remaining)
+	s.SetPeerShare(now, 0.3)
+	times := make(map[time.Duration]int)
+	for i := range 100 {
+		hash := uint64(math.MaxUint64) - uint64(i)*1e12
+		d := s.Admit(now, shed.Demand{Route: "q", Cost: time.Millisecond, Target: target, Remaining: remaining, Content: hash, Hash: hash})
+		if d.Admitted || d.RetryAfter <= 0 || d.RetryAfter > remaining/3 || d.RetryAfter+target > remaining {
+			t.Fatalf("query %d: admitted %v, retry after %v of %v", i, d.Admitted, d.RetryAfter, remaining)
+		}
+		times[d.RetryAfter.Truncate(10*time.Millisecond)]++
+	}
+	for at, n := range times {
+		if n > 25 {
+			t.Errorf("%d of 100 callers return within 10 ms from %v on", n, at)
+		}
 	}
-	if wait := s.RetryAfter(remaining, remaining, 1); wait != 0 {
-		t.Errorf("a caller that can no longer be served before its deadline retries after %v", wait)
+	d := s.Admit(now, shed.Demand{Route: "q", Cost: time.Millisecond, Target: remaining, Remaining: remaining, Hash: math.MaxUint64})
+	if d.Admitted || d.RetryAfter != 0 {
+		t.Errorf("a caller that can no longer be served before its deadline: admitted %v, retry after %v", d.Admitted, d.RetryAfter)
 	}
 }
--- /dev/null
+++ b/io/front/export_test.go
@@ -0,0 +1,6 @@
+package front
+
+import "net/http"
+
+// CallerKey is caller, for tests.
+func CallerKey(r *http.Request) string { return caller(r) }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -37,6 +37,8 @@
 	// bodyTimeout bounds the reading of a body. The caller's remaining time replaces it
 	// if that is shorter, since the caller no longer waits afterwards.
 	bodyTimeout = 10 * time.Second
+	// maxAgentBytes bounds the part of the User-Agent field in the key of a caller.
+	maxAgentBytes = 64
 )
 
 // Deps are the dependencies of a Front.
@@ -116,6 +118,7 @@
 		Remaining:   f.remaining(r.Header),
 		Arrived:     arrived,
 		FirstOnConn: firstOnConn(r.Context()),
+		Caller:      caller(r),
 	}
 	body, rejection := f.body(w, r, req.Remaining)
 	if rejection != nil {
@@ -126,6 +129,17 @@
 	f.write(w, r, f.deps.Relay.Do(r.Context(), req))
 }
 
+// caller returns a key that tells callers apart: the address of the connection without the
+// port, and the program that it names.
+func caller(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		host = r.RemoteAddr
+	}
+	agent := r.UserAgent()
+	return host + " " + agent[:min(len(agent), maxAgentBytes)]
+}
+
 // uri returns the path and the query of a request.
 func uri(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/io/relay/query.go
+++ b/io/relay/query.go
@@ -20,8 +20,8 @@
 		return unavailable(core.ReasonNoReplica, j.queryRetryAfter(now, retryNoReplica))
 	}
 	j.set = j.relay.setFor(j.route.Gather[0])
-	if after, ok := j.admit(); !ok {
-		return unavailable(core.ReasonBusy, after)
+	if d := j.admit(); !d.Admitted {
+		return j.rejected(time.Now(), d)
 	}
 	defer j.abandon()
 	ctx, cancel := context.WithCancel(ctx)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -55,7 +55,8 @@
 	Body        []byte
 	Remaining   time.Duration // remaining time that the caller states; 0 if it states none
 	Arrived     time.Time
-	FirstOnConn bool // whether it is the first request on its connection
+	FirstOnConn bool   // whether it is the first request on its connection
+	Caller      string // tells callers apart; empty if unknown
 }
 
 // Reply is the answer to a caller.
@@ -104,6 +105,8 @@
 	lag       time.Duration                  // see observeLag
 	partSizes map[string]float64             // usual size of a part in bytes, by route
 	sets      map[core.ServiceName]*shardSet // by the first shard
+
+	rejectedRoutes map[string]struct{} // see countedRoute
 }
 
 var _ core.TaskRunner = (*Relay)(nil)
@@ -121,6 +124,8 @@
 		finish:    make(chan struct{}),
 		partSizes: make(map[string]float64),
 		sets:      make(map[core.ServiceName]*shardSet),
+
+		rejectedRoutes: make(map[string]struct{}),
 	}
 }
 
--- a/io/relay/shed.go
+++ b/io/relay/shed.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"oriolebarrow/core"
 	"oriolebarrow/core/budget"
 	"oriolebarrow/core/demand"
@@ -33,17 +31,18 @@
 	return s
 }
 
-// admit reports whether the query is admitted, and if not, after which time its caller may
-// retry.
-func (j *job) admit() (retryAfter time.Duration, ok bool) {
-	hash := xxhash.Sum64String(string(j.req.ID))
+// admit decides whether the query is admitted.
+func (j *job) admit() shed.Decision {
 	now := time.Now()
-	if j.set.shedder.Admit(now, hash) {
-		return 0, true
+	d := j.set.shedder.Admit(now, j.askFor(now))
+	if d.Admitted {
+		return d
+	}
+	if d.Reason != shed.ReasonEarly {
+		j.set.rejected.Add(now)
 	}
-	j.set.rejected.Add(now)
 	j.relay.Meter.Count("relay_no_room", 1)
-	return max(retrySoon, j.set.shedder.RetryAfter(j.deadline.Sub(now), j.route.Target, xxhash.Sum64String("after "+string(j.req.ID)))), false
+	return d
 }
 
 // overload counts the shards of a query whose replicas were at capacity.
--- a/io/relay/single.go
+++ b/io/relay/single.go
@@ -26,6 +26,9 @@
 		return unavailable(core.ReasonNoReplica, j.relay.retryAfter(now, service, retryNoReplica))
 	}
 	defer j.abandon()
+	if d := j.admitWait(now, sub); !d.Admitted {
+		return j.rejected(now, d)
+	}
 	for !sub.settled {
 		last := j.deadline.Add(-answerMargin)
 		now := time.Now()
