--- a/core/shed/compete_test.go
+++ b/core/shed/compete_test.go
@@ -63,6 +63,7 @@
 	rate           float64 // callers in a second
 	repeats        int     // how often a caller repeats a rejected query at once, instead of when told
 	addresses      int     // of its callers, from address on
+	changes        bool    // whether a repeated query has another content
 	address        int
 	served, inTime float64
 	callers        float64
@@ -177,6 +178,9 @@
 		c.enqueue(a)
 	case k.repeats > 0 && a.tries < k.repeats:
 		a.tries++
+		if k.changes {
+			a.content = c.rng.Uint64()
+		}
 		c.clock.After(2*time.Millisecond, func() { c.submit(a) })
 	case k.repeats == 0 && a.tries == 0 && after > 0:
 		c.clock.After(after, func() {
@@ -272,19 +276,23 @@
 // TestCallerRepeatsAtOnce guards against a caller that gains by repeating its rejected queries
 // at once and often, beside others that wait as told.
 func TestCallerRepeatsAtOnce(t *testing.T) {
-	classes := func() []*class {
-		others, greedy := longKind(270), longKind(30)
-		others.addresses, greedy.address, greedy.repeats = 9, 9, 20
-		return []*class{others, greedy}
-	}
-	before, got := compete(newHash, nil, classes), compete(newShared, nil, classes)
-	t.Logf("served: others %.3f (rule before %.3f), the caller that repeats %.3f (%.3f)",
-		got[0].servedShare(), before[0].servedShare(), got[1].servedShare(), before[1].servedShare())
-	if got[1].servedShare() > got[0].servedShare()+0.05 {
-		t.Errorf("the caller that repeats is served %.3f of the time, the others %.3f", got[1].servedShare(), got[0].servedShare())
-	}
-	if before[1].servedShare() <= before[0].servedShare()+0.05 {
-		t.Error("the test shows nothing: repeating gained nothing with the rule before")
+	for _, changes := range []bool{false, true} {
+		t.Run(fmt.Sprint("changed ", changes), func(t *testing.T) {
+			classes := func() []*class {
+				others, greedy := longKind(270), longKind(30)
+				others.addresses, greedy.address, greedy.repeats, greedy.changes = 9, 9, 20, changes
+				return []*class{others, greedy}
+			}
+			before, got := compete(newHash, nil, classes), compete(newShared, nil, classes)
+			t.Logf("served: others %.3f (rule before %.3f), the caller that repeats %.3f (%.3f)",
+				got[0].servedShare(), before[0].servedShare(), got[1].servedShare(), before[1].servedShare())
+			if got[1].servedShare() > got[0].servedShare()+0.05 {
+				t.Errorf("the caller that repeats is served %.3f of the time, the others %.3f", got[1].servedShare(), got[0].servedShare())
+			}
+			if before[1].servedShare() <= before[0].servedShare()+0.05 {
+				t.Error("the test shows nothing: repeating gained nothing with the rule before")
+			}
+		})
 	}
 }
 
@@ -339,6 +347,7 @@
 				gap: time.Duration(rapid.IntRange(5, 20).Draw(t, "gap")) * time.Millisecond,
 			})
 		}
+		callers := rapid.SampledFrom([]int{1, 2, 10, 100, 1000}).Draw(t, "callers")
 		s := shed.New()
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		work, admittedWork, asked, admitted := 0.0, 0.0, 0.0, 0.0
@@ -349,7 +358,7 @@
 				if at%k.gap != 0 {
 					continue
 				}
-				k.Content, k.Hash = rng.Uint64(), rng.Uint64()
+				k.Content, k.Hash, k.Caller = rng.Uint64(), rng.Uint64(), fmt.Sprint(rng.IntN(callers))
 				d := s.Admit(now, k.Demand)
 				if at < 5*time.Second {
 					continue
--- a/core/shed/kinds.go
+++ b/core/shed/kinds.go
@@ -12,6 +12,10 @@
 	// maxCallers limits the callers of a kind whose demand is known. The demand of others is
 	// not limited by that of the rest.
 	maxCallers = 128
+	// levelInterval is the time between two computations of the level of the callers.
+	levelInterval = 50 * time.Millisecond
+	// minLevel keeps the level above 0 while nearly all demand has decayed.
+	minLevel = 0.01
 	// idleDemand is the decayed number of requests below which a caller is forgotten.
 	idleDemand = 0.05
 	// floorOfAll times the admitted share of all requests is the least admitted share of a
@@ -34,6 +38,10 @@
 	callers   map[string]*sum
 	invited   []invitation
 	lastPlace time.Time // of the latest invitation
+	level     float64   // see fairLevel
+	levelAt   time.Time // when level was computed
+	limited   sum       // unscaled shares of callers, see callerShare
+	asked     sum       // requests that limited sums
 	repeats   contents
 }
 
@@ -134,12 +142,29 @@
 }
 
 // callerShare returns the share of a caller's requests that is admitted if share is that of
-// all callers: all get the same number of requests, unless they ask for fewer.
+// all callers: all get the same number of requests, unless they ask for fewer. The demands of
+// callers with few requests are uncertain, so the shares are scaled such that their mean over
+// the requests is that of all.
 func (k *kind) callerShare(now time.Time, caller string, share float64) float64 {
 	own, ok := k.callers[caller]
 	if !ok || len(k.callers) < 2 {
 		return share
 	}
+	if now.Sub(k.levelAt) >= levelInterval {
+		k.level, k.levelAt = k.fairLevel(now, share), now
+	}
+	limited := 1.0
+	if d := own.get(now); d > k.level {
+		limited = k.level / d
+	}
+	k.limited.add(now, limited)
+	k.asked.add(now, 1)
+	return min(1, share*limited*k.asked.get(now)/k.limited.get(now))
+}
+
+// fairLevel returns the demand up to which callers are served in full if a share of all demand
+// is served.
+func (k *kind) fairLevel(now time.Time, share float64) float64 {
 	demands := make([]float64, 0, len(k.callers))
 	total := 0.0
 	for _, s := range k.callers {
@@ -147,8 +172,7 @@
 		total += demands[len(demands)-1]
 	}
 	slices.Sort(demands)
-	left := share * total
-	level := 0.0
+	left, level := share*total, 0.0
 	for i, d := range demands {
 		level = left / float64(len(demands)-i)
 		if d >= level {
@@ -156,8 +180,5 @@
 		}
 		left -= d
 	}
-	if d := own.get(now); d > level {
-		return level / d
-	}
-	return 1
+	return max(level, minLevel)
 }
--- a/core/shed/shed_test.go
+++ b/core/shed/shed_test.go
@@ -1,10 +1,13 @@
 package shed_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"oriolebarrow/core/shed"
 )
 
@@ -88,3 +91,26 @@
 		t.Errorf("a caller that can no longer be served before its deadline: admitted %v, retry after %v", d.Admitted, d.RetryAfter)
 	}
 }
+
+// TestCalm guards against rejections while no overload has been seen, whatever callers send and
+// however often they repeat it.
+func TestCalm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := shed.New()
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 300).Draw(t, "queries") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "gap_ms")) * time.Millisecond)
+			d := s.Admit(now, shed.Demand{
+				Route: fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "route")), Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+				Cost: time.Duration(rapid.IntRange(0, 100).Draw(t, "cost_ms")) * time.Millisecond, Remaining: time.Second,
+				Caller: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "caller")), Content: uint64(rapid.IntRange(0, 3).Draw(t, "content")), Hash: math.MaxUint64,
+			})
+			if !d.Admitted {
+				t.Fatalf("rejected with reason %s while no overload was seen", d.Reason)
+			}
+			if rapid.Bool().Draw(t, "ended") {
+				s.Ended(rapid.Bool().Draw(t, "enough"), false)
+			}
+		}
+	})
+}
