fix(io/edge): close idle connections that a host has no share of

Cause: hosts that don't know each other yet call all replicas of a divided set by themselves and kept these connections, as did hosts that called in place of a lost owner or were owners before. Together they exceeded what replicas accept.

Sets whose replicas accept the share of every host are unchanged, unless they are divided.

--- a/core/picker/slots.go
+++ b/core/picker/slots.go
@@ -23,3 +23,15 @@
 	}
 	return n
 }
+
+// Subset returns an instance, and whether it is in this host's subset; ok is false if it is not
+// known.
+func (t *Table) Subset(id core.InstanceID) (in core.Instance, inSubset, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.byID[id]
+	if !ok {
+		return core.Instance{}, false, false
+	}
+	return r.inst, r.inSubset, true
+}
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -222,6 +222,24 @@
 	}
 }
 
+// TrimIdle closes idle connections that have not been used for a time, as far as an instance has
+// more connections than keep allows. It returns how many it closed.
+func (c *Client) TrimIdle(unused time.Duration, keep func(core.InstanceID) int) (closed int) {
+	c.mu.Lock()
+	pools := make(map[core.InstanceID]*pool, len(c.pools))
+	for id, p := range c.pools {
+		if p.size() > 0 {
+			pools[id] = p
+		}
+	}
+	c.mu.Unlock()
+	before := time.Now().Add(-unused)
+	for id, p := range pools {
+		closed += p.trim(keep(id), before)
+	}
+	return closed
+}
+
 // Close closes all idle connections now, and the others when their calls end.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -72,6 +72,13 @@
 	return !fresh || idle < maxFreshIdle
 }
 
+// unusedSince reports whether an idle connection was last used before a time.
+func (c *conn) unusedSince(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastUsed.Before(t)
+}
+
 // carriedAny reports whether the connection carried one of the calls.
 func (c *conn) carriedAny(calls []*Call) bool {
 	return slices.ContainsFunc(calls, func(call *Call) bool { return call.connNumber.Load() == c.number })
--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -122,6 +122,25 @@
 	}
 }
 
+// trim closes idle connections that were last used before a time while more than keep are open.
+func (p *pool) trim(keep int, before time.Time) (closed int) {
+	p.mu.Lock()
+	var spare []*conn
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if p.open <= keep || !c.unusedSince(before) {
+			return false
+		}
+		p.open--
+		spare = append(spare, c)
+		return true
+	})
+	p.mu.Unlock()
+	for _, c := range spare {
+		c.close()
+	}
+	return len(spare)
+}
+
 func (p *pool) size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/edge/network_test.go
+++ b/io/edge/network_test.go
@@ -16,10 +16,13 @@
 	listeners   map[string]*listener
 	packetConns map[string]*packetConn
 	dials       map[string]int // attempts by address
+	open        map[string]int // connections that their dialer has not closed, by address
+	mostOpen    map[string]int // greatest value of open
+	mute        bool           // datagrams are lost
 }
 
 func newNetwork() *network {
-	return &network{listeners: map[string]*listener{}, packetConns: map[string]*packetConn{}, dials: map[string]int{}}
+	return &network{listeners: map[string]*listener{}, packetConns: map[string]*packetConn{}, dials: map[string]int{}, open: map[string]int{}, mostOpen: map[string]int{}}
 }
 
 func (n *network) listen(_, address string) (net.Listener, error) {
@@ -46,7 +49,8 @@
 			l.resetQueued()
 		default:
 		}
-		return client, nil
+		n.addOpen(address, 1)
+		return &dialedConn{Conn: client, closed: func() { n.addOpen(address, -1) }}, nil
 	case <-l.closed:
 		return nil, errors.New("connection refused")
 	case <-ctx.Done():
@@ -54,6 +58,46 @@
 	}
 }
 
+func (n *network) addOpen(address string, change int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.open[address] += change
+	n.mostOpen[address] = max(n.mostOpen[address], n.open[address])
+}
+
+// mostOpenTo returns the greatest number of connections to an address that were open at once.
+func (n *network) mostOpenTo(address string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.mostOpen[address]
+}
+
+// forgetMostOpen starts the search for the greatest numbers of connections anew.
+func (n *network) forgetMostOpen() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mostOpen = make(map[string]int)
+}
+
+// dialedConn is the dialer's end of a connection.
+type dialedConn struct {
+	net.Conn
+	once   sync.Once
+	closed func()
+}
+
+func (c *dialedConn) Close() error {
+	c.once.Do(c.closed)
+	return c.Conn.Close()
+}
+
+// setMute sets whether datagrams are lost, so that hosts don't find each other.
+func (n *network) setMute(mute bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mute = mute
+}
+
 // dialCount returns the number of attempts to connect to an address.
 func (n *network) dialCount(address string) int {
 	n.mu.Lock()
@@ -129,6 +173,9 @@
 func (p *packetConn) WriteTo(raw []byte, to net.Addr) (int, error) {
 	p.network.mu.Lock()
 	receiver := p.network.packetConns[to.String()]
+	if p.network.mute {
+		receiver = nil
+	}
 	p.network.mu.Unlock()
 	if receiver != nil {
 		select {
--- a/io/edge/warm.go
+++ b/io/edge/warm.go
@@ -115,6 +115,7 @@
 		case <-ticker.C:
 		}
 		e.updateShares()
+		e.trimConnections()
 		for _, r := range e.replicas.Probes(time.Now()) {
 			running.Go(func() { e.probeReplica(ctx, r) })
 		}
