feat(core/shed): returns not before the calls that wait now have started

Cause: Retry-After followed the admitted share and the order of arrival only, not the calls that wait at the host for a slot.

Change: Demand.Queue, the expected time until they have started, is the earliest place (TestRetryAfter: with 120 ms of waiting calls, 120 to 200 ms of 600).

--- a/core/await/await.go
+++ b/core/await/await.go
@@ -77,6 +77,16 @@
 	return n
 }
 
+// Len returns how many calls wait for all services.
+func (q *Queue[T]) Len() (n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, entries := range q.waiting {
+		n += len(entries)
+	}
+	return n
+}
+
 // Next removes and returns the call that gets the next free slot.
 func (q *Queue[T]) Next(now time.Time, s core.ServiceName) (call T, ok bool) {
 	q.mu.Lock()
--- a/core/await/await_test.go
+++ b/core/await/await_test.go
@@ -76,4 +76,7 @@
 	if n := q.Before(now, "other", now); n != 0 {
 		t.Errorf("%d calls wait for a service without any", n)
 	}
+	if n := q.Len(); n != 6 {
+		t.Errorf("%d calls wait, want 6", n)
+	}
 }
--- a/core/shed/demand.go
+++ b/core/shed/demand.go
@@ -16,6 +16,7 @@
 	Cost      time.Duration // expected work
 	Target    time.Duration // latency up to which the answer has its full value
 	Remaining time.Duration // until the deadline
+	Queue     time.Duration // until the calls that wait now have started
 	Caller    string        // key of the caller; empty if unknown
 	Content   uint64        // hash of what the caller asks, the same when it repeats the request
 	Hash      uint64        // differs between requests; decides among equal ones
--- a/core/shed/returns.go
+++ b/core/shed/returns.go
@@ -96,7 +96,7 @@
 func (k *kind) invite(now time.Time, d Demand, share float64) time.Duration {
 	longest := time.Duration(maxWaitFraction * float64(d.Remaining))
 	spread := d.spread()
-	place := now.Add(minWait + time.Duration(spread*float64(minWait)))
+	place := now.Add(max(minWait, d.Queue) + time.Duration(spread*float64(minWait)))
 	if next := k.lastPlace.Add(k.gap(now, share)); next.After(place) {
 		place = next
 	}
--- a/core/shed/shed_test.go
+++ b/core/shed/shed_test.go
@@ -86,6 +86,10 @@
 			t.Errorf("%d of 100 callers return within 10 ms from %v on", n, at)
 		}
 	}
+	queue := s.Admit(now, shed.Demand{Route: "new", Cost: time.Millisecond, Target: target, Remaining: remaining, Queue: 120 * time.Millisecond, Hash: math.MaxUint64})
+	if queue.Admitted || queue.RetryAfter < 120*time.Millisecond || queue.RetryAfter > remaining/3 {
+		t.Errorf("with calls that wait for 120 ms: admitted %v, retry after %v", queue.Admitted, queue.RetryAfter)
+	}
 	d := s.Admit(now, shed.Demand{Route: "q", Cost: time.Millisecond, Target: remaining, Remaining: remaining, Hash: math.MaxUint64})
 	if d.Admitted || d.RetryAfter != 0 {
 		t.Errorf("a caller that can no longer be served before its deadline: admitted %v, retry after %v", d.Admitted, d.RetryAfter)
--- a/io/relay/shed.go
+++ b/io/relay/shed.go
@@ -34,7 +34,9 @@
 // admit decides whether the query is admitted.
 func (j *job) admit() shed.Decision {
 	now := time.Now()
-	d := j.set.shedder.Admit(now, j.askFor(now))
+	ask := j.askFor(now)
+	ask.Queue = j.queueTime(now)
+	d := j.set.shedder.Admit(now, ask)
 	if d.Admitted {
 		return d
 	}
@@ -45,6 +47,17 @@
 	return d
 }
 
+// queueTime returns how long it takes until the calls that wait at this host have started. It
+// takes them to be spread evenly over the shards of the query.
+func (j *job) queueTime(now time.Time) time.Duration {
+	waiting := j.relay.waiting.Len()
+	if waiting == 0 {
+		return 0
+	}
+	slots := max(1, j.relay.Replicas.Slots(now, j.set.first)) * len(j.subs)
+	return time.Duration(float64(j.expected) * float64(waiting) / float64(slots))
+}
+
 // overload counts the shards of a query whose replicas were at capacity.
 type overload struct {
 	shards   int     // shards at capacity
