--- a/io/edge/warm.go
+++ b/io/edge/warm.go
@@ -125,6 +125,7 @@
 		}
 		e.updateShares()
 		e.updateWarmLimit(time.Now())
+		e.trimConnections()
 		for _, r := range e.replicas.Probes(time.Now()) {
 			running.Go(func() { e.probeReplica(ctx, r) })
 		}
