--- a/core/await/await.go
+++ b/core/await/await.go
@@ -63,18 +63,24 @@
 	return true
 }
 
-// Before returns how many calls to a service would get a slot before a call with this latest
-// start that is added now. Calls that are late don't, unless that one is late as well.
-func (q *Queue[T]) Before(now time.Time, s core.ServiceName, latestStart time.Time) (n int) {
+// AddIf adds a call as Add does if admit allows it. before is the number of calls that would get
+// a slot before this one: those that are late don't, unless this one is late as well. admit must
+// not call the queue.
+func (q *Queue[T]) AddIf(now time.Time, s core.ServiceName, call T, latestStart time.Time, admit func(before int) bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	own := entry[T]{latestStart: latestStart}
+	own := entry[T]{call, latestStart}
+	before := 0
 	for _, e := range q.waiting[s] {
 		if !own.precedes(e, now) {
-			n++
+			before++
 		}
 	}
-	return n
+	if !admit(before) {
+		return false
+	}
+	q.waiting[s] = append(q.waiting[s], own)
+	return true
 }
 
 // Len returns how many calls wait for all services.
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -10,6 +10,7 @@
 	"oriolebarrow/core/gather"
 	"oriolebarrow/core/picker"
 	"oriolebarrow/core/route"
+	"oriolebarrow/core/shed"
 	"oriolebarrow/io/client"
 )
 
@@ -128,6 +129,7 @@
 	queries      int       // see core.Task.Queries
 	taskOverload overload  // reported by the delegates
 	events       eventLog
+	rejection    *shed.Decision
 	latestStart  time.Time // a call that starts later is probably not in time
 }
 
@@ -199,10 +201,12 @@
 	if sub.waiting {
 		return
 	}
-	sub.waiting = true
-	j.slotWaits++
 	j.relay.Meter.Count("relay_slot_waits", 1)
-	j.relay.waiting.Add(sub.service, waiter{j, sub}, j.latestStart)
+	sub.waiting = j.join(now, sub)
+	if !sub.waiting {
+		return
+	}
+	j.slotWaits++
 	// The last running call may have ended since Pick; then no end of a call offers a slot.
 	if replica, _ := j.relay.Replicas.Pick(now, sub.service, j.expected, sub.tried); replica != nil {
 		j.relay.offerSlot(now, sub.service)
--- a/io/relay/reject.go
+++ b/io/relay/reject.go
@@ -75,13 +75,22 @@
 	return ok && t.Known()
 }
 
-// admitWait decides whether a request to one replica that has to wait for a free slot may wait.
-func (j *job) admitWait(now time.Time, sub *subrequest) shed.Decision {
-	if !sub.waiting || !j.relay.timesKnown(j.route) {
-		return shed.Decision{Admitted: true}
+// join adds a subrequest to the relay's queue and reports whether it did. A request to one
+// replica that would not be answered in time is rejected instead.
+func (j *job) join(now time.Time, sub *subrequest) bool {
+	w := waiter{j, sub}
+	if j.query != nil || sub.attempts > 0 || !j.relay.timesKnown(j.route) {
+		j.relay.waiting.Add(sub.service, w, j.latestStart)
+		return true
 	}
-	d := j.askFor(now)
-	d.Remaining -= answerMargin
-	ahead := j.relay.waiting.Before(now, sub.service, j.latestStart) - 1 // without this one
-	return shed.Wait(d, max(0, ahead), j.relay.Replicas.Slots(now, sub.service))
+	ask := j.askFor(now)
+	ask.Remaining -= answerMargin
+	slots := j.relay.Replicas.Slots(now, sub.service)
+	return j.relay.waiting.AddIf(now, sub.service, w, j.latestStart, func(before int) bool {
+		d := shed.Wait(ask, before, slots)
+		if !d.Admitted {
+			j.rejection = &d
+		}
+		return d.Admitted
+	})
 }
--- a/io/relay/single.go
+++ b/io/relay/single.go
@@ -26,8 +26,8 @@
 		return unavailable(core.ReasonNoReplica, j.relay.retryAfter(now, service, retryNoReplica))
 	}
 	defer j.abandon()
-	if d := j.admitWait(now, sub); !d.Admitted {
-		return j.rejected(now, d)
+	if j.rejection != nil {
+		return j.rejected(now, *j.rejection)
 	}
 	for !sub.settled {
 		last := j.deadline.Add(-answerMargin)
