--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -74,6 +74,7 @@
 		DataCentres:   settings.DataCentres,
 		Grace:         settings.Grace,
 		PeerAddress:   settings.PeerAddress,
+		Compete:       settings.Compete,
 		PeerSeeds:     settings.PeerSeeds,
 		TaskPort:      settings.FreePorts[0],
 		Meter:         metrics,
--- a/core/shed/load_test.go
+++ b/core/shed/load_test.go
@@ -86,6 +86,7 @@
 	// not, since users accept a difference of 5% between kinds of request. It is 0 if no
 	// query can have enough parts.
 	minPayoff float64
+	compete   bool // see shed.Options
 }
 
 // simulation is one run of a scenario.
@@ -115,7 +116,7 @@
 		h := &host{
 			table:   picker.New(core.HostID(fmt.Sprint("h", i)), "a"),
 			extra:   budget.NewExtra(budget.ExtraLimits{Window: 10 * time.Second, Ratio: 0.2, Minimum: 58}, hosts),
-			shedder: shed.New(),
+			shedder: shed.New(shed.Options{Compete: sc.compete}),
 			waiting: await.New[part](),
 		}
 		sim.hosts = append(sim.hosts, h)
@@ -379,9 +380,11 @@
 // overloaded, and against rejections without overload. For each scenario and number of
 // hosts, it compares the callers' payoff with that of a baseline that admits all queries.
 func TestOverloads(t *testing.T) {
-	for _, sc := range scenarios {
+	for i := range 2 * len(scenarios) {
+		sc := scenarios[i/2]
+		sc.compete = i%2 > 0
 		for _, hosts := range []int{3, 9} {
-			t.Run(fmt.Sprintf("%s/%d hosts", sc.name, hosts), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/%d hosts/compete %v", sc.name, hosts, sc.compete), func(t *testing.T) {
 				t.Parallel()
 				base, baseAfter, _ := payoffs(sc, hosts, false)
 				got, after, rejected := payoffs(sc, hosts, true)
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -9,13 +9,14 @@
 // query that had enough parts. Other failures do not lower the share, since admitting
 // fewer queries would not prevent them.
 //
-// While the share is below 1, it is divided among what competes: kinds of queries by priority,
-// with a floor for each; callers that return when told before new queries; and callers among
-// each other, so that none gains by repeating its query at once or often.
+// While the share is below 1, all queries are admitted alike by default. With Options.Compete,
+// the share is divided among what competes: kinds of queries by priority, with a floor for each;
+// callers that return when told before new queries; and callers among each other, so that none
+// gains by repeating its query at once or often.
 //
 // # Usage
 //
-//	s := shed.New()
+//	s := shed.New(shed.Options{Compete: true})
 //	if d := s.Admit(now, shed.Demand{Route: "search", Priority: 1, Cost: cost, Hash: hash}); !d.Admitted {
 //		return reject(d.Reason, d.RetryAfter)
 //	}
@@ -43,11 +44,25 @@
 	minShare = 0.3
 	// peerShareTTL is how long a share reported by other hosts is used.
 	peerShareTTL = 2 * time.Second
+	// minRetryFraction and maxRetryFraction limit the fraction of the remaining time after
+	// which a rejected caller may retry if all queries are admitted alike. They differ so that
+	// callers do not return all at once, and are small enough for a caller to be served before
+	// its deadline.
+	minRetryFraction = 0.1
+	maxRetryFraction = 0.3
 )
 
+// Options hold the rules of a Shedder.
+type Options struct {
+	// Compete divides the admitted share by priority, returns and callers. Otherwise all
+	// queries are admitted alike.
+	Compete bool
+}
+
 // Shedder sheds queries over one set of shards: it admits a share of them, which it adapts
 // to the overload. It is safe for concurrent use; its lock guards the shares.
 type Shedder struct {
+	options     Options
 	mu          sync.Mutex
 	share       float64
 	peerShare   float64 // smallest share of other hosts, as last set by SetPeerShare
@@ -57,7 +72,9 @@
 }
 
 // New returns a Shedder that admits all queries.
-func New() *Shedder { return &Shedder{share: 1, kinds: make(map[string]*kind)} }
+func New(o Options) *Shedder {
+	return &Shedder{options: o, share: 1, kinds: make(map[string]*kind)}
+}
 
 // Reasons of a rejection.
 const (
@@ -96,8 +113,11 @@
 func (s *Shedder) Admit(now time.Time, d Demand) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := s.kind(d)
 	share := s.current(now)
+	if !s.options.Compete {
+		return d.admitAlike(share)
+	}
+	k := s.kind(d)
 	who := d.identity()
 	if wait := k.early(now, who); wait > 0 {
 		return Decision{Reason: ReasonEarly, RetryAfter: wait, Share: share}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -79,6 +79,7 @@
 	Extra         budget.ExtraLimits
 	Warm          warm.Bounds   // on the requests to cold replicas
 	DataCentres   int           // of the deployment
+	Compete       bool          // requests compete for capacity by priority and caller
 	Grace         time.Duration // from the stop request until the process is killed
 	Meter         core.Meter    // may be nil
 	BufferBytes   int64         // bound on the answers of replicas that are being read; 0 means the client's default
@@ -178,6 +179,7 @@
 		Log:      log,
 		Meter:    o.Meter,
 		Callers:  e.callers,
+		Compete:  o.Compete,
 	})
 	e.front = front.New(front.Deps{Relay: e.relay, Names: o.Names, Limits: e.callerLimits})
 	e.mirror = mirror.New(mirror.Deps{
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -81,6 +81,8 @@
 	Meter    core.Meter
 	// Callers returns how many hosts share the connections to a replica of a service.
 	Callers func(core.ServiceName) int
+	// Compete makes requests compete for capacity by priority and caller, see shed.Options.
+	Compete bool
 	// Self and Tasks let other hosts execute parts of a query. Tasks may be nil;
 	// then this host calls all replicas itself.
 	Self  core.HostID
