test(bench/soak): replicas that become cold, and a check of their requests

A fault starts a new lifetime under another ID that is cold until its end; the replica counts the requests to it.

--- a/bench/soak/export_test.go
+++ b/bench/soak/export_test.go
@@ -59,6 +59,19 @@
 	r.sendEndless(w, "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", endlessChunkBytes))
 }
 
+// AddColdRequests records requests that a cold replica gets at given times.
+func (c Checker) AddColdRequests(at ...time.Time) {
+	in := core.Instance{ID: "i-1", Warmup: coldWarmup}
+	r := &replica{instance: in, lives: lifetimes{current: in}}
+	c.g.replicas = append(c.g.replicas, r)
+	for _, t := range at {
+		r.lives.arrived(t, in.ID)
+	}
+}
+
+// MaxColdRequests is the number of requests that a cold replica may get in one second.
+func MaxColdRequests() int { return maxColdRequests() }
+
 // CheckQuery returns what is wrong with an answer to a query, or an empty string.
 func (c Checker) CheckQuery(id string, h http.Header, body []byte) string {
 	return c.g.checkQuery(id, response{status: http.StatusOK, header: h, body: body, end: time.Now()})
--- a/bench/soak/gateway.go
+++ b/bench/soak/gateway.go
@@ -101,7 +101,7 @@
 			ID: core.InstanceID(fmt.Sprint("i-", i)), Service: s, Slots: 8, Born: 1,
 			Address: fmt.Sprintf("%s:%d", g.opts.ip(2), 9000+i), DataCentre: dataCentre(i),
 		}
-		rep, err := newReplica(in, fmt.Sprintf("%s:%d", g.opts.ip(3), 9000+i), g.names, g.journal, g.store.PutInstance)
+		rep, err := newReplica(in, fmt.Sprintf("%s:%d", g.opts.ip(3), 9000+i), g.names, g.journal, g.store.PutInstance, g.store.RemoveInstance)
 		if err != nil {
 			return err
 		}
@@ -143,7 +143,7 @@
 		IP: ip, CallerAddress: callerAddress, ReadyAddress: fmt.Sprintf("%s:%d", ip, readyPort), PeerAddress: fmt.Sprintf("%s:%d", ip, gatewayPeerPort),
 		Seeds: []string{fmt.Sprintf("%s:%d", g.hostIP(0), gatewayPeerPort), fmt.Sprintf("%s:%d", g.hostIP(g.opts.Hosts-1), gatewayPeerPort)},
 		Ports: [2]int{firstPort, lastPort}, StoreAddress: storeProxy.listener.Addr().String(),
-		Grace: grace, ExtraRatio: 0.2, ExtraWindow: 10 * time.Second, ExtraMinimum: 54,
+		Grace: grace, ExtraRatio: 0.2, ExtraWindow: 10 * time.Second, ExtraMinimum: 54, Warm: coldBounds,
 	})
 	path := filepath.Join(g.opts.Dir, fmt.Sprintf("host-%d.yaml", i))
 	if err := os.WriteFile(path, text, 0o600); err != nil {
@@ -176,10 +176,10 @@
 	}
 	for _, s := range []string{"a", "b"} {
 		for i := range shardCount {
-			doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: shardName(s, i), HealthPath: healthPath, Connections: 40})
+			doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: shardName(s, i), HealthPath: healthPath, Connections: 40, WarmupRate: coldRate})
 		}
 	}
-	doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: "orders", HealthPath: healthPath, Connections: 40})
+	doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: "orders", HealthPath: healthPath, Connections: 40, WarmupRate: coldRate})
 	g.store.PutRouting(doc)
 }
 
@@ -230,10 +230,10 @@
 	}
 	return target{
 		name:   "all replicas of orders",
-		faults: []string{replicaRepeats, replicaWaits, replicaLeaves},
+		faults: []string{replicaRepeats, replicaWaits, replicaLeaves, replicaCold},
 		set: func(fault string) {
 			for _, r := range replicas {
-				r.fault.Store(fault)
+				r.setFault(fault)
 			}
 		},
 		clear: func() {
@@ -244,18 +244,6 @@
 	}
 }
 
-func proxyFaultNames() []string {
-	return []string{string(Delay), string(Reset), string(CutTo), string(CutFrom), string(Silent)}
-}
-
-func proxyTarget(name string, p *proxy, host *process) target {
-	return target{
-		name: name, faults: proxyFaultNames(), host: host,
-		set:   func(fault string) { p.setFault(Fault(fault)) },
-		clear: func() { p.setFault(NoFault) },
-	}
-}
-
 // clearFaults ends all faults, publishes a document with the other set of shards, and starts
 // the check that all hosts use it.
 func (g *gateway) clearFaults() {
@@ -475,6 +463,7 @@
 			g.report.fail("%s sent %d bytes without end, and its caller did not close", r.instance.ID, n)
 		}
 	}
+	g.checkCold()
 	if g.report.Requests["query 200"] == 0 || g.report.Requests["order 200"] == 0 {
 		g.report.fail("no query or no order was served: %v", g.report.Requests)
 	}
--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -194,3 +194,15 @@
 		}
 	}
 }
+
+func proxyFaultNames() []string {
+	return []string{string(Delay), string(Reset), string(CutTo), string(CutFrom), string(Silent)}
+}
+
+func proxyTarget(name string, p *proxy, host *process) target {
+	return target{
+		name: name, faults: proxyFaultNames(), host: host,
+		set:   func(fault string) { p.setFault(Fault(fault)) },
+		clear: func() { p.setFault(NoFault) },
+	}
+}
--- a/bench/soak/replica.go
+++ b/bench/soak/replica.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -118,12 +119,14 @@
 	maxAccepted atomic.Int64 // most bytes of one endless response that a host accepted
 	rejected    sync.Map     // ids of requests that replicaRepeats has rejected
 	publish     func(core.Instance)
+	retire      func(core.InstanceID) // removes an entry
 	lifetime    atomic.Int64
+	lives       lifetimes
 	left        atomic.Bool // it has said in this lifetime that it leaves
 }
 
-func newReplica(in core.Instance, listenAddress string, names core.HeaderNames, j *journal, publish func(core.Instance)) (*replica, error) {
-	r := &replica{instance: in, names: names, journal: j, publish: publish}
+func newReplica(in core.Instance, listenAddress string, names core.HeaderNames, j *journal, publish func(core.Instance), retire func(core.InstanceID)) (*replica, error) {
+	r := &replica{instance: in, names: names, journal: j, publish: publish, retire: retire, lives: lifetimes{current: in}}
 	r.fault.Store("")
 	r.lifetime.Store(in.Born)
 	l, err := net.Listen("tcp", listenAddress)
@@ -146,36 +149,52 @@
 
 // target returns the replica, with its proxy, as a target of disturbances.
 func (r *replica) target() target {
-	ownFaults := []string{replicaSlow, replicaSheds, replicaFails, replicaLoses, replicaExtra, replicaEndlessHead, replicaEndlessBody, replicaRepeats, replicaWaits, replicaLeaves}
+	ownFaults := []string{replicaSlow, replicaSheds, replicaFails, replicaLoses, replicaExtra, replicaEndlessHead, replicaEndlessBody, replicaRepeats, replicaWaits, replicaLeaves, replicaCold}
 	proxyFaults := proxyFaultNames()
 	return target{
 		name:   "replica " + string(r.instance.ID),
 		faults: append(slices.Clone(ownFaults), proxyFaults...),
 		set: func(fault string) {
 			if slices.Contains(ownFaults, fault) {
-				r.fault.Store(fault)
-				return
+				r.setFault(fault)
+			} else {
+				r.lives.hold(time.Now().Add(time.Hour))
+				r.proxy.setFault(Fault(fault))
 			}
-			r.proxy.setFault(Fault(fault))
 		},
 		clear: r.clearFaults,
 	}
 }
 
+// setFault sets a fault of the replica itself.
+func (r *replica) setFault(fault string) {
+	if fault == replicaCold {
+		r.startLifetime(coldWarmup)
+		return
+	}
+	r.fault.Store(fault)
+}
+
 func (r *replica) clearFaults() {
 	r.fault.Store("")
 	r.proxy.setFault(NoFault)
-	if r.left.Swap(false) {
-		in := r.instance
-		in.Born = r.lifetime.Add(1)
-		r.publish(in)
+	r.lives.hold(time.Now().Add(heldTime))
+	switch left := r.left.Swap(false); {
+	case r.lives.instance().Warmup > 0:
+		r.startLifetime(0)
+	case left:
+		r.publish(r.lives.reborn(r.lifetime.Add(1)))
 	}
 }
 
 // ServeHTTP implements http.Handler.
 func (r *replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	h := w.Header()
-	h.Set(r.names.Instance, string(r.instance.ID))
+	in := r.lives.instance()
+	h.Set(r.names.Instance, string(in.ID))
+	if in.Warmup > 0 {
+		h.Set(r.names.Warmup, strconv.FormatInt(in.Warmup.Milliseconds(), 10))
+	}
 	id := req.Header.Get(r.names.RequestID)
 	h.Set(r.names.RequestID, id)
 	refuse := func(status int) {
@@ -195,9 +214,12 @@
 	case id == "":
 		refuse(http.StatusBadRequest)
 		return
-	case expected != "" && expected != string(r.instance.ID):
+	case expected != "" && expected != string(in.ID):
 		refuse(http.StatusMisdirectedRequest)
 		return
+	}
+	r.lives.arrived(time.Now(), in.ID)
+	switch {
 	case fault == replicaWaits:
 		h.Set(r.names.RetryAfter, waitSeconds)
 		fallthrough
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -255,3 +255,29 @@
 		})
 	}
 }
+
+// TestColdChecks guards against a run that passes although a cold replica got too many requests in
+// a second, and against one that fails although it did not.
+func TestColdChecks(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		n      int
+		gap    time.Duration
+		broken bool
+	}{
+		{"as many as allowed at once", soak.MaxColdRequests(), 0, false},
+		{"one more at once", soak.MaxColdRequests() + 1, 0, true},
+		{"one more within a second", soak.MaxColdRequests() + 1, time.Second / time.Duration(soak.MaxColdRequests()), true},
+		{"steady", 50, 1001 * time.Millisecond / time.Duration(soak.MaxColdRequests()), false},
+	} {
+		checker := soak.NewChecker()
+		var at []time.Time
+		for i := range c.n {
+			at = append(at, time.Unix(1000, 0).Add(time.Duration(i)*c.gap))
+		}
+		checker.AddColdRequests(at...)
+		if broken := checker.BrokenPromises(); len(broken) > 0 != c.broken {
+			t.Errorf("%s: broken promises %v, want %v", c.name, broken, c.broken)
+		}
+	}
+}
