feat(core/picker): warm-ups continue after a time without requests

A data centre whose evacuation ends has replicas that did not warm up meanwhile. ResumeWarmup makes them as cold as before, or as their entries have stated since.

--- a/core/picker/cold_test.go
+++ b/core/picker/cold_test.go
@@ -122,3 +122,50 @@
 		t.Error("all replicas are said to be withheld although one is warm")
 	}
 }
+
+// TestResumeWarmup guards against a data centre that gets its whole load at once after a time without
+// requests, although its replicas were cold before or have become cold since.
+func TestResumeWarmup(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		warmup   time.Duration // stated at the start; the requests end 10 s later
+		restated time.Duration // stated while there are no requests, at 30 s
+		cold     time.Duration // from the end of that time, at 60 s
+	}{
+		{"warm", 0, 0, 0},
+		{"warm before the requests ended", 9 * time.Second, 0, 0},
+		{"cold when the requests ended", 15 * time.Second, 0, 5 * time.Second},
+		{"became cold meanwhile", 0, 8 * time.Second, 8 * time.Second},
+		{"stated less meanwhile", 40 * time.Second, 3 * time.Second, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			begin := time.Now()
+			table, tick := coldTable(begin)
+			in := core.Instance{ID: "i-1", Service: "tickets", Address: "10.0.0.1:80", DataCentre: "a", Slots: 2, Warmup: c.warmup}
+			table.Put(begin, in)
+			r, _ := table.Pick(begin, "tickets", usualTime, nil)
+			resumed := begin.Add(60 * time.Second)
+			for now := begin; now.Before(resumed); now = now.Add(100 * time.Millisecond) {
+				tick(now)
+				if now.Sub(begin) == 30*time.Second && c.restated > 0 {
+					in.Warmup, in.Sequence = c.restated, 1
+					table.Put(now, in)
+				}
+				if r == nil {
+					r, _ = table.Pick(now, "tickets", usualTime, nil)
+				}
+			}
+			table.ResumeWarmup(resumed, "other", begin.Add(10*time.Second))
+			if table.IsCold(resumed, r) {
+				t.Error("cold after the end of the warm-up")
+			}
+			table.ResumeWarmup(resumed, "a", begin.Add(10*time.Second))
+			if got := table.IsCold(resumed, r); got != (c.cold > 0) {
+				t.Fatalf("cold is %v", got)
+			}
+			if c.cold > 0 && (!table.IsCold(resumed.Add(c.cold-1), r) || table.IsCold(resumed.Add(c.cold), r)) {
+				t.Errorf("not cold for %v", c.cold)
+			}
+		})
+	}
+}
--- a/core/picker/replica.go
+++ b/core/picker/replica.go
@@ -87,6 +87,7 @@
 	removed      bool
 	inSubset     bool      // in the subset of the replicas that this host uses
 	warmUntil    time.Time // end of the warm-up, in which it is slow
+	statedAt     time.Time // when an entry last stated a warm-up, by inst.Warmup
 
 	// What the replica stated in Notices.
 	leaving   bool
--- a/core/picker/table.go
+++ b/core/picker/table.go
@@ -92,10 +92,12 @@
 		t.byID[in.ID] = r
 		t.byService[in.Service] = append(t.byService[in.Service], r)
 		t.selectSubset(in.Service)
+		r.statedAt = now
 		t.markCold(now, r, in.Warmup, true)
 		return true
 	}
 	if statesWarmup(r.inst, in) {
+		r.statedAt = now
 		t.markCold(now, r, in.Warmup, false)
 	}
 	changed := r.inst.Draining != in.Draining || !r.missingSince.IsZero()
--- a/core/picker/warm.go
+++ b/core/picker/warm.go
@@ -39,6 +39,23 @@
 	}
 }
 
+// ResumeWarmup continues the warm-up of the replicas of a data centre that got no requests from any
+// host since a time: a replica warms up while there is traffic, so they are as cold as then.
+func (t *Table) ResumeWarmup(now time.Time, dc core.DataCentre, since time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.byID {
+		if r.inst.DataCentre != dc {
+			continue
+		}
+		left := r.inst.Warmup
+		if since.After(r.statedAt) {
+			left -= since.Sub(r.statedAt)
+		}
+		t.markCold(now, r, left, false)
+	}
+}
+
 // NewlyCold returns the replicas that became cold since its last call, and how many requests to
 // cold replicas were withheld in all.
 func (t *Table) NewlyCold() (cold []Cold, withheld int64) {
