--- a/core/picker/cold_load_test.go
+++ b/core/picker/cold_load_test.go
@@ -17,7 +17,6 @@
 // returnAt on, the replicas of the first data centre return cold, while callers ask for all shards.
 const (
 	coldShards  = 12
-	hostsPerDC  = 9
 	coldRate    = 20.0 // requests per second that a cold replica tolerates
 	coldSlots   = 2
 	partTime    = 5 * time.Millisecond
@@ -86,7 +85,7 @@
 	return core.InstanceID(fmt.Sprint("s", shard, "-", dc))
 }
 
-func newColdSim(limited bool, seed uint64) *coldSim {
+func newColdSim(limited bool, hostsPerDC int, seed uint64) *coldSim {
 	sim := &coldSim{clock: simul.New(), rng: rand.New(rand.NewPCG(seed, 9)), limited: limited, servers: make(map[core.InstanceID]*coldServer)}
 	for s := range coldShards {
 		for i, dc := range dcs {
@@ -294,17 +293,19 @@
 }
 
 // TestColdDataCentre guards against hosts that send a data centre's replicas, which have just
-// returned cold, the whole load of their callers: the replicas crash and return again and again.
+// returned cold, the whole load of their callers: the replicas crash and return again and again. There
+// are 27 or 81 hosts.
 func TestColdDataCentre(t *testing.T) {
-	for seed := range uint64(4) {
-		without := newColdSim(false, seed)
+	for i := range 6 {
+		seed, hostsPerDC := uint64(i), []int{9, 27}[i%2]
+		without := newColdSim(false, hostsPerDC, seed)
 		without.clock.Run()
 		basePayoff, baseCrashes, baseMost := without.result()
-		with := newColdSim(true, seed)
+		with := newColdSim(true, hostsPerDC, seed)
 		with.clock.Run()
 		payoff, crashes, most := with.result()
-		t.Logf("seed %d: payoff %.3f, without the limit %.3f; %d crashes, %d; most requests to a cold replica in a second %d, %d",
-			seed, payoff, basePayoff, crashes, baseCrashes, most, baseMost)
+		t.Logf("%d hosts, seed %d: payoff %.3f, without the limit %.3f; %d crashes, %d; most requests to a cold replica in a second %d, %d",
+			3*hostsPerDC, seed, payoff, basePayoff, crashes, baseCrashes, most, baseMost)
 		if crashes > 0 || most > coldBound {
 			t.Errorf("seed %d: %d crashes and %d requests in one second, want none and at most %d", seed, crashes, most, coldBound)
 		}
@@ -314,8 +315,8 @@
 		if baseCrashes == 0 {
 			t.Errorf("seed %d: no replica crashes without the limit, so the test shows nothing", seed)
 		}
-		if most == 0 {
-			t.Errorf("seed %d: cold replicas get no requests", seed)
+		if most < coldRate/2 {
+			t.Errorf("seed %d: cold replicas get at most %d requests in a second, want at least half of the tolerated ones", seed, most)
 		}
 	}
 }
@@ -324,8 +325,9 @@
 // the other hosts nor their own earlier requests, and exceed the bound together with the others.
 // All hosts restart at the same time, and two seconds later every second host once more.
 func TestRestartWhileCold(t *testing.T) {
-	for seed := range uint64(4) {
-		sim := newColdSim(true, seed)
+	for n := range 4 {
+		seed := uint64(n)
+		sim := newColdSim(true, []int{9, 27}[n%2], seed)
 		for i, h := range sim.hosts {
 			for wave := range 2 - i%2 {
 				at := returnAt + time.Second + time.Duration(wave)*2*time.Second
