--- a/core/picker/replica.go
+++ b/core/picker/replica.go
@@ -88,6 +88,7 @@
 	evacuated    bool      // its data centre is evacuated
 	inSubset     bool      // in the subset of the replicas that this host uses
 	warmUntil    time.Time // end of the warm-up, in which it is slow
+	statedAt     time.Time // when an entry last stated a warm-up, by inst.Warmup
 
 	// What the replica stated in Notices.
 	leaving   bool
--- a/core/shed/compete_test.go
+++ b/core/shed/compete_test.go
@@ -234,7 +234,7 @@
 func (k *class) servedShare() float64 { return k.served / k.callers }
 func (k *class) earnedShare() float64 { return k.earned / (k.callers * k.value) }
 
-func newShared() rule { return sharedRule{shed.New()} }
+func newShared() rule { return sharedRule{shed.New(shed.Options{Compete: true})} }
 func newHash() rule   { return &hashRule{share: 1} }
 
 func worth(classes []*class) float64 {
@@ -348,7 +348,7 @@
 			})
 		}
 		callers := rapid.SampledFrom([]int{1, 2, 10, 100, 1000}).Draw(t, "callers")
-		s := shed.New()
+		s := shed.New(shed.Options{Compete: true})
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		work, admittedWork, asked, admitted := 0.0, 0.0, 0.0, 0.0
 		for at := time.Duration(0); at < 40*time.Second; at += time.Millisecond {
@@ -388,84 +388,97 @@
 // TestQueueForOneReplica guards against requests that wait for a slot until their deadline
 // although the calls before them take longer, beside a rule that lets all wait.
 func TestQueueForOneReplica(t *testing.T) {
+	checkQueueWorth(t, map[float64]float64{0.5: 1, 0.9: 0.99, 1.3: 0.97})
+}
+
+// TestQueueAtTwiceTheLoad guards against the same far above full load, where callers that return
+// take slots from new ones, which earn more.
+func TestQueueAtTwiceTheLoad(t *testing.T) {
+	checkQueueWorth(t, map[float64]float64{2: 0.97})
+}
+
+// checkQueueWorth checks the least worth at some loads, relative to that if all requests wait.
+func checkQueueWorth(t *testing.T, least map[float64]float64) {
+	t.Helper()
+	for load, part := range least {
+		before, got := queueWorth(t, false, load), queueWorth(t, true, load)
+		t.Logf("load %.1f: worth %.3f, all wait %.3f", load, got, before)
+		if got < part*before {
+			t.Errorf("load %.1f: worth %.3f, want at least %.2f of that if all wait, %.3f", load, got, part, before)
+		}
+	}
+}
+
+// queueWorth returns the share of the callers' worth that is earned at a load of the slots of one
+// service, if hopeless requests are rejected at once or if all of them wait.
+func queueWorth(t *testing.T, reject bool, load float64) float64 {
 	const (
 		slots = 6
 		work  = 160 * time.Millisecond
 		limit = 2 * time.Second
 	)
-	play := func(reject bool, load float64) float64 {
-		rng := rand.New(rand.NewPCG(1, 5))
-		clock, waiting := simul.New(), await.New[*attempt]()
-		running, callers, sum := 0, 0.0, 0.0
-		start := func(a *attempt) {}
-		next := func() {
-			for running < slots {
-				a, ok := waiting.Next(clock.Now(), "s")
-				if !ok {
-					return
-				}
-				if clock.Elapsed()-a.begin < limit {
-					start(a)
-				}
+	rng := rand.New(rand.NewPCG(1, 5))
+	clock, waiting := simul.New(), await.New[*attempt]()
+	running, callers, sum := 0, 0.0, 0.0
+	start := func(a *attempt) {}
+	next := func() {
+		for running < slots {
+			a, ok := waiting.Next(clock.Now(), "s")
+			if !ok {
+				return
+			}
+			if clock.Elapsed()-a.begin < limit {
+				start(a)
 			}
 		}
-		start = func(a *attempt) {
-			running++
-			clock.After(time.Duration(float64(work)*math.Exp(0.35*rng.NormFloat64()-0.06)), func() {
-				running--
-				if took := clock.Elapsed() - a.begin; took <= limit {
-					value := 0.2
-					if took <= 1200*time.Millisecond {
-						value = 0.45
-						if a.returned {
-							value = 0.325
-						}
+	}
+	start = func(a *attempt) {
+		running++
+		clock.After(time.Duration(float64(work)*math.Exp(0.35*rng.NormFloat64()-0.06)), func() {
+			running--
+			if took := clock.Elapsed() - a.begin; took <= limit {
+				value := 0.2
+				if took <= 1200*time.Millisecond {
+					value = 0.45
+					if a.returned {
+						value = 0.325
 					}
-					sum += value
 				}
-				next()
-			})
-		}
-		var submit func(a *attempt)
-		submit = func(a *attempt) {
-			latest := clock.Now().Add(1200*time.Millisecond - 3*work/2)
-			if running < slots {
-				start(a)
-				return
-			}
-			var d shed.Decision
-			joined := waiting.AddIf(clock.Now(), "s", a, latest, func(before int) bool {
-				d = shed.Wait(shed.Demand{Cost: work, Target: 1200 * time.Millisecond, Remaining: limit, Hash: rng.Uint64()}, before, slots)
-				return d.Admitted || !reject
-			})
-			if joined || a.returned || d.RetryAfter <= 0 {
-				return
-			}
-			if d.RetryAfter > limit/3 {
-				t.Errorf("a caller is told to return after %v of %v", d.RetryAfter, limit)
+				sum += value
 			}
-			clock.After(d.RetryAfter, func() { submit(&attempt{begin: clock.Elapsed(), returned: true}) })
+			next()
+		})
+	}
+	var submit func(a *attempt)
+	submit = func(a *attempt) {
+		latest := clock.Now().Add(1200*time.Millisecond - 3*work/2)
+		if running < slots {
+			start(a)
+			return
 		}
-		var arrive func()
-		arrive = func() {
-			if clock.Elapsed() >= competeLength {
-				return
-			}
-			callers++
-			submit(&attempt{begin: clock.Elapsed()})
-			clock.After(time.Duration(rng.ExpFloat64()/(load*slots/work.Seconds())*float64(time.Second)), arrive)
+		var d shed.Decision
+		joined := waiting.AddIf(clock.Now(), "s", a, latest, func(before int) bool {
+			d = shed.Wait(shed.Demand{Cost: work, Target: 1200 * time.Millisecond, Remaining: limit, Hash: rng.Uint64()}, before, slots)
+			return d.Admitted || !reject
+		})
+		if joined || a.returned || d.RetryAfter <= 0 {
+			return
+		}
+		if d.RetryAfter > limit/3 {
+			t.Errorf("a caller is told to return after %v of %v", d.RetryAfter, limit)
 		}
-		arrive()
-		clock.Run()
-		return sum / (0.45 * callers)
+		clock.After(d.RetryAfter, func() { submit(&attempt{begin: clock.Elapsed(), returned: true}) })
 	}
-	// Far above full load, callers that return take slots from new ones, which earn more.
-	least := map[float64]float64{0.5: 1, 0.9: 0.99, 1.3: 0.97, 2: 0.92}
-	for _, load := range []float64{0.5, 0.9, 1.3, 2} {
-		before, got := play(false, load), play(true, load)
-		t.Logf("load %.1f: worth %.3f, all wait %.3f", load, got, before)
-		if got < least[load]*before {
-			t.Errorf("load %.1f: worth %.3f, all wait %.3f", load, got, before)
+	var arrive func()
+	arrive = func() {
+		if clock.Elapsed() >= competeLength {
+			return
 		}
+		callers++
+		submit(&attempt{begin: clock.Elapsed()})
+		clock.After(time.Duration(rng.ExpFloat64()/(load*slots/work.Seconds())*float64(time.Second)), arrive)
 	}
+	arrive()
+	clock.Run()
+	return sum / (0.45 * callers)
 }
--- a/io/mirror/evacuate.go
+++ b/io/mirror/evacuate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"oriolebarrow/core"
 	"oriolebarrow/core/evac"
@@ -25,9 +26,17 @@
 	if slices.Equal(before, active) {
 		return
 	}
+	now := time.Now()
+	for _, dc := range before {
+		if !slices.Contains(active, dc) {
+			m.Replicas.ResumeWarmup(now, dc, m.evacuatedSince[dc])
+			delete(m.evacuatedSince, dc)
+		}
+	}
 	m.Replicas.SetEvacuated(active)
 	for _, dc := range active {
 		if !slices.Contains(before, dc) {
+			m.evacuatedSince[dc] = now
 			m.Meter.Count("directory_evacuations", 1)
 			m.Log.Info("mirror: data centre evacuated", "data_centre", dc)
 		}
--- a/io/mirror/evacuate_test.go
+++ b/io/mirror/evacuate_test.go
@@ -11,6 +11,7 @@
 
 	"oriolebarrow/core"
 	"oriolebarrow/core/picker"
+	"oriolebarrow/core/warm"
 	"oriolebarrow/io/mirror"
 )
 
@@ -55,6 +56,29 @@
 	}
 }
 
+// TestColdAfterEvacuation guards against more requests than cold replicas tolerate at the end
+// of an evacuation: the warm-up of replicas that got no requests has not gone on.
+func TestColdAfterEvacuation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newEvacuationDirectory()
+		cold := instanceItem("i-cold", false)
+		cold.Instance.DataCentre, cold.Instance.Warmup = "a", 3*time.Second
+		d.put(cold)
+		m := startMirror(t, d, nil)
+		m.replicas.SetWarmBounds(time.Now(), warm.Bounds{Overshoot: 1.5, Slack: 5})
+		m.replicas.SetWarmRates(time.Now(), []core.Upstream{{Name: cold.Instance.Service, WarmupRate: 10}})
+		advance(time.Second)
+		d.put(evacuation("a", false))
+		advance(10 * time.Second)
+		m.replicas.NewlyCold()
+		d.put(evacuation("a", true))
+		advance(time.Second)
+		if news, _ := m.replicas.NewlyCold(); len(news) != 1 || news[0].Instance.ID != "i-cold" {
+			t.Errorf("replicas that became cold: %v, want i-cold", news)
+		}
+	})
+}
+
 // TestEvacuation guards against an evacuation that a reader or a follower applies late or
 // misses, or that outlives its key.
 func TestEvacuation(t *testing.T) {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -87,7 +87,9 @@
 	avoidUntil    map[core.HostID]time.Time
 	skipReadUntil time.Time
 	evacuations   *evac.State
-	entries       *known.Entries
+	// evacuatedSince has when each evacuation took effect here; used by Run only.
+	evacuatedSince map[core.DataCentre]time.Time
+	entries        *known.Entries
 
 	mu             sync.Mutex
 	history        *delta.Log
@@ -120,9 +122,11 @@
 		Deps:        d,
 		avoidUntil:  make(map[core.HostID]time.Time),
 		evacuations: evac.New(),
-		entries:     known.New(),
-		history:     delta.New(),
-		changed:     make(chan struct{}),
+
+		evacuatedSince: make(map[core.DataCentre]time.Time),
+		entries:        known.New(),
+		history:        delta.New(),
+		changed:        make(chan struct{}),
 	}
 }
 
