--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -5,14 +5,18 @@
 	"flag"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"oriolebarrow/io/conns"
 	"oriolebarrow/io/edge"
 	"oriolebarrow/io/telem"
 	"oriolebarrow/platform"
@@ -33,6 +37,9 @@
 	// replyMemoryDivisor is the host's memory divided by the part of it that answers of
 	// replicas may use while they are read.
 	replyMemoryDivisor = 8
+	// collectorShare of the host's memory is the soft limit of the garbage collector. Up to
+	// it, the heap may double between two collections; the rest is for what it does not count.
+	collectorShare = 0.7
 )
 
 // gateway runs one host on the platform. The host sends callers' requests to the
@@ -62,6 +69,10 @@
 	handler := telem.NewHandler(std.out, telem.Options{Format: "json", Level: lowest, Metrics: metrics})
 	defer closeLog(handler)
 	log := slog.New(handler)
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(collectorShare * float64(settings.MemoryBytes)))
+	}
+	limits := conns.NewLimits(settings.MemoryBytes, descriptors(settings.MaxFDs), metrics, log)
 	store := platform.NewStore(settings.StoreAddress, storeClient(), log)
 	host, err := edge.New(edge.Options{
 		Host:          settings.Host,
@@ -76,14 +87,16 @@
 		TaskPort:      settings.FreePorts[0],
 		Meter:         metrics,
 		BufferBytes:   settings.MemoryBytes / replyMemoryDivisor,
+		Clients:       limits,
 	}, store, log)
 	if err != nil {
 		_, _ = fmt.Fprintf(std.err, "oriolebarrow gateway: %v\n", err)
 		return ExitFault
 	}
 	registerGauges(metrics, host)
+	metrics.Gauge("clients_held_bytes", limits.Budget.Used)
 	if *port > 0 {
-		stop, err := serveMetrics(net.JoinHostPort(settings.IP, strconv.Itoa(*port)), metrics, log)
+		stop, err := serveMetrics(net.JoinHostPort(settings.IP, strconv.Itoa(*port)), metrics, limits, log)
 		if err != nil {
 			_, _ = fmt.Fprintf(std.err, "oriolebarrow gateway: %v\n", err)
 			return ExitFault
@@ -114,7 +127,7 @@
 }
 
 // serveMetrics serves the metrics at an address until stop is called.
-func serveMetrics(address string, metrics *telem.Registry, log *slog.Logger) (stop func(), err error) {
+func serveMetrics(address string, metrics *telem.Registry, limits *conns.Limits, log *slog.Logger) (stop func(), err error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics")
@@ -122,12 +135,26 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", metrics.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	ctx, stop := context.WithCancel(context.Background())
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := limits.ServeSmall(ctx, "metrics", server, l); err != nil {
 			log.Error("telem: metrics are not served", "address", address, "cause", err)
 		}
 	}()
-	return func() { _ = server.Close() }, nil // running requests for metrics get no answer
+	return stop, nil
+}
+
+// descriptors returns the number of descriptors that the process may open: that of the
+// settings, if it states one, but at most the limit of the system. 0 means unknown.
+func descriptors(stated int) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return stated
+	}
+	if stated > 0 {
+		return min(stated, int(limit.Cur))
+	}
+	return int(limit.Cur)
 }
 
 // reloadSettings reads the settings file again at each SIGHUP and change of the file and
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -1,10 +1,12 @@
 // Package conns tracks which connections of an HTTP server carry no request, closes
 // those that stay idle for too long, and shuts a server down without dropping the first
-// request on a connection that a caller has just opened.
+// request on a connection that a caller has just opened. It bounds the number of
+// connections and what their clients make the host hold; docs/design/client-limits.md
+// describes how.
 //
 // # Usage
 //
-//	set := conns.New()
+//	set := conns.NewLimited(conns.Options{Connections: 1000, Budget: budget})
 //	server := &http.Server{Handler: h, ConnState: set.ConnState}
 //	err := set.Serve(server, listener)
 //	set.CloseIdle(now, limit)
@@ -13,12 +15,16 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"oriolebarrow/core/quota"
 )
 
 const (
@@ -32,57 +38,27 @@
 
 // Set holds the connections of one server. Its lock guards their states and is held while
 // a connection is closed, so that no connection is closed on which a request has begun to
-// arrive.
+// arrive. Lock order: the lock of a set before that of its budget.
 type Set struct {
-	mu      sync.Mutex
-	open    map[*conn]bool
-	closing bool
-}
-
-// New returns an empty set.
-func New() *Set { return &Set{open: make(map[*conn]bool)} }
+	opts        Options
+	answerWaits atomic.Int64  // answers that wait until others have given way
+	removed     chan struct{} // gets a value when a displaced connection has ended
 
-// conn is one connection. The lock of its set guards its state.
-type conn struct {
-	net.Conn
-	set *Set
-
-	idleSince time.Time // when the connection was opened or last became idle
-	idle      bool      // reported as new or idle by the server, also while it reads the head of a request
-	used      bool      // a request was read on the connection
-	received  bool      // bytes arrived since the server read the head of the last request
-	closed    bool      // the set closed the connection
+	mu           sync.Mutex
+	open         map[*Conn]bool
+	closing      bool
+	closingCount int // displaced connections that have not ended
 }
 
-// Read implements net.Conn. It discards bytes that arrive after the set closed the
-// connection, since the server would begin to serve them as a request.
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.set.mu.Lock()
-	defer c.set.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
-	}
-	c.received = c.received || n > 0
-	return n, err
-}
+// New returns an empty set without limits.
+func New() *Set { return NewLimited(Options{}) }
 
-// CloseWrite closes the connection for writing, if it supports that. net/http then waits
-// before it closes the connection, so that a caller that is still sending can read the
-// response before the connection is reset.
-func (c *conn) CloseWrite() error {
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return errors.Wrap(w.CloseWrite(), "conns: close for writing")
-	}
-	return nil
-}
-
-// close closes the connection if it carries no request. The lock of the set must be held.
-func (c *conn) close() {
-	if c.idle && !c.received {
-		c.closed = true
-		_ = c.Close() // the server then reports StateClosed, and ConnState removes the connection
+// NewLimited returns an empty set with limits.
+func NewLimited(o Options) *Set {
+	if o.Budget == nil {
+		o.Budget = quota.New(math.MaxInt64)
 	}
+	return &Set{opts: o, open: make(map[*Conn]bool), removed: make(chan struct{}, 1)}
 }
 
 // listener wraps each accepted connection for its set.
@@ -91,44 +67,144 @@
 	set *Set
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. If the set has reached its limit, the connection that was
+// idle or stuck longest is closed for the new one.
 func (l listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.set.makeRoom() {
+			return newConn(raw, l.set), nil
+		}
+		l.set.opts.Refusals.Add(l.set.opts.Listener, NoConnection)
+		_ = raw.Close() // nothing was read or written
+	}
+}
+
+// makeRoom makes room for a new connection. It returns false if all connections carry
+// requests that are being served.
+func (s *Set) makeRoom() bool {
+	if s.opts.Connections <= 0 {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open)-s.closingCount >= s.opts.Connections {
+		victim := s.longestStuck(time.Now())
+		if victim == nil {
+			return false
+		}
+		victim.displaced = true
+		s.closingCount++
+		victim.cut(Displaced)
+	}
+	for s.closingCount > maxClosing {
+		s.mu.Unlock()
+		select {
+		case <-s.removed:
+		case <-time.After(closingWait):
+		}
+		s.mu.Lock()
 	}
-	return &conn{Conn: raw, set: l.set}, nil
+	return true
+}
+
+// longestStuck returns the connection that was idle or stuck longest, or nil. The lock of the
+// set must be held.
+func (s *Set) longestStuck(now time.Time) *Conn {
+	var victim *Conn
+	var longest time.Duration
+	for c := range s.open {
+		stuck, state := c.holder.Stuck(now), c.holder.State()
+		if c.closed || state == quota.Running || state == quota.Sending && stuck < quota.StuckAfter {
+			continue
+		}
+		if !c.used {
+			stuck *= unusedWeight
+		}
+		if victim == nil || stuck > longest {
+			victim, longest = c, stuck
+		}
+	}
+	return victim
 }
 
 // ConnState implements http.Server.ConnState.
 func (s *Set) ConnState(raw net.Conn, state http.ConnState) {
-	c, ok := raw.(*conn)
+	c, ok := raw.(*Conn)
 	if !ok {
 		return // the connection was not accepted by a listener of a set
 	}
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
 		s.open[c] = true
-		c.idleSince, c.idle = time.Now(), true
+		c.idleSince, c.idle = now, true
 	case http.StateActive:
-		c.idle, c.used, c.received = false, true, false
+		c.idle, c.used, c.received, c.headSince = false, true, false, time.Time{}
+		c.holder.SetState(now, quota.Running)
 	case http.StateIdle:
-		c.idleSince, c.idle = time.Now(), true
+		c.idleSince, c.idle = now, true
+		c.head, c.headCharged = headCount{}, 0
+		if c.extra > 0 {
+			c.extra = 0
+			s.opts.Budget.RefundTo(c.holder, BaseBytes)
+		}
+		c.holder.SetState(now, quota.Receiving)
+		if c.leaves {
+			c.cut(Displaced)
+		}
 	case http.StateHijacked, http.StateClosed:
 		delete(s.open, c)
+		s.opts.Budget.Close(c.holder)
+		if c.displaced {
+			s.closingCount--
+			select {
+			case s.removed <- struct{}{}:
+			default: // Accept has not noticed the last one yet, or does not wait
+			}
+		}
 	}
 }
 
-// CloseIdle closes the connections that have carried no request for longer than limit. It
+func (s *Set) headLimits() HeadLimits {
+	if s.opts.Head == nil {
+		return HeadLimits{}
+	}
+	return s.opts.Head()
+}
+
+// CloseIdle closes the connections that have carried no request for longer than limit, if
+// that is not 0, those whose head takes too long, and those whose reader is stuck. It
 // replaces http.Server.IdleTimeout, which cannot change while the server runs.
 func (s *Set) CloseIdle(now time.Time, limit time.Duration) {
+	headTimeout := s.headLimits().Timeout
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		if now.Sub(c.idleSince) > limit {
-			c.close()
+		if limit > 0 && now.Sub(c.idleSince) > limit {
+			c.closeIdle()
+		}
+		if reason := c.slow(now, headTimeout); reason != "" {
+			c.cut(reason)
+		}
+	}
+}
+
+// Watch calls CloseIdle each second with the limit that idle returns, until ctx ends.
+func (s *Set) Watch(ctx context.Context, idle func() time.Duration) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.CloseIdle(now, idle())
 		}
 	}
 }
@@ -173,7 +249,7 @@
 	defer s.mu.Unlock()
 	for c := range s.open {
 		if c.used || now.Sub(c.idleSince) >= firstRequestWait {
-			c.close()
+			c.closeIdle()
 		}
 	}
 	return len(s.open)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -32,6 +32,7 @@
 	"oriolebarrow/core/place"
 	"oriolebarrow/core/route"
 	"oriolebarrow/io/client"
+	"oriolebarrow/io/conns"
 	"oriolebarrow/io/feed"
 	"oriolebarrow/io/front"
 	"oriolebarrow/io/mirror"
@@ -77,6 +78,7 @@
 	Grace         time.Duration // from the stop request until the process is killed
 	Meter         core.Meter    // may be nil
 	BufferBytes   int64         // bound on the answers of replicas that are being read; 0 means the client's default
+	Clients       *conns.Limits // of what clients may make the host hold; may be nil
 	Listen        func(network, address string) (net.Listener, error)
 	ListenPacket  func(network, address string) (net.PacketConn, error)
 	Dial          client.Dial // to replicas and hosts
@@ -166,7 +168,11 @@
 		Meter:    o.Meter,
 		Hosts:    e.hostCount,
 	})
-	e.front = front.New(front.Deps{Relay: e.relay, Names: o.Names, Limits: e.callerLimits})
+	callers := front.Deps{Relay: e.relay, Names: o.Names, Limits: e.callerLimits}
+	if o.Clients != nil {
+		callers.Connections, callers.Budget, callers.Refusals = o.Clients.Shares.Callers, o.Clients.Budget, o.Clients.Refusals
+	}
+	e.front = front.New(callers)
 	e.mirror = mirror.New(mirror.Deps{
 		Directory:     d,
 		Feeds:         feeds,
@@ -327,10 +333,16 @@
 	defer stop()
 	group, work := errgroup.WithContext(work)
 	server, checker := e.front.Server(), &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: time.Second}
+	var shares conns.Shares
+	if e.opts.Clients != nil {
+		shares = e.opts.Clients.Shares
+	}
+	hosts, taskers := e.opts.Clients.Guard("hosts", l.hosts, shares.Hosts), e.opts.Clients.Guard("tasks", l.tasks, shares.Tasks)
 	group.Go(func() error { return e.front.Serve(server, l.callers) })
-	group.Go(func() error { return serveChecks(checker, l.checks) })
-	group.Go(func() error { return e.feedServer.Serve(work, l.hosts) })
-	group.Go(func() error { return e.taskServer.Serve(work, l.tasks) })
+	// A check without an answer at the end fails, like one that finds the host not ready.
+	group.Go(func() error { return e.opts.Clients.ServeSmall(work, "readiness", checker, l.checks) })
+	group.Go(func() error { return e.feedServer.Serve(work, hosts) })
+	group.Go(func() error { return e.taskServer.Serve(work, taskers) })
 	group.Go(func() error { return e.members.Run(work, l.packets) })
 	group.Go(func() error { return e.mirror.Run(work) })
 	group.Go(func() error { return e.becomeReady(work) })
@@ -344,7 +356,6 @@
 		}
 		e.drain(server, l.callers)
 		stop()
-		_ = checker.Close() // a check without an answer fails, like one that finds the host not ready
 		return nil
 	})
 	err = group.Wait()
@@ -367,13 +378,6 @@
 	}
 }
 
-func serveChecks(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "edge: serve readiness checks")
-	}
-	return nil
-}
-
 // serveReadiness answers a readiness check.
 func (e *Edge) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if e.ready.Load() && !e.leaving.Load() {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -12,18 +12,15 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"oriolebarrow/core"
+	"oriolebarrow/core/quota"
 	"oriolebarrow/io/conns"
 	"oriolebarrow/io/relay"
 )
@@ -31,12 +28,15 @@
 const (
 	// defaultBodyBytes bounds a body while the routing document states no limit.
 	defaultBodyBytes = 1 << 20
-	// maxHeaderBytes and headerTimeout bound the reading of a head. No setting changes them.
+	// maxHeaderBytes and headerTimeout bound the reading of a head while the routing document
+	// states no limits, or larger ones.
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
-	// bodyTimeout bounds the reading of a body. The caller's remaining time replaces it
-	// if that is shorter, since the caller no longer waits afterwards.
-	bodyTimeout = 10 * time.Second
+	// headerSlack is how far a head may exceed the limit of the routing document, which does
+	// not say whether the request line and the line ends count.
+	headerSlack = 4 << 10
+	// retryRefused is the Retry-After of a request for which there is no memory.
+	retryRefused = 500 * time.Millisecond
 )
 
 // Deps are the dependencies of a Front.
@@ -44,6 +44,11 @@
 	Relay  *relay.Relay
 	Names  core.HeaderNames
 	Limits func() core.CallerLimits // limits of the routing document
+	// Connections bounds the callers' connections, and Budget the bytes that a host holds for
+	// them. 0 and nil mean no limit.
+	Connections int
+	Budget      *quota.Budget
+	Refusals    *conns.Refusals // may be nil
 }
 
 // Front serves the requests of callers.
@@ -56,14 +61,34 @@
 var _ http.Handler = (*Front)(nil)
 
 // New returns a Front.
-func New(d Deps) *Front { return &Front{deps: d, conns: conns.New()} }
+func New(d Deps) *Front {
+	f := &Front{deps: d}
+	f.conns = conns.NewLimited(conns.Options{
+		Listener: "callers", Connections: d.Connections, Budget: d.Budget, Head: f.headLimits, Refusals: d.Refusals,
+	})
+	return f
+}
+
+// headLimits returns the limits on heads: those of the routing document, or the server's own
+// if they are lower.
+func (f *Front) headLimits() conns.HeadLimits {
+	l := f.deps.Limits()
+	h := conns.HeadLimits{Bytes: maxHeaderBytes, Timeout: headerTimeout}
+	if l.HeaderBytes > 0 {
+		h.Bytes = min(h.Bytes, l.HeaderBytes+headerSlack)
+	}
+	if l.HeaderTimeout > 0 {
+		h.Timeout = min(h.Timeout, l.HeaderTimeout)
+	}
+	return h
+}
 
 // Server returns an HTTP server whose handler is f.
 func (f *Front) Server() *http.Server {
 	return &http.Server{
 		Handler: f,
-		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-			return context.WithValue(ctx, usedKey{}, new(atomic.Bool))
+		ConnContext: func(ctx context.Context, raw net.Conn) context.Context {
+			return conns.NewContext(context.WithValue(ctx, usedKey{}, new(atomic.Bool)), raw)
 		},
 		ConnState:         f.conns.ConnState,
 		ReadHeaderTimeout: headerTimeout,
@@ -81,12 +106,8 @@
 }
 
 // CloseIdle closes the callers' connections that have carried no request for longer than
-// the routing document allows.
-func (f *Front) CloseIdle(now time.Time) {
-	if limit := f.deps.Limits().IdleTimeout; limit > 0 {
-		f.conns.CloseIdle(now, limit)
-	}
-}
+// the routing document allows, and those whose head or reader is too slow.
+func (f *Front) CloseIdle(now time.Time) { f.conns.CloseIdle(now, f.deps.Limits().IdleTimeout) }
 
 // usedKey is the context key of the flag that is set once a connection has carried a
 // request.
@@ -117,13 +138,24 @@
 		Arrived:     arrived,
 		FirstOnConn: firstOnConn(r.Context()),
 	}
-	body, rejection := f.body(w, r, req.Remaining)
+	conn := conns.FromContext(r.Context())
+	body, rejection := f.body(w, r, conn, req.Remaining)
 	if rejection != nil {
-		f.write(w, r, f.deps.Relay.Reject(req, *rejection))
+		if rejection.Reason == core.ReasonUnreadable && rejection.Status == http.StatusBadRequest {
+			*rejection = f.deps.Relay.Reject(req, *rejection)
+		}
+		f.write(w, r, *rejection)
 		return
 	}
 	req.Body = body
-	f.write(w, r, f.deps.Relay.Do(r.Context(), req))
+	conn.Running()
+	reply := f.deps.Relay.Do(r.Context(), req)
+	conn.Sending()
+	if !conn.ChargeAnswer(len(reply.Body)) {
+		conn.Refused(conns.NoMemory)
+		reply = relay.Reply{Status: http.StatusBadGateway, Reason: core.ReasonOverload}
+	}
+	f.write(w, r, reply)
 }
 
 // uri returns the path and the query of a request.
@@ -134,37 +166,6 @@
 	return r.URL.RequestURI()
 }
 
-// body reads the body of a request, or returns a reply that rejects it.
-func (f *Front) body(w http.ResponseWriter, r *http.Request, remaining time.Duration) (body []byte, rejection *relay.Reply) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	limit := f.deps.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	timeout := bodyTimeout
-	if remaining > 0 {
-		timeout = min(timeout, remaining)
-	}
-	// Setting a deadline fails only for the response recorders of tests.
-	ctrl := http.NewResponseController(w)
-	_ = ctrl.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	// If the body is rejected, the deadline stays set, since the server still reads the
-	// rest of it.
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &relay.Reply{Status: http.StatusRequestTimeout, Reason: core.ReasonUnreadable}
-	case err != nil:
-		return nil, &relay.Reply{Status: http.StatusBadRequest, Reason: core.ReasonUnreadable}
-	case len(body) > limit:
-		return nil, &relay.Reply{Status: http.StatusRequestEntityTooLarge, Reason: core.ReasonTooLarge}
-	}
-	_ = ctrl.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
 // remaining returns the remaining time that the caller states, or 0 if it states none or
 // an invalid one.
 func (f *Front) remaining(h http.Header) time.Duration {
@@ -218,6 +219,16 @@
 	return false
 }
 
+// status returns the status of a final response that a caller can understand. No other one is
+// expected from the relay.
+func status(s int) int {
+	const lowest, highest = 200, 599
+	if s < lowest || s > highest {
+		return http.StatusBadGateway
+	}
+	return s
+}
+
 // write sends a reply to the caller.
 func (f *Front) write(w http.ResponseWriter, r *http.Request, reply relay.Reply) {
 	n := &f.deps.Names
@@ -242,7 +253,7 @@
 	if f.closing.Load() {
 		h.Set("Connection", "close")
 	}
-	w.WriteHeader(reply.Status)
+	w.WriteHeader(status(reply.Status))
 	if r.Method != http.MethodHead {
 		// The write fails if the caller has closed the connection and needs no response.
 		_, _ = w.Write(reply.Body)
