fix(io/client): a status above 599 is no status

A replica's status of 600 to 999 was accepted and passed on to the caller (seen: TestOddStatuses of io/front got 600 and 999 on, that of io/client status 600).

io/remote accepted only 200 as success from the start; a refusal with an odd status counted as proof that the call did not run (seen: 000 and 999 with "ran": false), and does no longer. Results of delegated tasks carry no status.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -69,9 +69,7 @@
 	handler := telem.NewHandler(std.out, telem.Options{Format: "json", Level: lowest, Metrics: metrics})
 	defer closeLog(handler)
 	log := slog.New(handler)
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(collectorShare * float64(settings.MemoryBytes)))
-	}
+	setCollectorLimit(settings.MemoryBytes)
 	limits := conns.NewLimits(settings.MemoryBytes, descriptors(settings.MaxFDs), metrics, log)
 	store := platform.NewStore(settings.StoreAddress, storeClient(), log)
 	host, err := edge.New(edge.Options{
@@ -144,6 +142,14 @@
 	return stop, nil
 }
 
+// setCollectorLimit sets the soft limit of the garbage collector, if the memory of the machine
+// is known.
+func setCollectorLimit(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(collectorShare * float64(memory)))
+	}
+}
+
 // descriptors returns the number of descriptors that the process may open: that of the
 // settings, if it states one, but at most the limit of the system. 0 means unknown.
 func descriptors(stated int) int {
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -16,6 +16,7 @@
 
 	"oriolebarrow/core"
 	"oriolebarrow/io/admin"
+	"oriolebarrow/io/conns"
 	"oriolebarrow/io/node"
 	"oriolebarrow/io/telem"
 )
@@ -37,6 +38,7 @@
 	tokenLifetime  time.Duration
 	tokenMax       int
 	connections    int
+	memoryMB       int
 	lbLag          time.Duration
 	shutdownBound  time.Duration
 	logFormat      string
@@ -58,6 +60,7 @@
 	fs.DurationVar(&f.tokenLifetime, "token-lifetime", time.Minute, "how long an order token is kept")
 	fs.IntVar(&f.tokenMax, "token-max", 100_000, "order tokens kept at most")
 	fs.IntVar(&f.connections, "connections", 5, "connections to a replica that no section names, at most")
+	fs.IntVar(&f.memoryMB, "memory-mb", 0, "memory of the machine in MB, of which clients may use a quarter; 0 if not known: they may use 64 MB")
 	fs.DurationVar(&f.lbLag, "lb-lag", 3*time.Second, "how long the load balancer may send requests to a host that is not ready")
 	fs.DurationVar(&f.shutdownBound, "shutdown-bound", 0, "largest duration of a shutdown; 0 derives it: the largest deadline of the caller sections in force plus -lb-lag")
 	fs.StringVar(&f.logFormat, "log-format", "text", "text or json")
@@ -80,7 +83,11 @@
 	defer drain()
 	abort, release := secondSignal()
 	defer release()
+	setCollectorLimit(int64(f.memoryMB) << 20)
+	limits := conns.NewLimits(int64(f.memoryMB)<<20, descriptors(0), metrics, slog.New(handler))
+	metrics.Gauge("clients_held_bytes", limits.Budget.Used)
 	n, err := node.New(node.Options{
+		Clients:       limits,
 		ID:            core.HostID(f.id),
 		DataCentre:    core.DataCentre(f.dataCentre),
 		PeerAddress:   f.peerAddress,
@@ -190,8 +197,8 @@
 	if fault := f.checkAdmin(); fault != "" {
 		return fault
 	}
-	if f.tokenLifetime <= 0 || f.tokenMax <= 0 || f.connections <= 0 {
-		return "-token-lifetime, -token-max and -connections: want values above 0"
+	if f.tokenLifetime <= 0 || f.tokenMax <= 0 || f.connections <= 0 || f.memoryMB < 0 {
+		return "-token-lifetime, -token-max and -connections: want values above 0, and -memory-mb no negative one"
 	}
 	if f.lbLag < 0 || f.shutdownBound < 0 || f.shutdownBound > 0 && f.shutdownBound <= f.lbLag {
 		return "-lb-lag and -shutdown-bound: want a lag of 0 or more, and a bound of 0 or above the lag"
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -3,14 +3,15 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"oriolebarrow/core"
+	"oriolebarrow/io/conns"
 )
 
 const (
@@ -44,9 +45,16 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxServerHeaderBytes,
+		ConnContext:       conns.NewContext,
 	}
 }
 
+// HeadLimits returns the limits on the heads of requests, for the connections of the server.
+func HeadLimits() conns.HeadLimits {
+	const slack = 4 << 10 // as net/http has
+	return conns.HeadLimits{Bytes: maxServerHeaderBytes + slack, Timeout: headerTimeout}
+}
+
 // fault says why a request is invalid and which HTTP status its answer gets.
 type fault struct {
 	status int
@@ -57,23 +65,22 @@
 // readBody reads the request body, which may have at most maxBodyBytes and must arrive
 // within bodyTimeout.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fault) {
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	// Without this reset, the server would treat the expired deadline as a lost
-	// connection.
-	_ = controller.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
+	raw, reason, err := conns.ReadBody(w, r, maxBodyBytes, bodyTimeout)
 	switch {
-	case err == nil:
+	case err != nil:
+		return nil, &fault{http.StatusBadRequest, reasonBadRequest, "body: " + errors.Cause(err).Error()}
+	case reason == "":
 		return raw, nil
-	case errors.As(err, &tooLarge):
+	}
+	// The rest of the body may still arrive.
+	w.Header().Set("Connection", "close")
+	switch reason {
+	case conns.BodyTooLarge:
 		return nil, &fault{http.StatusRequestEntityTooLarge, string(core.ReasonTooLarge), "body is larger than 1 MB"}
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		w.Header().Set("Connection", "close")
-		return nil, &fault{http.StatusRequestTimeout, reasonSlowBody, fmt.Sprintf("body did not arrive within %s", bodyTimeout)}
+	case conns.SlowBody:
+		return nil, &fault{http.StatusRequestTimeout, reasonSlowBody, fmt.Sprintf("body did not arrive within %s, or made no progress", bodyTimeout)}
 	default:
-		return nil, &fault{http.StatusBadRequest, reasonBadRequest, "body: " + err.Error()}
+		return nil, &fault{http.StatusServiceUnavailable, string(core.ReasonOverload), "no memory for the body"}
 	}
 }
 
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"oriolebarrow/core"
+	"oriolebarrow/io/conns"
 )
 
 const (
@@ -86,6 +87,10 @@
 
 // answer writes the answer and reports it to Observe.
 func (x *exchange) answer(o core.Outcome, status int, body []byte) {
+	if !conns.FromContext(x.r.Context()).ChargeAnswer(len(body)) {
+		o, status = core.Unknown, http.StatusGatewayTimeout
+		body = encode(tokenOut{Outcome: string(core.Unknown), Reason: string(core.ReasonOverload)})
+	}
 	write(x.w, status, body)
 	if x.h.Observe != nil {
 		x.h.Observe(x.path, o, time.Since(x.started))
--- a/io/client/client_test.go
+++ b/io/client/client_test.go
@@ -261,7 +261,7 @@
 			cl := client.New(client.Options{Names: names, Dial: r.dial})
 			defer cl.Close()
 			first := sendOrAbandon(cl, "r")
-			if first.Err == nil && (first.Reply.Status < 200 || first.Reply.Status > 999) {
+			if first.Err == nil && (first.Reply.Status < 200 || first.Reply.Status > 599) {
 				t.Errorf("status %d was accepted as a final response", first.Reply.Status)
 			}
 			synctest.Wait()
--- a/io/client/response.go
+++ b/io/client/response.go
@@ -84,8 +84,8 @@
 		return response{}, errors.Errorf("invalid status line %q", shorten(line))
 	}
 	code, _, _ := strings.Cut(after, " ")
-	status, err := strconv.Atoi(code)
-	if err != nil || len(code) != 3 || status < 100 {
+	status, ok := parseStatus(code)
+	if !ok {
 		return response{}, errors.Errorf("invalid status line %q", shorten(line))
 	}
 	res := response{status: status, fields: make([]core.Field, 0, 8), reuse: proto == "HTTP/1.1"}
@@ -105,6 +105,15 @@
 	return res, nil
 }
 
+// parseStatus parses the three digits of a status that HTTP defines.
+func parseStatus(code string) (int, bool) {
+	if len(code) != 3 || code[0] < '1' || code[0] > '5' || strings.Trim(code, "0123456789") != "" {
+		return 0, false
+	}
+	status, err := strconv.Atoi(code)
+	return status, err == nil
+}
+
 func (res *response) parseConnectionFields() {
 	for _, f := range res.fields {
 		switch {
--- a/io/front/body.go
+++ b/io/conns/body.go
@@ -1,4 +1,4 @@
-package front
+package conns
 
 import (
 	"io"
@@ -8,15 +8,10 @@
 
 	"github.com/pkg/errors"
 
-	"oriolebarrow/core"
-	"oriolebarrow/io/conns"
-	"oriolebarrow/io/relay"
+	"oriolebarrow/core/quota"
 )
 
 const (
-	// bodyTimeout bounds the reading of a body. The caller's remaining time replaces it
-	// if that is shorter, since the caller no longer waits afterwards.
-	bodyTimeout = 10 * time.Second
 	// progressBytes of a body, or its end, must arrive within progressTime. Pauses of a
 	// caller's machine are shorter.
 	progressBytes = 2 << 10
@@ -26,68 +21,58 @@
 	progressStep = 500 * time.Millisecond
 )
 
-// body reads the body of a request, or returns a reply that rejects it. If it rejects the
-// body, the read deadline stays set, since the server still reads the rest of it.
-func (f *Front) body(w http.ResponseWriter, r *http.Request, conn *conns.Conn, remaining time.Duration) (body []byte, rejection *relay.Reply) {
+// ReadBody reads the body of a request, which may have at most limit bytes and must arrive
+// within timeout. If the client meets a limit, ReadBody returns the reason, which it has
+// counted; the request has not run. In that case, and after an error, the read deadline stays
+// set, since the server still reads the rest of the body.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int, timeout time.Duration) (body []byte, reason Reason, err error) {
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	limit := f.deps.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
+		return nil, "", nil
 	}
+	conn := FromContext(r.Context())
 	if r.ContentLength > int64(limit) {
-		return nil, reject(conn, conns.BodyTooLarge)
+		conn.refused(BodyTooLarge)
+		return nil, BodyTooLarge, nil
 	}
-	conn.Receiving()
-	p := newProgress(w, remaining)
-	body, reason, err := readBody(r, conn, limit, p)
-	switch {
-	case reason != "":
-		return nil, reject(conn, reason)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, reject(conn, conns.SlowBody)
-	case err != nil:
-		return nil, &relay.Reply{Status: http.StatusBadRequest, Reason: core.ReasonUnreadable}
+	conn.setState(quota.Receiving)
+	p := newProgress(w, timeout)
+	body, reason, err = readBody(r, conn, limit, p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		reason = SlowBody
 	}
-	r.Trailer = nil // its fields are not forwarded
-	p.stop()
-	return body, nil
-}
-
-// reject returns the reply to a request whose client has met a limit. The request has not run.
-func reject(conn *conns.Conn, reason conns.Reason) *relay.Reply {
-	conn.Refused(reason)
-	switch reason {
-	case conns.BodyTooLarge:
-		return &relay.Reply{Status: http.StatusRequestEntityTooLarge, Reason: core.ReasonTooLarge}
-	case conns.SlowBody:
-		return &relay.Reply{Status: http.StatusRequestTimeout, Reason: core.ReasonUnreadable}
-	default:
-		return &relay.Reply{Status: http.StatusServiceUnavailable, Reason: core.ReasonOverload, RetryAfter: retryRefused}
+	if reason != "" {
+		conn.refused(reason)
+		return nil, reason, nil
 	}
+	if err != nil {
+		return nil, "", errors.Wrap(err, "conns: read body")
+	}
+	r.Trailer = nil // not needed; it may be large
+	p.stop()
+	conn.setState(quota.Running)
+	return body, "", nil
 }
 
 // readBody reads a body into a buffer that grows as the body arrives, since a caller may
 // announce a length that it never sends. It charges the buffer before it allocates it.
-func readBody(r *http.Request, conn *conns.Conn, limit int, p *progress) (body []byte, reason conns.Reason, err error) {
+func readBody(r *http.Request, conn *Conn, limit int, p *progress) (body []byte, reason Reason, err error) {
 	most := limit + 1
 	if r.ContentLength >= 0 {
 		most = int(r.ContentLength)
 	}
 	charged := 0
-	body = make([]byte, 0, min(most, conns.FreeBytes))
+	body = make([]byte, 0, min(most, FreeBytes))
 	for {
 		if len(body) == cap(body) {
 			if len(body) > limit {
-				return nil, conns.BodyTooLarge, nil
+				return nil, BodyTooLarge, nil
 			}
 			size := max(min(most, 2*cap(body)), len(body)+1)
-			if !conn.Charge(size) {
-				return nil, conns.NoMemory, nil
+			if !conn.chargeWaiting(size) {
+				return nil, NoMemory, nil
 			}
 			body = append(make([]byte, 0, size), body...)
-			conn.Refund(charged)
+			conn.refund(charged)
 			charged = size
 		}
 		n, err := r.Body.Read(body[len(body):cap(body)])
@@ -95,7 +80,7 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			if len(body) > limit {
-				return nil, conns.BodyTooLarge, nil
+				return nil, BodyTooLarge, nil
 			}
 			return body, "", nil
 		case err != nil:
@@ -113,11 +98,7 @@
 	bytes   int       // received since then
 }
 
-func newProgress(w http.ResponseWriter, remaining time.Duration) *progress {
-	timeout := bodyTimeout
-	if remaining > 0 {
-		timeout = min(timeout, remaining)
-	}
+func newProgress(w http.ResponseWriter, timeout time.Duration) *progress {
 	now := time.Now()
 	p := &progress{control: http.NewResponseController(w), end: now.Add(timeout)}
 	p.restart(now)
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -158,28 +158,18 @@
 	return nil
 }
 
-// Receiving states that the body of the request is being read: until Running is called, the
-// connection may have to give way.
-func (c *Conn) Receiving() { c.setState(quota.Receiving) }
-
-// Running states that the request is complete and being served.
-func (c *Conn) Running() { c.setState(quota.Running) }
-
-// Sending states that the answer is being written.
-func (c *Conn) Sending() { c.setState(quota.Sending) }
-
 func (c *Conn) setState(s quota.State) {
 	if c != nil {
 		c.holder.SetState(time.Now(), s)
 	}
 }
 
-// Charge charges n bytes until the request has been answered, before they are allocated. It
-// returns false if there is no room even after others gave way.
-func (c *Conn) Charge(n int) bool { return c == nil || c.charge(int64(n), chargeWait) }
+// chargeWaiting charges n bytes until the request has been answered. It returns false if
+// there is no room even after others gave way.
+func (c *Conn) chargeWaiting(n int) bool { return c == nil || c.charge(int64(n), chargeWait) }
 
-// Refund returns n charged bytes before the request has been answered.
-func (c *Conn) Refund(n int) {
+// refund returns n charged bytes before the request has been answered.
+func (c *Conn) refund(n int) {
 	if c == nil || n <= 0 {
 		return
 	}
@@ -187,18 +177,27 @@
 	c.set.opts.Budget.Refund(c.holder, int64(n))
 }
 
-// ChargeAnswer is like Charge for an answer, which is in memory already: it waits only
-// briefly, and only a few answers wait at a time.
+// ChargeAnswer must be called before an answer of n bytes is written. It returns false if the
+// answer must be dropped, since there is no room for it while its reader takes it. The answer
+// is in memory already, so it waits only briefly, and only a few answers wait at a time.
 func (c *Conn) ChargeAnswer(n int) bool {
-	if c == nil || n <= FreeBytes || c.tryCharge(int64(n)) == quota.Granted {
+	if c == nil {
+		return true
+	}
+	defer c.setState(quota.Sending)
+	if n <= FreeBytes || c.tryCharge(int64(n)) == quota.Granted {
 		return true
 	}
 	defer c.set.answerWaits.Add(-1)
-	return c.set.answerWaits.Add(1) <= maxAnswerWaits && c.charge(int64(n), answerWait)
+	if c.set.answerWaits.Add(1) <= maxAnswerWaits && c.charge(int64(n), answerWait) {
+		return true
+	}
+	c.refused(NoMemory)
+	return false
 }
 
-// Refused records that the client met a limit.
-func (c *Conn) Refused(reason Reason) {
+// refused records that the client met a limit.
+func (c *Conn) refused(reason Reason) {
 	if c != nil {
 		c.set.opts.Refusals.Add(c.set.opts.Listener, reason)
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -32,6 +32,9 @@
 	// states no limits, or larger ones.
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
+	// bodyTimeout bounds the reading of a body. The caller's remaining time replaces it
+	// if that is shorter, since the caller no longer waits afterwards.
+	bodyTimeout = 10 * time.Second
 	// headerSlack is how far a head may exceed the limit of the routing document, which does
 	// not say whether the request line and the line ends count.
 	headerSlack = 4 << 10
@@ -138,21 +141,14 @@
 		Arrived:     arrived,
 		FirstOnConn: firstOnConn(r.Context()),
 	}
-	conn := conns.FromContext(r.Context())
-	body, rejection := f.body(w, r, conn, req.Remaining)
+	body, rejection := f.body(w, r, req)
 	if rejection != nil {
-		if rejection.Reason == core.ReasonUnreadable && rejection.Status == http.StatusBadRequest {
-			*rejection = f.deps.Relay.Reject(req, *rejection)
-		}
 		f.write(w, r, *rejection)
 		return
 	}
 	req.Body = body
-	conn.Running()
 	reply := f.deps.Relay.Do(r.Context(), req)
-	conn.Sending()
-	if !conn.ChargeAnswer(len(reply.Body)) {
-		conn.Refused(conns.NoMemory)
+	if !conns.FromContext(r.Context()).ChargeAnswer(len(reply.Body)) {
 		reply = relay.Reply{Status: http.StatusBadGateway, Reason: core.ReasonOverload}
 	}
 	f.write(w, r, reply)
@@ -166,6 +162,31 @@
 	return r.URL.RequestURI()
 }
 
+// body reads the body of a request, or returns a reply that rejects the request, which has
+// not run.
+func (f *Front) body(w http.ResponseWriter, r *http.Request, req relay.Request) (body []byte, rejection *relay.Reply) {
+	limit, timeout := f.deps.Limits().BodyBytes, bodyTimeout
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if req.Remaining > 0 {
+		timeout = min(timeout, req.Remaining)
+	}
+	body, reason, err := conns.ReadBody(w, r, limit, timeout)
+	switch {
+	case err != nil:
+		reply := f.deps.Relay.Reject(req, relay.Reply{Status: http.StatusBadRequest, Reason: core.ReasonUnreadable})
+		return nil, &reply
+	case reason == conns.BodyTooLarge:
+		return nil, &relay.Reply{Status: http.StatusRequestEntityTooLarge, Reason: core.ReasonTooLarge}
+	case reason == conns.SlowBody:
+		return nil, &relay.Reply{Status: http.StatusRequestTimeout, Reason: core.ReasonUnreadable}
+	case reason != "":
+		return nil, &relay.Reply{Status: http.StatusServiceUnavailable, Reason: core.ReasonOverload, RetryAfter: retryRefused}
+	}
+	return body, nil
+}
+
 // remaining returns the remaining time that the caller states, or 0 if it states none or
 // an invalid one.
 func (f *Front) remaining(h http.Header) time.Duration {
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -12,7 +12,6 @@
 	"oriolebarrow/core"
 	"oriolebarrow/core/order"
 	"oriolebarrow/io/admin"
-	"oriolebarrow/io/caller"
 	"oriolebarrow/io/telem"
 )
 
@@ -41,8 +40,7 @@
 		return errors.Wrap(err, "node: listen for operators")
 	}
 	n.log.Info("admin: listening", "address", l.Addr().String(), "bearer_token", o.Token != "")
-	s := h.Server()
-	return caller.Serve(ctx, s, func() error { return s.Serve(l) })
+	return n.opts.Clients.ServeSmall(ctx, "administration", h.Server(), l)
 }
 
 func (n *Node) adminHandler() (*admin.Handler, error) {
--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -137,14 +137,24 @@
 		return err
 	}
 	server.SetMeter(n.meter())
-	connections := conns.New()
+	limits := conns.Options{Listener: "callers", Head: caller.HeadLimits}
+	hostShare := 0
+	if l := n.opts.Clients; l != nil {
+		limits.Connections, limits.Budget, limits.Refusals = l.Shares.Callers, l.Budget, l.Refusals
+		hostShare = l.Shares.Hosts
+	}
+	connections := conns.NewLimited(limits)
 	httpServer := caller.NewServer(n.drainHandler)
 	httpServer.ConnState = connections.ConnState
 	// The components run until the drain has ended, beyond the end of ctx.
 	group, work, stop := newGroup()
 	defer stop()
-	group.Go(func() error { return server.Serve(work, peers) })
+	group.Go(func() error { return server.Serve(work, n.opts.Clients.Guard("hosts", peers, hostShare)) })
 	group.Go(func() error { return connections.Serve(httpServer, callers) })
+	group.Go(func() error {
+		connections.Watch(work, func() time.Duration { return 0 }) // httpServer has an idle timeout
+		return nil
+	})
 	group.Go(func() error { return n.serveAdmin(work) })
 	group.Go(func() error { return n.owner.Run(work) })
 	group.Go(func() error { return n.entry.Run(work) })
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -27,6 +27,7 @@
 	"oriolebarrow/core/place"
 	"oriolebarrow/core/snaps"
 	"oriolebarrow/io/caller"
+	"oriolebarrow/io/conns"
 	"oriolebarrow/io/entry"
 	"oriolebarrow/io/gate"
 	"oriolebarrow/io/gossip"
@@ -45,7 +46,8 @@
 	Platform      string // base URL of the platform's services
 	TokenLifetime time.Duration
 	TokenMax      int
-	Connections   int // limit for a replica that no section configures
+	Connections   int           // limit for a replica that no section configures
+	Clients       *conns.Limits // of what clients may make the host hold; may be nil
 	// LBLag is the time for which the load balancer may still send requests to a
 	// host that is no longer ready. It must not be shorter than the time until other
 	// hosts know that the host is leaving.
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -414,8 +414,11 @@
 	return core.ReasonBackendError
 }
 
+// Statuses that HTTP defines; net/http accepts others.
+const lowestStatus, highestStatus = 100, 599
+
 // refusalError converts a response with an error status to a CallError. Only an explicit
-// "ran": false proves that the request did not run.
+// "ran": false proves that the request did not run, and only with a status that HTTP defines.
 func refusalError(r request, resp *http.Response) error {
 	var body struct {
 		Refused string `json:"refused"`
@@ -429,7 +432,7 @@
 	}
 	return &core.CallError{
 		Op: r.op, Target: r.address, Reason: reason,
-		NotRun: body.Ran != nil && !*body.Ran,
+		NotRun: body.Ran != nil && !*body.Ran && resp.StatusCode >= lowestStatus && resp.StatusCode <= highestStatus,
 		Cause:  errors.Errorf("status %d", resp.StatusCode),
 	}
 }
--- a/io/remote/response_test.go
+++ b/io/remote/response_test.go
@@ -112,6 +112,32 @@
 	}
 }
 
+// TestOddStatuses guards against a status that HTTP does not define being taken for success,
+// or for proof that the call did not run.
+func TestOddStatuses(t *testing.T) {
+	const body = `{"snapshot":41,"shard":3,"rows":[1,2]}`
+	const refusal = `{"refused":"busy","ran":false}`
+	for _, code := range []string{"000", "+20", "2 0", "099", "100", "600", "999", "20"} {
+		for _, body := range []string{body, refusal} {
+			testOddStatus(t, code, body)
+		}
+	}
+}
+
+func testOddStatus(t *testing.T, code, body string) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pipeServer{response: strings.Replace(okResponse(body), "200 OK", code+" Odd", 1)}
+		client := remote.New(remote.Options{Connections: 1, Dial: p.dial})
+		rows, err := client.Read(t.Context(), "b", core.ReadCall{Snapshot: 41, Shard: 3, Deadline: time.Now().Add(time.Second)})
+		client.Close()
+		p.wg.Wait()
+		var call *core.CallError
+		if !errors.As(err, &call) || call.NotRun || rows != nil {
+			t.Errorf("%q: rows %s, error %v, want an error that proves nothing", code, rows, err)
+		}
+	})
+}
+
 // okResponse returns an HTTP response with the right checksum and length of its body.
 func okResponse(body string) string { return rawResponse(body, body, len(body)) }
 
