feat(io/client): bound on the bytes in flight to one replica

A replica crashes if the requests that it holds exceed its memory. A request with a large head is written like one with a large body, with a deadline and apart from the caller's goroutine, and its buffer is not kept.

Seen to fail on: TestBytesInFlight, the replica got 5,244,610 bytes of 20 requests.

--- a/io/client/call.go
+++ b/io/client/call.go
@@ -14,6 +14,8 @@
 	request Request
 	done    func(Result)
 	start   time.Time
+	size    int     // of the request in bytes, at least
+	flight  *flight // in which size is reserved; nil if it is not
 
 	connNumber atomic.Uint64 // of the connection that carries or carried the call
 
@@ -72,6 +74,9 @@
 		c.lingerTimer.Stop()
 	}
 	c.mu.Unlock()
+	if c.flight != nil {
+		c.flight.release(int64(c.size))
+	}
 	c.done(r)
 }
 
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -173,6 +173,13 @@
 func (c *Client) Send(t Target, r Request, done func(Result)) *Call {
 	call := &Call{client: c, target: t, request: r, done: done, start: time.Now()}
 	p := c.pool(t)
+	call.size = r.size()
+	if !p.flight.reserve(int64(call.size)) {
+		c.meter.Count("client_full_instances", 1)
+		call.finish(Result{Err: ErrNoConn, NotRun: true})
+		return call
+	}
+	call.flight = &p.flight
 	conn, dial := p.take(call.start, r.AvoidStaleConn, r.Earlier)
 	switch {
 	case conn != nil:
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -18,9 +18,9 @@
 
 const (
 	readBufferBytes = 4 << 10
-	// smallBodyBytes is the largest body that is sent with the head in one write,
-	// without a separate goroutine: it fits into the send buffer of the socket.
-	smallBodyBytes = 8 << 10
+	// smallRequestBytes is the largest request that is sent in one write, without a
+	// separate goroutine: it fits into the send buffer of the socket.
+	smallRequestBytes = 8 << 10
 	// maxSkipped bounds the late responses to earlier requests that a call skips.
 	maxSkipped = 2
 	// maxFreshIdle is how long an idle connection is safe from the idle timeout of a
@@ -90,25 +90,26 @@
 	// A small request is sent in one write and counts as written at once, since its
 	// response may be read before the write returns. net.Conn then delays the write of
 	// the next request until this one has returned.
-	c.written = len(call.request.Body) <= smallBodyBytes
+	small := call.size <= smallRequestBytes
+	c.written = small
 	c.mu.Unlock()
 	head := c.head(call)
-	if len(call.request.Body) > smallBodyBytes {
-		go c.write(head, call.request.Body)
+	if !small {
+		go c.write(head, call.request.Body, true)
 		return
 	}
-	c.write(append(head, call.request.Body...), nil)
+	c.write(append(head, call.request.Body...), nil, false)
 }
 
-// write sends a request. A large body is passed separately from the head; the write then
-// has a deadline.
-func (c *conn) write(head, body []byte) {
-	if body != nil {
+// write sends a request. The body of a large one is passed separately from the head; the
+// write then has a deadline.
+func (c *conn) write(head, body []byte, large bool) {
+	if large {
 		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 		defer func() { _ = c.raw.SetWriteDeadline(time.Time{}) }()
 	}
 	_, err := c.raw.Write(head)
-	if err == nil && body != nil {
+	if err == nil && len(body) > 0 {
 		_, err = c.raw.Write(body)
 	}
 	if err != nil {
@@ -145,7 +146,10 @@
 		b = appendField(b, "Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	b = append(b, "\r\n"...)
-	c.headBuf = b
+	c.headBuf = nil
+	if cap(b) <= keptHeadBytes {
+		c.headBuf = b
+	}
 	return b
 }
 
--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -9,6 +9,7 @@
 // pool holds the idle connections to one instance, and counts all connections to it.
 type pool struct {
 	onEmpty func() // called when the replica closed the last connection while it was idle
+	flight  flight
 
 	mu     sync.Mutex
 	limit  int
