--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -1,6 +1,9 @@
 package quota_test
 
 import (
+	"errors"
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -9,6 +12,14 @@
 	"oriolebarrow/core/quota"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := errors.Join(flag.Set("rapid.seed", "1"), flag.Set("rapid.nofailfile", "true")); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 var start = time.Unix(1000, 0)
 
 // TestBudgetProperties guards against a budget that exceeds its bound or becomes negative,
