feat(io/conns): what no host sends is charged; soak and crowd cases

Messages between hosts that never end held up to twice drpc's 4 MB a connection. What arrives on a connection from a host is charged to the byte budget until the first message has been answered.

The soak gets crowds of clients as one of its disturbances. Large holders give way before idle connections: the weight is the square of the bytes times the time.

--- a/bench/crowd/crowd_test.go
+++ b/bench/crowd/crowd_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -255,6 +256,10 @@
 // for readiness checks, other hosts, tasks and metrics.
 func TestOtherListeners(t *testing.T) {
 	head := requestLine + shortLines(900_000)
+	// The begin of a frame of the protocol between hosts, which announces one byte more than
+	// follows: drpc keeps it until the end.
+	const frameBytes = 2_000_000
+	longFrame := string(binary.AppendUvarint([]byte{3, 1, 1}, frameBytes+1)) + strings.Repeat("x", frameBytes)
 	for name, address := range map[string]func(*crowd.Host) string{
 		"readiness": (*crowd.Host).ReadyAddress, "hosts": (*crowd.Host).PeerAddress,
 		"tasks": (*crowd.Host).TaskAddress, "metrics": (*crowd.Host).MetricsAddress,
@@ -263,6 +268,10 @@
 			h := start(t)
 			misuse(t, h, address(h), clients, func(_ int, c net.Conn) { send(c, head) })
 		})
+		t.Run(name+", long frames", func(t *testing.T) {
+			h := start(t)
+			misuse(t, h, address(h), clients, func(_ int, c net.Conn) { send(c, longFrame) })
+		})
 		t.Run(name+", idle", func(t *testing.T) {
 			h := start(t)
 			misuse(t, h, address(h), idleClients, func(int, net.Conn) {})
--- a/bench/soak/gateway.go
+++ b/bench/soak/gateway.go
@@ -143,7 +143,7 @@
 		IP: ip, CallerAddress: callerAddress, ReadyAddress: fmt.Sprintf("%s:%d", ip, readyPort), PeerAddress: fmt.Sprintf("%s:%d", ip, gatewayPeerPort),
 		Seeds: []string{fmt.Sprintf("%s:%d", g.hostIP(0), gatewayPeerPort), fmt.Sprintf("%s:%d", g.hostIP(g.opts.Hosts-1), gatewayPeerPort)},
 		Ports: [2]int{firstPort, lastPort}, StoreAddress: storeProxy.listener.Addr().String(),
-		Grace: grace, ExtraRatio: 0.2, ExtraWindow: 10 * time.Second, ExtraMinimum: 54,
+		Grace: grace, ExtraRatio: 0.2, ExtraWindow: 10 * time.Second, ExtraMinimum: 54, MemoryMB: soakMemoryMB, MaxFDs: soakMaxFDs,
 	})
 	path := filepath.Join(g.opts.Dir, fmt.Sprintf("host-%d.yaml", i))
 	if err := os.WriteFile(path, text, 0o600); err != nil {
@@ -211,7 +211,7 @@
 		targets = append(targets, proxyTarget(fmt.Sprint("store for host-", i), p, nil))
 	}
 	for i, p := range g.callerProxies {
-		targets = append(targets, proxyTarget(fmt.Sprint("callers of host-", i), p, g.procs[i]))
+		targets = append(targets, proxyTarget(fmt.Sprint("callers of host-", i), p, g.procs[i]), misuseTarget(fmt.Sprint("clients of host-", i), fmt.Sprintf("%s:%d", g.hostIP(i), callerPort)))
 	}
 	for _, r := range g.replicas {
 		targets = append(targets, r.target())
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -192,8 +192,10 @@
 		if state == Running || stuck < StuckAfter && (state == Sending || c.held <= want) {
 			continue
 		}
-		// One second more, so that of several holders with recent progress the largest goes.
-		candidates = append(candidates, candidate{c, float64(c.held) * (stuck + time.Second).Seconds()})
+		// The square, so that a connection with little is not chosen for being idle while
+		// there are large ones. One second more, so that of several with recent progress the
+		// largest goes.
+		candidates = append(candidates, candidate{c, float64(c.held) * float64(c.held) * (stuck + time.Second).Seconds()})
 	}
 	slices.SortFunc(candidates, func(x, y candidate) int { return cmp.Compare(y.weight, x.weight) })
 	var victims []*Holder
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -205,10 +205,7 @@
 
 // tryCharge charges n bytes or makes others give way for them.
 func (c *Conn) tryCharge(n int64) quota.Verdict {
-	verdict, victims := c.set.opts.Budget.Charge(time.Now(), c.holder, n)
-	for _, v := range victims {
-		v.GiveWay()
-	}
+	verdict := tryCharge(c.set.opts.Budget, c.holder, n)
 	if verdict == quota.Granted {
 		c.extra += n
 	}
@@ -217,15 +214,31 @@
 
 // charge charges n bytes and waits for those that give way.
 func (c *Conn) charge(n int64, wait time.Duration) bool {
-	verdict := c.tryCharge(n)
+	if !charge(c.set.opts.Budget, c.holder, n, wait) {
+		return false
+	}
+	c.extra += n
+	return true
+}
+
+func tryCharge(b *quota.Budget, h *quota.Holder, n int64) quota.Verdict {
+	verdict, victims := b.Charge(time.Now(), h, n)
+	for _, v := range victims {
+		v.GiveWay()
+	}
+	return verdict
+}
+
+func charge(b *quota.Budget, h *quota.Holder, n int64, wait time.Duration) bool {
+	verdict := tryCharge(b, h, n)
 	if verdict != quota.Wait {
 		return verdict == quota.Granted
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		changed := c.set.opts.Budget.Changed()
-		if verdict := c.tryCharge(n); verdict != quota.Wait {
+		changed := b.Changed()
+		if verdict := tryCharge(b, h, n); verdict != quota.Wait {
 			return verdict == quota.Granted
 		}
 		select {
--- a/io/conns/guard.go
+++ b/io/conns/guard.go
@@ -1,108 +1,31 @@
 package conns
 
 import (
-	"context"
-	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"oriolebarrow/core"
 	"oriolebarrow/core/quota"
 )
 
 const (
-	// reservedDescriptors are left for files and for connections to the directory.
-	reservedDescriptors = 200
-	// memoryDivisor is the memory of the machine divided by the part of it that clients may
-	// make the host hold. defaultBudget replaces it if the memory is not stated.
-	memoryDivisor = 4
-	defaultBudget = 64 << 20
-	// minConnections is the least share of a listener.
-	minConnections = 8
-
-	// smallHead limits the heads of requests for readiness, metrics and administration.
-	smallHead        = 16 << 10
-	smallHeadTimeout = 5 * time.Second
-	smallTimeout     = 5 * time.Second
-	smallIdleTimeout = time.Minute
+	// unknownFree bytes may arrive on a connection of a host without being charged, until the
+	// first message has been answered.
+	unknownFree = 16 << 10
+	// unknownFactor is how much memory a byte of an incomplete message takes, since drpc's
+	// buffer doubles. Charges are multiples of unknownStep.
+	unknownFactor = 2
+	unknownStep   = 16 << 10
 )
 
-// Limits are the limits of all listeners of a host. A nil *Limits has none.
-type Limits struct {
-	Budget   *quota.Budget
-	Refusals *Refusals
-	Shares   Shares
-}
-
-// NewLimits derives the limits from the memory of the machine in bytes and the descriptors
-// that the process may open. 0 means that they are not known.
-func NewLimits(memory int64, descriptors int, m core.Meter, log *slog.Logger) *Limits {
-	bytes := memory / memoryDivisor
-	if bytes <= 0 {
-		bytes = defaultBudget
-	}
-	return &Limits{Budget: quota.New(bytes), Refusals: NewRefusals(m, log), Shares: Share(descriptors)}
-}
-
-// Shares are the connections that the listeners may have open; 0 means no limit.
-type Shares struct {
-	Callers int
-	Hosts   int // of the listener for other hosts
-	Tasks   int
-	Small   int // each of those for readiness, metrics and administration
-}
-
-// Share divides descriptors. What remains is for connections to replicas and other hosts.
-func Share(descriptors int) Shares {
-	if descriptors <= 0 {
-		return Shares{}
-	}
-	free := max(0, descriptors-reservedDescriptors)
-	part := func(divisor int) int { return max(minConnections, free/divisor) }
-	return Shares{Callers: part(2), Hosts: part(10), Tasks: part(10), Small: part(50)}
-}
-
-// ServeSmall serves a listener whose requests are small, like readiness checks, until ctx
-// ends. It limits the connections, the heads, and the times of requests.
-func (l *Limits) ServeSmall(ctx context.Context, name string, s *http.Server, listener net.Listener) error {
-	o := Options{Listener: name, Head: func() HeadLimits {
-		return HeadLimits{Bytes: smallHead + headSlack, Timeout: smallHeadTimeout}
-	}}
-	if l != nil {
-		o.Connections, o.Budget, o.Refusals = l.Shares.Small, l.Budget, l.Refusals
-	}
-	set := NewLimited(o)
-	s.ConnState = set.ConnState
-	s.MaxHeaderBytes = smallHead
-	setDefault(&s.ReadHeaderTimeout, smallHeadTimeout)
-	setDefault(&s.ReadTimeout, smallTimeout)
-	setDefault(&s.WriteTimeout, smallTimeout)
-	setDefault(&s.IdleTimeout, smallIdleTimeout)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go set.Watch(ctx, func() time.Duration { return 0 })
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() }) // a request that still runs gets no answer
-	defer stop()
-	return set.Serve(s, listener)
-}
-
-// headSlack is how far beyond its limit net/http reads a head.
-const headSlack = 4 << 10
-
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
-// Guard returns a listener that accepts at most the given number of connections at a time: it
-// closes the one from which nothing was read for the longest time when another one comes. 0
-// means no limit.
+// Guard returns a listener for connections from other hosts that accepts at most the given
+// number of them at a time: it closes the one from which nothing was read for the longest time
+// when another one comes. 0 means no limit. What arrives on a connection is charged until the
+// first message has been answered: something that is no host may begin a message and never
+// end it.
 func (l *Limits) Guard(name string, listener net.Listener, connections int) net.Listener {
 	if l == nil || connections <= 0 {
 		return listener
@@ -127,12 +50,13 @@
 		return nil, err // not wrapped, since servers look for temporary errors
 	}
 	c := &guarded{Conn: raw, guard: g}
-	c.lastRead.Store(time.Now().UnixNano())
+	c.holder = g.limits.Budget.Open(time.Now(), c.giveWay)
 	g.mu.Lock()
 	var oldest *guarded
 	if len(g.open) >= g.connections {
+		now := time.Now()
 		for other := range g.open {
-			if oldest == nil || other.lastRead.Load() < oldest.lastRead.Load() {
+			if oldest == nil || other.holder.Stuck(now) > oldest.holder.Stuck(now) {
 				oldest = other
 			}
 		}
@@ -140,8 +64,7 @@
 	g.open[c] = struct{}{}
 	g.mu.Unlock()
 	if oldest != nil {
-		g.limits.Refusals.Add(g.name, Displaced)
-		_ = oldest.Close() // the server ends the connection when its reads fail
+		oldest.giveWay()
 	}
 	return c, nil
 }
@@ -150,22 +73,53 @@
 type guarded struct {
 	net.Conn
 	guard    *guard
-	lastRead atomic.Int64 // Unix nanoseconds
+	holder   *quota.Holder
+	answered atomic.Bool // something was written
+
+	received, charged int64 // until answered; only one goroutine reads
 }
 
 // Read implements net.Conn.
 func (c *guarded) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.lastRead.Store(time.Now().UnixNano())
+	if n == 0 {
+		return n, err
+	}
+	c.holder.Progress(time.Now())
+	if c.answered.Load() {
+		return n, err
+	}
+	c.received += int64(n)
+	if missing := unknownFactor*(c.received-unknownFree) - c.charged; missing > 0 {
+		missing = (missing + unknownStep - 1) / unknownStep * unknownStep
+		if !charge(c.guard.limits.Budget, c.holder, missing, chargeWait) {
+			c.guard.limits.Refusals.Add(c.guard.name, NoMemory)
+			return 0, &net.OpError{Op: "read", Net: "tcp", Err: errLimit}
+		}
+		c.charged += missing
 	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *guarded) Write(b []byte) (int, error) {
+	if !c.answered.Swap(true) {
+		c.guard.limits.Budget.RefundTo(c.holder, 0)
+	}
+	return c.Conn.Write(b)
+}
+
+// giveWay closes the connection for another one, or since others need its memory.
+func (c *guarded) giveWay() {
+	c.guard.limits.Refusals.Add(c.guard.name, Displaced)
+	_ = c.Close() // the server ends the connection when its reads fail
+}
+
 // Close implements net.Conn.
 func (c *guarded) Close() error {
 	c.guard.mu.Lock()
 	delete(c.guard.open, c)
 	c.guard.mu.Unlock()
+	c.guard.limits.Budget.Close(c.holder)
 	return errors.Wrap(c.Conn.Close(), "conns: close")
 }
