--- a/bench/crowd/crowd.go
+++ b/bench/crowd/crowd.go
@@ -68,11 +68,20 @@
 	exited  chan struct{}
 	log     *os.File
 	servers []*http.Server
+
+	newRequest func() (*http.Request, error) // an ordinary request
+	isAnswer   func(body string) bool
+}
+
+func newHost() *Host {
+	return &Host{names: platform.Names(), ip: fmt.Sprintf("127.%d.%d.1", 120+os.Getpid()%100, os.Getpid()/100%250+1)}
 }
 
-// Start starts a host and waits until it is ready.
+// Start starts a gateway host and waits until it is ready.
 func Start(o Options) (*Host, error) {
-	h := &Host{names: platform.Names(), ip: fmt.Sprintf("127.%d.%d.1", 120+os.Getpid()%100, os.Getpid()/100%250+1)}
+	h := newHost()
+	h.newRequest = h.order
+	h.isAnswer = func(body string) bool { return body == "done" }
 	if err := h.start(o); err != nil {
 		h.Close()
 		return nil, err
@@ -114,8 +123,13 @@
 		return errors.Wrap(err, "crowd: create log")
 	}
 	h.log = log
-	h.cmd = exec.Command(o.Program, "gateway", "-settings", settings, "-metrics-port", strconv.Itoa(metricsPort))
-	h.cmd.Stdout, h.cmd.Stderr = log, log
+	return h.run(exec.Command(o.Program, "gateway", "-settings", settings, "-metrics-port", strconv.Itoa(metricsPort)))
+}
+
+// run starts the process and waits until the host is ready.
+func (h *Host) run(cmd *exec.Cmd) error {
+	h.cmd = cmd
+	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
 	if err := h.cmd.Start(); err != nil {
 		h.cmd = nil
 		return errors.Wrap(err, "crowd: start host")
@@ -207,25 +221,34 @@
 	transport := &http.Transport{DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
-	req, err := http.NewRequest(http.MethodPost, "http://"+h.CallerAddress()+SmallPath, strings.NewReader("an order"))
+	req, err := h.newRequest()
 	if err != nil {
 		return err
 	}
-	req.Host = HTTPHost
-	req.Header.Set(h.names.RequestID, "ordinary")
-	req.Header.Set(h.names.Deadline, "4000")
 	res, err := client.Do(req)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
-	if err != nil || res.StatusCode != http.StatusOK || string(body) != "done" {
+	if err != nil || res.StatusCode != http.StatusOK || !h.isAnswer(string(body)) {
 		return errors.Errorf("status %d, body %q, %v", res.StatusCode, body, err)
 	}
 	return nil
 }
 
+// order returns an ordinary request to a gateway host.
+func (h *Host) order() (*http.Request, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+h.CallerAddress()+SmallPath, strings.NewReader("an order"))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = HTTPHost
+	req.Header.Set(h.names.RequestID, "ordinary")
+	req.Header.Set(h.names.Deadline, "4000")
+	return req, nil
+}
+
 // Usage is what a process uses of the machine.
 type Usage struct {
 	PeakMB      int // largest resident memory since the start
--- a/bench/crowd/crowd_test.go
+++ b/bench/crowd/crowd_test.go
@@ -278,3 +278,36 @@
 		})
 	}
 }
+
+// TestServe guards against a host of the product's own interface that ends because of the
+// clients of one of its listeners.
+func TestServe(t *testing.T) {
+	const line, bodyBytes = "POST /v1/query HTTP/1.1\r\nHost: h\r\n", 1 << 20
+	head := line + shortLines(60_000)
+	body := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", line, bodyBytes, strings.Repeat(" ", bodyBytes-1))
+	const frameBytes = 2_000_000
+	longFrame := string(binary.AppendUvarint([]byte{3, 1, 1}, frameBytes+1)) + strings.Repeat("x", frameBytes)
+	sends := func(text string) client { return func(_ int, c net.Conn) { send(c, text) } }
+	for name, c := range map[string]struct {
+		address func(*crowd.Host) string
+		clients int
+		run     client
+	}{
+		"callers, heads":        {(*crowd.Host).CallerAddress, clients, sends(head)},
+		"callers, cut bodies":   {(*crowd.Host).CallerAddress, clients, sends(body)},
+		"callers, idle":         {(*crowd.Host).CallerAddress, idleClients, sends("")},
+		"hosts, long frames":    {(*crowd.Host).PeerAddress, clients, sends(longFrame)},
+		"hosts, idle":           {(*crowd.Host).PeerAddress, idleClients, sends("")},
+		"administration, heads": {(*crowd.Host).AdminAddress, clients, sends(head)},
+		"administration, idle":  {(*crowd.Host).AdminAddress, idleClients, sends("")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, err := crowd.StartServe(crowd.Options{Program: program, Dir: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(h.Close)
+			misuse(t, h, c.address(h), c.clients, c.run)
+		})
+	}
+}
