fix(io/conns): messages between hosts are charged before they are buffered

A trial with 184 MB, 4,100 descriptors, 1,900 clients and one processor showed 210 and 289 MB at the listeners for hosts and tasks ('long frames'): drpc's buffer was allocated for up to 1 MB before the bytes were charged, and a displaced connection's bytes were returned before its server had ended. Reads of unknown connections are now charged first and at most 16 KiB long, four times the bytes, and returned when the server closes the connection. Messages are limited to 2 MB, requests for the directory to 64 KB, also when decompressed. The collector's soft limit is 0.6 of the memory.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -39,7 +39,7 @@
 	replyMemoryDivisor = 8
 	// collectorShare of the host's memory is the soft limit of the garbage collector. Up to
 	// it, the heap may double between two collections; the rest is for what it does not count.
-	collectorShare = 0.7
+	collectorShare = 0.6
 )
 
 // gateway runs one host on the platform. The host sends callers' requests to the
--- a/io/conns/guard.go
+++ b/io/conns/guard.go
@@ -15,9 +15,10 @@
 	// unknownFree bytes may arrive on a connection of a host without being charged, until the
 	// first message has been answered.
 	unknownFree = 16 << 10
-	// unknownFactor is how much memory a byte of an incomplete message takes, since drpc's
-	// buffer doubles. Charges are multiples of unknownStep.
-	unknownFactor = 2
+	// unknownFactor is how much memory a byte of an incomplete message takes: drpc's buffer
+	// doubles, and the one before it stays until the next collection. Charges are multiples
+	// of unknownStep.
+	unknownFactor = 4
 	unknownStep   = 16 << 10
 )
 
@@ -81,26 +82,35 @@
 
 // Read implements net.Conn.
 func (c *guarded) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n == 0 {
-		return n, err
-	}
-	c.holder.Progress(time.Now())
-	if c.answered.Load() {
-		return n, err
-	}
-	c.received += int64(n)
-	if missing := unknownFactor*(c.received-unknownFree) - c.charged; missing > 0 {
-		missing = (missing + unknownStep - 1) / unknownStep * unknownStep
-		if !charge(c.guard.limits.Budget, c.holder, missing, chargeWait) {
+	unknown := !c.answered.Load()
+	if unknown {
+		b = b[:min(len(b), unknownStep)]
+		if !c.chargeFor(int64(len(b))) {
 			c.guard.limits.Refusals.Add(c.guard.name, NoMemory)
 			return 0, &net.OpError{Op: "read", Net: "tcp", Err: errLimit}
 		}
-		c.charged += missing
+	}
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.holder.Progress(time.Now())
+	}
+	if unknown {
+		c.received += int64(n)
 	}
 	return n, err
 }
 
+// chargeFor charges what the message takes after n more bytes.
+func (c *guarded) chargeFor(n int64) bool {
+	missing := unknownFactor*(c.received+n-unknownFree) - c.charged
+	if missing <= 0 {
+		return true
+	}
+	missing = (missing + unknownStep - 1) / unknownStep * unknownStep
+	c.charged += missing
+	return charge(c.guard.limits.Budget, c.holder, missing, chargeWait)
+}
+
 // Write implements net.Conn.
 func (c *guarded) Write(b []byte) (int, error) {
 	if !c.answered.Swap(true) {
@@ -109,17 +119,24 @@
 	return c.Conn.Write(b)
 }
 
-// giveWay closes the connection for another one, or since others need its memory.
+// giveWay closes the connection for another one, or since others need its memory. Its bytes
+// count until the server, whose reads fail, has closed it too.
 func (c *guarded) giveWay() {
 	c.guard.limits.Refusals.Add(c.guard.name, Displaced)
-	_ = c.Close() // the server ends the connection when its reads fail
+	c.remove()
+	_ = c.Conn.Close() // the server closes it again
 }
 
-// Close implements net.Conn.
-func (c *guarded) Close() error {
+func (c *guarded) remove() {
 	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
 	delete(c.guard.open, c)
-	c.guard.mu.Unlock()
+}
+
+// Close implements net.Conn.
+func (c *guarded) Close() error {
+	c.remove()
+	err := c.Conn.Close()
 	c.guard.limits.Budget.Close(c.holder)
-	return errors.Wrap(c.Conn.Close(), "conns: close")
+	return errors.Wrap(err, "conns: close")
 }
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -22,8 +22,10 @@
 	"github.com/pkg/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"oriolebarrow/core"
 )
@@ -34,7 +36,10 @@
 	// the complete directory at the design size.
 	maxUpdateBytes = 64 << 20
 	windowBytes    = 256 << 10
-	dialTimeout    = 400 * time.Millisecond
+	// maxRequestBytes limits the size of a request, compressed and decompressed. Usual ones
+	// have some 50 bytes.
+	maxRequestBytes = 64 << 10
+	dialTimeout     = 400 * time.Millisecond
 )
 
 // ErrFollow is returned when another host cannot be reached or the call to it fails.
@@ -63,14 +68,14 @@
 
 var _ drpc.Encoding = (*codec)(nil)
 
-func newCodec() (*codec, error) {
+func newCodec(maxBytes uint64) (*codec, error) {
 	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1),
 		zstd.WithWindowSize(windowBytes), zstd.WithLowerEncoderMem(true))
 	if err != nil {
 		return nil, errors.Wrap(err, "feed: new encoder")
 	}
 	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1),
-		zstd.WithDecoderMaxMemory(maxUpdateBytes), zstd.WithDecoderLowmem(true))
+		zstd.WithDecoderMaxMemory(maxBytes), zstd.WithDecoderLowmem(true))
 	if err != nil {
 		return nil, errors.Wrap(err, "feed: new decoder")
 	}
@@ -106,7 +111,7 @@
 
 // NewServer returns a server that answers from a source.
 func NewServer(s core.FeedSource) (*Server, error) {
-	c, err := newCodec()
+	c, err := newCodec(maxRequestBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -115,7 +120,9 @@
 	if err := mux.Register(server, server); err != nil {
 		return nil, errors.Wrap(err, "feed: register server")
 	}
-	server.drpc = drpcserver.New(mux)
+	server.drpc = drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxRequestBytes}},
+	})
 	return server, nil
 }
 
@@ -174,7 +181,7 @@
 
 // New returns a Client without open connections.
 func New(d Deps) (*Client, error) {
-	c, err := newCodec()
+	c, err := newCodec(maxUpdateBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -6,13 +6,19 @@
 	"sync"
 
 	"github.com/pkg/errors"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"oriolebarrow/core"
 	"oriolebarrow/io/wire"
 )
 
+// maxMessageBytes bounds a message from another host: a batch of maxBatchBytes and one more
+// frame with the largest body of an order, 1 MB.
+const maxMessageBytes = 2 << 20
+
 // Handler answers the requests of other hosts.
 type Handler interface {
 	// Handle is called in a new goroutine for each request. ctx ends when the
@@ -42,7 +48,9 @@
 	if err := wire.DRPCRegisterPeer(mux, s); err != nil {
 		return nil, errors.Wrap(err, "peer: register drpc service")
 	}
-	s.drpc = drpcserver.New(mux)
+	s.drpc = drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}},
+	})
 	return s, nil
 }
 
