--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/cost"
 	"oriolebarrow/core/gather"
 	"oriolebarrow/core/picker"
 	"oriolebarrow/core/route"
@@ -14,17 +15,6 @@
 )
 
 const (
-	// defaultTimeDivisor and defaultHedgeDivisor divide a route's target to get the
-	// expected time of a call and its hedge delay until enough calls have been
-	// observed.
-	defaultTimeDivisor  = 5
-	defaultHedgeDivisor = 3
-	// minHedgeDelay keeps a hedge from following the first call at once.
-	minHedgeDelay = 3 * time.Millisecond
-	// hedgeFactor times the median call time is the upper bound of the hedge delay:
-	// service times vary by a third, so few ordinary calls take so long. A delay
-	// taken from the tail of the call times alone would adapt to slow replicas.
-	hedgeFactor = 2
 	// lowBudgetFill is the fill of the extra-call budget below which the hedge delay
 	// grows, up to maxDelayFactor times when the budget is empty.
 	lowBudgetFill  = 0.5
@@ -112,8 +102,8 @@
 	subs         []subrequest
 	calls        []sentCall
 	results      chan event
-	expected     time.Duration // usual time of a call
-	hedgeAfter   time.Duration // hedge delay while the extra-call budget is full enough
+	class        cost.Class
+	estimate     cost.Estimate // of each call; hedges start when it is late
 	callCount    int
 	extraCalls   int // hedges and retries among callCount
 	slotWaits    int // calls that had to wait for a free slot
@@ -139,7 +129,9 @@
 		remaining = noDeadline
 	}
 	j.deadline = req.Arrived.Add(remaining)
-	j.expected, j.hedgeAfter = r.callTimes(rt)
+	j.class = cost.ClassOf(rt.Name, req.Method, req.URI, len(req.Body))
+	j.estimate = r.costs.Estimate(req.Arrived, j.class, rt.Target)
+	r.countEstimate(j.estimate)
 	return j
 }
 
@@ -160,7 +152,7 @@
 func (j *job) attempt(now time.Time, sub *subrequest, message string) bool {
 	paid := false // whether an extra call was taken from the budget
 	for {
-		replica, busy := j.relay.Replicas.Pick(now, sub.service, j.expected, sub.tried)
+		replica, busy := j.relay.Replicas.Pick(now, sub.service, j.estimate.Usual, sub.tried)
 		if replica == nil {
 			if busy {
 				j.awaitSlot(now, sub)
@@ -189,7 +181,7 @@
 
 // setLatestStart sets when calls must start whose answers are needed by a time.
 func (j *job) setLatestStart(neededAt time.Time) {
-	j.latestStart = neededAt.Add(-time.Duration(startFactor * float64(j.expected)))
+	j.latestStart = neededAt.Add(-time.Duration(startFactor * float64(j.estimate.Usual)))
 }
 
 // awaitSlot adds a subrequest to the relay's queue.
@@ -202,7 +194,7 @@
 	j.relay.Meter.Count("relay_slot_waits", 1)
 	j.relay.waiting.Add(sub.service, waiter{j, sub}, j.latestStart)
 	// The last running call may have ended since Pick; then no end of a call offers a slot.
-	if replica, _ := j.relay.Replicas.Pick(now, sub.service, j.expected, sub.tried); replica != nil {
+	if replica, _ := j.relay.Replicas.Pick(now, sub.service, j.estimate.Usual, sub.tried); replica != nil {
 		j.relay.offerSlot(now, sub.service)
 	}
 }
@@ -281,11 +273,11 @@
 	r := j.relay
 	succeeded := res.Err == nil && res.Reply.Status < http.StatusInternalServerError
 	if succeeded {
-		r.observeCallTime(j.route, res.Took)
+		j.observeCost(time.Now(), replica, res)
 	}
 	e := picker.CallEnd{
 		Took:          res.Took,
-		Expected:      j.expected,
+		Expected:      j.estimate.Usual,
 		Failed:        !succeeded && !res.NotRun,
 		Refused:       res.NotRun,
 		Silent:        res.NoResponse && res.Err != nil,
@@ -322,7 +314,7 @@
 // hedgeDelay returns the delay after which a subrequest may be hedged. The delay
 // grows while the extra-call budget is low.
 func (j *job) hedgeDelay(now time.Time, sub *subrequest) time.Duration {
-	d := j.hedgeAfter
+	d := j.estimate.Late
 	if fill := j.relay.Extra.Fill(now, sub.service); fill < lowBudgetFill {
 		d = time.Duration(float64(d) * (1 + (maxDelayFactor-1)*(1-fill/lowBudgetFill)))
 	}
@@ -357,7 +349,7 @@
 // calls may exceed the attempts of the route, which limit the number of replicas to
 // try.
 func (j *job) retryRefused(now time.Time, sub *subrequest) bool {
-	replica := j.relay.Replicas.PickTried(now, j.expected, sub.tried)
+	replica := j.relay.Replicas.PickTried(now, j.estimate.Usual, sub.tried)
 	if replica == nil {
 		return false
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -21,6 +21,7 @@
 	"oriolebarrow/core"
 	"oriolebarrow/core/await"
 	"oriolebarrow/core/budget"
+	"oriolebarrow/core/cost"
 	"oriolebarrow/core/picker"
 	"oriolebarrow/core/route"
 	"oriolebarrow/io/client"
@@ -94,13 +95,13 @@
 	otherLimiter    *telem.LineLimiter // log lines of all other answers
 
 	waiting *await.Queue[waiter] // subrequests that wait for a free slot
+	costs   *cost.Model
 
 	// finish is closed by Finish.
 	finish     chan struct{}
 	finishOnce sync.Once
 
 	mu        sync.Mutex
-	times     map[string]*budget.Times       // call times by route
 	lag       time.Duration                  // see observeLag
 	partSizes map[string]float64             // usual size of a part in bytes, by route
 	sets      map[core.ServiceName]*shardSet // by the first shard
@@ -116,7 +117,7 @@
 		completeLimiter: telem.NewLineLimiter(completeLinesPerSecond),
 		otherLimiter:    telem.NewLineLimiter(otherLinesPerSecond),
 		waiting:         await.New[waiter](),
-		times:           make(map[string]*budget.Times),
+		costs:           cost.New(),
 
 		finish:    make(chan struct{}),
 		partSizes: make(map[string]float64),
@@ -215,29 +216,6 @@
 	return Reply{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: after}
 }
 
-// callTimes returns the expected time of a route's calls and their hedge delay, both
-// estimated from earlier calls.
-func (r *Relay) callTimes(rt *core.Route) (expected, hedgeAfter time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	t, ok := r.times[rt.Name]
-	if !ok || !t.Known() {
-		return rt.Target / defaultTimeDivisor, rt.Target / defaultHedgeDivisor
-	}
-	return t.Median(), max(minHedgeDelay, min(t.Tail(), hedgeFactor*t.Median()))
-}
-
-func (r *Relay) observeCallTime(rt *core.Route, took time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	t, ok := r.times[rt.Name]
-	if !ok {
-		t = new(budget.Times)
-		r.times[rt.Name] = t
-	}
-	t.Observe(took)
-}
-
 // observePartSize updates the usual part size of a route.
 func (r *Relay) observePartSize(rt *core.Route, bytes int) {
 	r.mu.Lock()
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -117,6 +117,9 @@
 			b.sendEndless(c, req.Header.Get("Req-Id"))
 			return
 		}
+		if strings.Contains(req.URL.Path, "/report/") {
+			<-time.After(reportTime - serviceTime)
+		}
 		if !answer(c, mode, load, address, req.Header.Get("Req-Id")) {
 			return
 		}
