--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -70,6 +70,8 @@
 		ReadyAddress:  settings.ReadyAddress,
 		Names:         platform.Names(),
 		Extra:         settings.Extra,
+		Warm:          settings.Warm,
+		DataCentres:   settings.DataCentres,
 		Grace:         settings.Grace,
 		PeerAddress:   settings.PeerAddress,
 		PeerSeeds:     settings.PeerSeeds,
@@ -111,6 +113,8 @@
 	metrics.Gauge("gateway_hosts", func() int64 { return int64(host.Status().Hosts) })
 	metrics.Gauge("gateway_replicas", func() int64 { return int64(host.Status().Replicas) })
 	metrics.Gauge("gateway_connections", func() int64 { return int64(host.Status().Connections) })
+	metrics.Gauge("gateway_evacuated_data_centres", func() int64 { return int64(len(host.Status().Evacuated)) })
+	metrics.Gauge("gateway_directory_era", func() int64 { return int64(host.Status().Era) })
 }
 
 // serveMetrics serves the metrics at an address until stop is called.
@@ -153,7 +157,7 @@
 			log.Error("node: settings not reloaded", "path", path, "cause", err)
 			continue
 		}
-		host.Reload(edge.Reloadable{Extra: settings.Extra, Grace: settings.Grace})
+		host.Reload(edge.Reloadable{Extra: settings.Extra, Grace: settings.Grace, Warm: settings.Warm})
 	}
 }
 
--- a/core/await/await.go
+++ b/core/await/await.go
@@ -19,6 +19,7 @@
 package await
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -63,6 +64,30 @@
 	return true
 }
 
+// Before returns how many calls to a service would get a slot before a call with this latest
+// start that is added now. Calls that are late don't, unless that one is late as well.
+func (q *Queue[T]) Before(now time.Time, s core.ServiceName, latestStart time.Time) (n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	own := entry[T]{latestStart: latestStart}
+	for _, e := range q.waiting[s] {
+		if !own.precedes(e, now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Len returns how many calls wait for all services.
+func (q *Queue[T]) Len() (n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, entries := range q.waiting {
+		n += len(entries)
+	}
+	return n
+}
+
 // Next removes and returns the call that gets the next free slot.
 func (q *Queue[T]) Next(now time.Time, s core.ServiceName) (call T, ok bool) {
 	q.mu.Lock()
@@ -81,6 +106,13 @@
 	return call, true
 }
 
+// Services returns the services with waiting calls, in no particular order.
+func (q *Queue[T]) Services() []core.ServiceName {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.Collect(maps.Keys(q.waiting))
+}
+
 func (e entry[T]) precedes(other entry[T], now time.Time) bool {
 	if late, otherLate := e.late(now), other.late(now); late != otherLate {
 		return otherLate
--- a/core/delta/delta.go
+++ b/core/delta/delta.go
@@ -23,69 +23,75 @@
 // Log holds the newest change of each item; a removed item stays as a tombstone. It is
 // not safe for concurrent use.
 type Log struct {
-	items      map[core.InstanceID]core.DirectoryItem // the routing document has an empty ID
+	items      map[itemKey]core.DirectoryItem
 	tombstones int
-	newest     core.Revision
+	newest     core.Position
 	compacted  core.Revision // removals up to this revision may be missing
 }
 
+// itemKey identifies an item. An instance may have the ID of an evacuation.
+type itemKey struct {
+	id         core.InstanceID // empty for the routing document
+	evacuation bool
+}
+
+func keyOf(i core.DirectoryItem) itemKey { return itemKey{i.ID, i.Evacuation != nil} }
+
 // New returns an empty Log.
-func New() *Log { return &Log{items: make(map[core.InstanceID]core.DirectoryItem)} }
+func New() *Log { return &Log{items: make(map[itemKey]core.DirectoryItem)} }
 
-// Revision returns the newest revision that was applied.
-func (l *Log) Revision() core.Revision { return l.newest }
+// Position returns the newest position that was applied.
+func (l *Log) Position() core.Position { return l.newest }
 
-// Replace replaces all items by a complete list. Removals up to the list's revision are
-// no longer known.
+// Replace replaces all items by a complete list, which may be of another era. Removals up to
+// the list's revision are no longer known.
 func (l *Log) Replace(update core.DirectoryUpdate) {
 	clear(l.items)
 	l.tombstones = 0
+	l.newest = update.Position()
 	l.compacted = update.Revision
 	l.Apply(update)
 }
 
-// Apply applies changes. It ignores a change that is older than the one it has for the
-// same item.
+// Apply applies changes of the same era. It ignores a change that is older than the one it
+// has for the same item.
 func (l *Log) Apply(update core.DirectoryUpdate) {
 	for _, item := range update.Items {
-		old, known := l.items[item.ID]
+		old, known := l.items[keyOf(item)]
 		if known && old.Revision > item.Revision {
 			continue
 		}
-		if known && isTombstone(old) {
+		if known && old.Removed() {
 			l.tombstones--
 		}
-		if isTombstone(item) {
+		if item.Removed() {
 			l.tombstones++
 		}
-		l.items[item.ID] = item
+		l.items[keyOf(item)] = item
 	}
-	l.newest = max(l.newest, update.Revision)
+	l.newest.Revision = max(l.newest.Revision, update.Revision)
 	if l.tombstones > maxTombstones {
 		l.compact()
 	}
 }
 
-// isTombstone reports whether an item records a removal or names no usable replica.
-func isTombstone(i core.DirectoryItem) bool { return i.Instance == nil && i.Routing == nil }
-
 // compact deletes all tombstones.
 func (l *Log) compact() {
-	for id, item := range l.items {
-		if isTombstone(item) {
-			delete(l.items, id)
+	for key, item := range l.items {
+		if item.Removed() {
+			delete(l.items, key)
 		}
 	}
 	l.tombstones = 0
-	l.compacted = l.newest
+	l.compacted = l.newest.Revision
 }
 
 // All returns all items except the removed ones.
 func (l *Log) All() core.DirectoryUpdate {
-	return l.collect(func(i core.DirectoryItem) bool { return !isTombstone(i) })
+	return l.collect(func(i core.DirectoryItem) bool { return !i.Removed() })
 }
 
-// Since returns the changes after a revision. It returns false if removals after that
+// Since returns the changes after a revision of the same era. It returns false if removals after that
 // revision may be missing.
 func (l *Log) Since(after core.Revision) (core.DirectoryUpdate, bool) {
 	if after < l.compacted {
@@ -96,7 +102,7 @@
 
 // collect returns the items that keep selects, ordered by revision.
 func (l *Log) collect(keep func(core.DirectoryItem) bool) core.DirectoryUpdate {
-	update := core.DirectoryUpdate{Revision: l.newest}
+	update := core.DirectoryUpdate{Era: l.newest.Era, Revision: l.newest.Revision}
 	for _, item := range l.items {
 		if keep(item) {
 			update.Items = append(update.Items, item)
--- a/core/picker/replica.go
+++ b/core/picker/replica.go
@@ -75,6 +75,7 @@
 	Leaving bool          // it is about to stop and wants no further requests
 	Wait    time.Duration // it wants no requests for so long; 0 if it states nothing
 	Invalid bool          // it states a time that can't be understood, which is ignored
+	Warmup  time.Duration // it is cold for so long; 0 if it states nothing
 }
 
 // Replica is one backend server as this host sees it. The lock of the table guards
@@ -84,8 +85,9 @@
 	inst         core.Instance // last directory entry
 	missingSince time.Time     // when its entry vanished; zero if it did not
 	removed      bool
+	evacuated    bool      // its data centre is evacuated
 	inSubset     bool      // in the subset of the replicas that this host uses
-	warmUntil    time.Time // end of the warm-up, in which it is slow; counted from its first entry
+	warmUntil    time.Time // end of the warm-up, in which it is slow
 
 	// What the replica stated in Notices.
 	leaving   bool
@@ -100,6 +102,7 @@
 	slowness     float64   // average duration of its calls, without queueing, relative to the expected one
 	failureShare float64   // average share of failed calls
 	updatedAt    time.Time // of slowness and failureShare
+	pauses       pauseFilter
 
 	silentCalls int // consecutive silent calls, see trackSilence
 	ejected     bool
@@ -128,8 +131,11 @@
 	return r.staying() && !r.ejected && !now.Before(r.waitUntil)
 }
 
-// staying reports whether the replica may get requests later, if not now.
-func (r *Replica) staying() bool { return !r.inst.Draining && !r.removed && !r.leaving }
+// staying reports whether the replica may get requests later, if not now. The end of an
+// evacuation is not foreseeable, so an evacuated replica does not count.
+func (r *Replica) staying() bool {
+	return !r.inst.Draining && !r.removed && !r.leaving && !r.evacuated
+}
 
 // note records a notice and reports whether it is news.
 func (r *Replica) note(now time.Time, n Notice) bool {
@@ -203,8 +209,11 @@
 	if e.Failed || e.Refused || e.Silent {
 		failure = 1
 	} else if e.Expected > 0 {
-		ratio := min(maxSlowness, float64(e.Took)/(float64(e.Expected)*queueFactor))
-		r.slowness += sampleWeight * (ratio - r.slowness)
+		usual := float64(e.Expected) * queueFactor
+		if !r.pauses.isPause(now.Add(-e.Took), now, time.Duration(usual)) {
+			ratio := min(maxSlowness, float64(e.Took)/usual)
+			r.slowness += sampleWeight * (ratio - r.slowness)
+		}
 	}
 	if !e.Abandoned {
 		r.failureShare += sampleWeight * (failure - r.failureShare)
--- a/core/picker/table.go
+++ b/core/picker/table.go
@@ -22,6 +22,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/warm"
 )
 
 // holdMissing is the time for which a replica stays usable after its entry vanished
@@ -49,6 +50,9 @@
 	byID       map[core.InstanceID]*Replica
 	byService  map[core.ServiceName][]*Replica
 	hostLimits map[core.ServiceName]HostLimits
+	evacuated  map[core.DataCentre]bool
+	warm       *warm.Limiter
+	cold       []Cold // see NewlyCold
 }
 
 // HostLimits limits this host's use of the replicas of a service to its share of their
@@ -70,6 +74,7 @@
 		byID:       make(map[core.InstanceID]*Replica),
 		byService:  make(map[core.ServiceName][]*Replica),
 		hostLimits: make(map[core.ServiceName]HostLimits),
+		warm:       warm.New(self, localDC),
 	}
 }
 
@@ -85,15 +90,20 @@
 	}
 	if !ok {
 		r = newReplica(now, in)
+		r.evacuated = t.evacuated[in.DataCentre]
 		t.byID[in.ID] = r
 		t.byService[in.Service] = append(t.byService[in.Service], r)
 		t.selectSubset(in.Service)
+		t.markCold(now, r, in.Warmup, true)
 		return true
 	}
+	if statesWarmup(r.inst, in) {
+		t.markCold(now, r, in.Warmup, false)
+	}
 	changed := r.inst.Draining != in.Draining || !r.missingSince.IsZero()
 	r.missingSince = time.Time{}
 	r.inst = in
-	return changed
+	return t.updateEvacuated(r) || changed
 }
 
 // Remove removes an instance. If hold is set, it only marks the instance as missing,
@@ -191,13 +201,14 @@
 func (t *Table) selectSubset(s core.ServiceName) {
 	replicas := t.byService[s]
 	limits, limited := t.hostLimits[s]
-	n := len(replicas)
+	n := countNotEvacuated(replicas)
 	if limited && limits.Share < 1 {
 		n = min(n, max(minSubset, int(limits.Share*float64(n))))
 	}
 	ranked := slices.Clone(replicas)
 	slices.SortFunc(ranked, func(a, b *Replica) int {
 		return cmp.Or(
+			compareTrue(!a.evacuated, !b.evacuated),
 			compareTrue(a.inst.DataCentre == t.localDC, b.inst.DataCentre == t.localDC),
 			cmp.Compare(t.rendezvousWeight(b), t.rendezvousWeight(a)),
 		)
@@ -281,6 +292,9 @@
 			busy = true
 			continue
 		}
+		if !t.warm.Allow(now, r.initial.ID) {
+			continue
+		}
 		cost := r.cost(now, expected, t.localDC)
 		if !r.inSubset {
 			cost += outsideSubsetCost
@@ -330,6 +344,7 @@
 func (t *Table) Note(now time.Time, r *Replica, n Notice) (news bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.markCold(now, r, n.Warmup, false)
 	return r.note(now, n)
 }
 
@@ -340,7 +355,7 @@
 	defer t.mu.Unlock()
 	var bestCost float64
 	for _, r := range tried {
-		if !r.usable(now) || r.running >= t.maxCalls(r) {
+		if !r.usable(now) || r.running >= t.maxCalls(r) || !t.warm.Allow(now, r.initial.ID) {
 			continue
 		}
 		if cost := r.cost(now, expected, t.localDC); best == nil || cost < bestCost {
@@ -370,9 +385,10 @@
 func (t *Table) Start(now time.Time, r *Replica) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !r.usable(now) || r.running >= t.maxCalls(r) {
+	if !r.usable(now) || r.running >= t.maxCalls(r) || !t.warm.Allow(now, r.initial.ID) {
 		return false
 	}
+	t.warm.Sent(now, r.initial.ID)
 	r.started(now)
 	return true
 }
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -63,24 +63,24 @@
 	running        int       // calls that have not ended
 	hedgeAt        time.Time // zero unless a hedge is scheduled
 	waiting        bool      // for a free slot, or about to be resumed with one
+	turnAt         time.Time // zero unless it waits for a turn at a cold replica
 	settled        bool      // no further answer is awaited
 	ran            bool      // a call ended and may have run
 	overloaded     bool      // a replica was at capacity, or the extra-call budget was empty
 	// delegated is set when another host calls the replicas.
 	delegated bool
+	notRun    bool          // the delegate states that no replica has run the request nor will
 	last      *client.Reply // last answer of a replica; nil in a query
 	reason    core.Reason   // cause of the last failure
 }
 
-// mayRun reports whether a replica has run the request or may still do so.
-func (sub *subrequest) mayRun() bool { return sub.ran || sub.running > 0 }
-
 // event is what a job waits for: the end of a call, a free slot for a subrequest, or an event
 // of a delegated task.
 type event struct {
 	sub     *subrequest
 	replica *picker.Replica
 	result  client.Result
+	call    int        // index in job.calls
 	slot    bool       // a replica has a free slot for sub; replica and result are not set
 	task    *taskEvent // if not nil, the only field that is set
 }
@@ -88,7 +88,8 @@
 // sentCall is a call of a subrequest.
 type sentCall struct {
 	*client.Call
-	sub *subrequest
+	sub   *subrequest
+	ended bool // its end has been handled
 }
 
 // job is the state of one request while one goroutine serves it.
@@ -110,7 +111,9 @@
 	timer        *time.Timer
 	query        *gather.Query // nil for a request that one replica answers
 	tasks        chan taskEvent
-	taskCount    int       // delegated tasks
+	taskCount    int // delegated tasks
+	tasksOpen    int // those whose end has not been handled
+	cancelTasks  context.CancelFunc
 	pastClose    bool      // the closing time has passed
 	set          *shardSet // nil for a request that one replica answers
 	queries      int       // see core.Task.Queries
@@ -157,7 +160,7 @@
 			if busy {
 				j.awaitSlot(now, sub)
 			}
-			return busy
+			return busy || j.awaitTurn(now, sub)
 		}
 		if sub.attempts > 0 && !paid && !j.relay.Extra.Take(now, sub.service) {
 			// A retry that is missing after a failure shows no overload: with fewer queries,
@@ -193,8 +196,9 @@
 	j.slotWaits++
 	j.relay.Meter.Count("relay_slot_waits", 1)
 	j.relay.waiting.Add(sub.service, waiter{j, sub}, j.latestStart)
-	// The last running call may have ended since Pick; then no end of a call offers a slot.
-	if replica, _ := j.relay.Replicas.Pick(now, sub.service, j.estimate.Usual, sub.tried); replica != nil {
+	// Since Pick, the last running call may have ended, or the data centre may have been
+	// evacuated; then no end of a call offers a slot.
+	if replica, busy := j.relay.Replicas.Pick(now, sub.service, j.estimate.Usual, sub.tried); replica != nil || !busy {
 		j.relay.offerSlot(now, sub.service)
 	}
 }
@@ -211,7 +215,7 @@
 func (j *job) resume(now time.Time, sub *subrequest) {
 	sub.waiting = false
 	if !sub.settled && !j.attempt(now, sub, retrySent) && sub.running == 0 {
-		j.settle(sub)
+		j.settleUnavailable(sub)
 	}
 	if !sub.waiting {
 		j.relay.offerSlot(now, sub.service) // the call may have used another slot, or none
@@ -229,6 +233,7 @@
 	sub.hedgeAt = now.Add(j.hedgeDelay(now, sub))
 	j.callCount++
 	inst := replica.Instance()
+	index := len(j.calls)
 	bodyBytes := 0
 	if j.query != nil {
 		bodyBytes = j.relay.partLimit(j.route)
@@ -249,8 +254,9 @@
 		Earlier:        earlier,
 
 		BodyBytes: bodyBytes,
-	}, func(res client.Result) { j.callEnded(sub, replica, res) })
-	j.calls = append(j.calls, sentCall{call, sub})
+		SendBy:    j.sendBy(now, replica),
+	}, func(res client.Result) { j.callEnded(sub, replica, index, res) })
+	j.calls = append(j.calls, sentCall{Call: call, sub: sub})
 }
 
 // earlierCalls returns the calls of a subrequest so far.
@@ -269,7 +275,7 @@
 
 // callEnded records the end of a call and passes it to the job's goroutine. It runs
 // on the goroutine of the connection.
-func (j *job) callEnded(sub *subrequest, replica *picker.Replica, res client.Result) {
+func (j *job) callEnded(sub *subrequest, replica *picker.Replica, index int, res client.Result) {
 	r := j.relay
 	succeeded := res.Err == nil && res.Reply.Status < http.StatusInternalServerError
 	if succeeded {
@@ -300,7 +306,7 @@
 			r.logDemand(now, j.set)
 		}
 	}
-	j.results <- event{sub: sub, replica: replica, result: res}
+	j.results <- event{sub: sub, replica: replica, result: res, call: index}
 	r.offerSlot(time.Now(), sub.service)
 }
 
@@ -328,6 +334,7 @@
 		if sub.settled {
 			continue
 		}
+		j.takeTurn(now, sub)
 		if !sub.refusedRetryAt.IsZero() && !now.Before(sub.refusedRetryAt) {
 			sub.refusedRetryAt = time.Time{}
 			if !j.retryRefused(now, sub) && sub.running == 0 {
@@ -374,6 +381,7 @@
 func (j *job) settle(sub *subrequest) {
 	sub.settled = true
 	j.stopWaiting(sub)
+	j.leaveTurn(sub)
 	if j.query != nil {
 		j.query.MarkLost(sub.index)
 	}
@@ -388,8 +396,6 @@
 	if res.NotRun {
 		sub.reason, message = core.ReasonBusy, callRefused
 		sub.overloaded = sub.overloaded || res.Err == nil && !res.Reply.AddressReused
-	} else {
-		sub.ran = true
 	}
 	j.addCallEvent(now, e, message)
 	retry := sub.attempts < j.route.Attempts && (j.route.Idempotent || res.NotRun)
@@ -421,6 +427,9 @@
 		if !sub.refusedRetryAt.IsZero() && sub.refusedRetryAt.Before(last) {
 			last = sub.refusedRetryAt
 		}
+		if !sub.turnAt.IsZero() && sub.turnAt.Before(last) {
+			last = sub.turnAt
+		}
 	}
 	return last
 }
@@ -466,6 +475,7 @@
 	for i := range j.subs {
 		sub := &j.subs[i]
 		j.stopWaiting(sub)
+		j.leaveTurn(sub)
 		if sub.waiting {
 			j.relay.offerSlot(time.Now(), sub.service) // its slot, which it doesn't use
 		}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	r := relay.New(relay.Deps{Replicas: replicas, Client: c, Extra: e, Splitter: s, Hosts: hostCount, Log: log})
+//	r := relay.New(relay.Deps{Replicas: replicas, Client: c, Extra: e, Splitter: s, Callers: callers, Log: log})
 //	r.SetTable(table)
 //	reply := r.Do(ctx, request)
 package relay
@@ -56,7 +56,8 @@
 	Body        []byte
 	Remaining   time.Duration // remaining time that the caller states; 0 if it states none
 	Arrived     time.Time
-	FirstOnConn bool // whether it is the first request on its connection
+	FirstOnConn bool   // whether it is the first request on its connection
+	Caller      string // tells callers apart; empty if unknown
 }
 
 // Reply is the answer to a caller.
@@ -79,8 +80,8 @@
 	Splitter *route.Splitter
 	Log      *slog.Logger
 	Meter    core.Meter
-	// Hosts returns how many hosts share the connections to a replica.
-	Hosts func() int
+	// Callers returns how many hosts share the connections to a replica of a service.
+	Callers func(core.ServiceName) int
 	// Self and Tasks let other hosts execute parts of a query. Tasks may be nil;
 	// then this host calls all replicas itself.
 	Self  core.HostID
@@ -96,6 +97,7 @@
 
 	waiting *await.Queue[waiter] // subrequests that wait for a free slot
 	costs   *cost.Model
+	turns   turnCounts // subrequests that wait for a turn at a cold replica
 
 	// finish is closed by Finish.
 	finish     chan struct{}
@@ -105,6 +107,8 @@
 	lag       time.Duration                  // see observeLag
 	partSizes map[string]float64             // usual size of a part in bytes, by route
 	sets      map[core.ServiceName]*shardSet // by the first shard
+
+	rejectedRoutes map[string]struct{} // see countedRoute
 }
 
 var _ core.TaskRunner = (*Relay)(nil)
@@ -122,6 +126,8 @@
 		finish:    make(chan struct{}),
 		partSizes: make(map[string]float64),
 		sets:      make(map[core.ServiceName]*shardSet),
+
+		rejectedRoutes: make(map[string]struct{}),
 	}
 }
 
@@ -138,6 +144,14 @@
 	}
 }
 
+// ReassignWaiting lets the subrequests that wait for a slot pick a replica again. It must be
+// called when an evacuation began or ended; otherwise they would wait for the end of a call.
+func (r *Relay) ReassignWaiting(now time.Time) {
+	for _, s := range r.waiting.Services() {
+		r.offerSlot(now, s) // each passes the offer on unless it waits again
+	}
+}
+
 // SetTable makes a version of the routing document the active one.
 func (r *Relay) SetTable(t *route.Table) { r.table.Store(t) }
 
@@ -187,14 +201,14 @@
 // time until one takes requests again if all asked to wait, and usual otherwise.
 func (r *Relay) retryAfter(now time.Time, s core.ServiceName, usual time.Duration) time.Duration {
 	if r.Replicas.Available(now, s) {
-		return usual
+		return max(usual, r.coldWait(now, s))
 	}
 	return max(usual, r.Replicas.Wait(now, s))
 }
 
 // Note records what a replica states about itself in the result of a call.
 func (r *Relay) Note(now time.Time, replica *picker.Replica, res client.Result) {
-	n := picker.Notice{Leaving: res.Reply.Leaving, Wait: res.Reply.Wait, Invalid: res.Reply.InvalidWait}
+	n := picker.Notice{Leaving: res.Reply.Leaving, Wait: res.Reply.Wait, Invalid: res.Reply.InvalidWait, Warmup: res.Reply.Warmup}
 	if n == (picker.Notice{}) || res.Reply.AddressReused || !r.Replicas.Note(now, replica, n) {
 		return
 	}
@@ -263,7 +277,7 @@
 	if !ok || u.Connections <= 0 {
 		return picker.HostLimits{Calls: 1, Share: 1}
 	}
-	hosts := r.Hosts() + 1
+	hosts := r.Callers(s) + 1
 	return picker.HostLimits{
 		Calls: max(1, min(maxConnections, u.Connections/hosts)),
 		Share: min(1, float64(u.Connections)/float64(hosts)),
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -35,17 +35,18 @@
 // backends are the in-memory replicas of a set of shards, two of each shard.
 type backends struct {
 	mu       sync.Mutex
-	ran      map[string]int    // executed requests, by address
-	received int               // requests
-	modes    map[string]string // by address; see answer and rejectTwice
-	rejected map[string]bool   // requests that rejectTwice rejected, by address and id
-	load     string            // the load that each replica reports; empty for none
+	ran      map[string]int         // executed requests, by address
+	received int                    // requests
+	arrivals map[string][]time.Time // of requests, by address
+	modes    map[string]string      // by address; see answer and rejectTwice
+	rejected map[string]bool        // requests that rejectTwice rejected, by address and id
+	load     string                 // the load that each replica reports; empty for none
 
 	endlessBytes atomic.Int64 // bytes sent by replicas in the mode "endless"
 }
 
 func newBackends() *backends {
-	return &backends{ran: map[string]int{}, modes: map[string]string{}, rejected: map[string]bool{}}
+	return &backends{ran: map[string]int{}, arrivals: map[string][]time.Time{}, modes: map[string]string{}, rejected: map[string]bool{}}
 }
 
 func (b *backends) setMode(mode string, addresses ...string) {
@@ -75,8 +76,12 @@
 	b.mu.Lock()
 	mode := b.modes[address]
 	b.mu.Unlock()
-	if mode == "down" {
+	switch mode {
+	case "down":
 		return nil, errors.New("connection refused")
+	case "no connection":
+		<-ctx.Done()
+		return nil, ctx.Err()
 	}
 	local, remote := net.Pipe()
 	go b.serve(remote, address)
@@ -105,8 +110,9 @@
 		b.mu.Lock()
 		mode, load := b.modes[address], b.load
 		b.received++
+		b.arrivals[address] = append(b.arrivals[address], time.Now())
 		switch mode {
-		case "shed", "asks to wait":
+		case "shed", "sheds late", "asks to wait":
 		case "shed once":
 			b.modes[address] = ""
 		default:
@@ -159,6 +165,8 @@
 		took = 8 * serviceTime
 	case "shed", "shed once":
 		status, extra, took = "503 Busy", "Not-Run: 1\r\n", time.Millisecond
+	case "sheds late":
+		status, extra, took = "503 Busy", "Not-Run: 1\r\n", 2*serviceTime
 	case "asks to wait":
 		status, extra, took = "503 Busy", "Not-Run: 1\r\nRetry-After: 2.0\r\n", time.Millisecond
 	case "leaving":
@@ -206,7 +214,7 @@
 		Extra:    budget.NewExtra(budget.ExtraLimits{Window: 10 * time.Second, Ratio: 0.2, Minimum: 54}, 1),
 		Splitter: route.NewSplitter(0),
 		Log:      slog.New(slog.DiscardHandler),
-		Hosts:    func() int { return 1 },
+		Callers:  func(core.ServiceName) int { return 1 },
 		Self:     "host-0",
 		Tasks:    tasks,
 	})
@@ -418,10 +426,18 @@
 	mode    string
 	queries atomic.Int64 // sum of core.Task.Queries
 	divide  atomic.Bool  // the last argument of Plan
+	all     bool         // whether the host gets all shards
 }
 
-func (f *fakeTasks) Plan(_ time.Time, _ []core.ServiceName, divide bool) []core.TaskBatch {
+func (f *fakeTasks) Plan(_ time.Time, services []core.ServiceName, divide bool) []core.TaskBatch {
 	f.divide.Store(divide)
+	if f.all {
+		b := core.TaskBatch{Host: core.NewHost("host-1", "b", "10.0.9.9:1")}
+		for i := range services {
+			b.Shards = append(b.Shards, i)
+		}
+		return []core.TaskBatch{b}
+	}
 	return []core.TaskBatch{{Host: core.NewHost("host-1", "b", "10.0.9.9:1"), Shards: []int{2, 3, 5, 7, 11, 13}}}
 }
 
@@ -433,6 +449,12 @@
 	case "lost":
 		<-time.After(40 * time.Millisecond)
 		return &core.CallError{Op: "read", Reason: core.ReasonOwnerLost}
+	case "no link":
+		<-ctx.Done()
+		return &core.CallError{Op: "read", Reason: core.ReasonOwnerLost, NotRun: true}
+	case "silent":
+		<-ctx.Done()
+		return &core.CallError{Op: "read", Reason: core.ReasonOwnerLost}
 	case "overloaded":
 		sink(core.TaskResult{AdmitShare: 0.3})
 	case "wrong":
