feat(cmd): where, what a host would do with a request

Cause: operators could see what happened to a request (explain), but not what a host would do with one now, nor why a replica gets no calls.

Change: `oriolebarrow where METHOD HOST PATH` asks a gateway host at its metrics address (/v1/where). The host copies what decisions change and lets the deciding code decide on the copies, so that there is no second copy of a rule and no effect. `serve` has no routes by host and path and answers 501 not_available.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -52,6 +52,7 @@
 		"explain": {"print the life of one request from logs", "LOGFILE... ID", explain},
 		"status":  {"compare several hosts", "", status},
 		"version": {"print the version", "", version},
+		"where":   {"print where a host would send a request", "METHOD HOST PATH", where},
 	}
 }
 
--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -85,7 +85,7 @@
 	}
 	registerGauges(metrics, host)
 	if *port > 0 {
-		stop, err := serveMetrics(net.JoinHostPort(settings.IP, strconv.Itoa(*port)), metrics, log)
+		stop, err := serveMetrics(net.JoinHostPort(settings.IP, strconv.Itoa(*port)), metrics, host.WhereHandler(), log)
 		if err != nil {
 			_, _ = fmt.Fprintf(std.err, "oriolebarrow gateway: %v\n", err)
 			return ExitFault
@@ -117,14 +117,15 @@
 	metrics.Gauge("gateway_directory_era", func() int64 { return int64(host.Status().Era) })
 }
 
-// serveMetrics serves the metrics at an address until stop is called.
-func serveMetrics(address string, metrics *telem.Registry, log *slog.Logger) (stop func(), err error) {
+// serveMetrics serves the metrics and the command where at an address until stop is called.
+func serveMetrics(address string, metrics *telem.Registry, where http.Handler, log *slog.Logger) (stop func(), err error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics")
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", metrics.Handler())
+	mux.Handle("/v1/where", where)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -86,6 +86,7 @@
 	Levels    core.LogLevels
 	Drain     func() // starts the graceful shutdown; may be called more than once
 	Metrics   http.Handler
+	Where     http.Handler // only hosts that pass requests on have one
 	Log       *slog.Logger
 }
 
@@ -108,6 +109,7 @@
 	h.handle(http.MethodGet, "/healthz", h.health)
 	h.handle(http.MethodGet, "/readyz", h.ready)
 	h.handle(http.MethodGet, "/metrics", h.metrics)
+	h.handle(http.MethodGet, "/v1/where", h.where)
 	h.handle(http.MethodGet, "/v1/status", h.status)
 	h.handle(http.MethodGet, "/v1/hosts", h.hosts)
 	h.handle(http.MethodGet, "/v1/sections", h.sections)
@@ -234,6 +236,14 @@
 	h.Metrics.ServeHTTP(w, r)
 }
 
+func (h *Handler) where(w http.ResponseWriter, r *http.Request) {
+	if h.Where == nil {
+		writeUnavailable(w, "where")
+		return
+	}
+	h.Where.ServeHTTP(w, r)
+}
+
 func (h *Handler) drain(w http.ResponseWriter, r *http.Request) {
 	if h.Drain == nil {
 		writeUnavailable(w, "drain")
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -99,6 +99,7 @@
 	grace     time.Duration
 	warm      warm.Bounds
 	stops     map[string]func()
+	edges     map[int]*edge.Edge // hosts that were started
 
 	runsMu  sync.Mutex
 	runs    map[string]int          // requests that replicas began, by id
@@ -114,7 +115,7 @@
 func peerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:8002", i) }
 
 func newDeployment(t *testing.T, shards int) *deployment {
-	d := &deployment{t: t, network: newNetwork(), directory: &directory{changed: make(chan struct{})}, grace: 6 * time.Second, stops: map[string]func(){}, runs: map[string]int{}, reached: map[core.DataCentre]int{}}
+	d := &deployment{t: t, network: newNetwork(), directory: &directory{changed: make(chan struct{})}, grace: 6 * time.Second, stops: map[string]func(){}, edges: map[int]*edge.Edge{}, runs: map[string]int{}, reached: map[core.DataCentre]int{}}
 	d.delay.Store(int64(5 * time.Millisecond))
 	doc := core.Routing{Version: 3, Routes: []core.Route{{
 		Name: "query", Host: "h", Prefix: "/q/", Idempotent: true, Timeout: 2 * time.Second, Target: time.Second, Attempts: 2, TopK: 3, MinRatio: 0.9,
@@ -168,6 +169,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	d.edges[i] = e
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -132,9 +132,8 @@
 		remaining = noDeadline
 	}
 	j.deadline = req.Arrived.Add(remaining)
-	j.class = cost.ClassOf(rt.Name, req.Method, req.URI, len(req.Body))
+	j.class = cost.ClassOf(rt.Name, req.Method, req.URI, max(len(req.Body), req.BodyBytes))
 	j.estimate = r.costs.Estimate(req.Arrived, j.class, rt.Target)
-	r.countEstimate(j.estimate)
 	return j
 }
 
--- a/io/relay/reject.go
+++ b/io/relay/reject.go
@@ -70,11 +70,19 @@
 
 // admitWait decides whether a request to one replica that has to wait for a free slot may wait.
 func (j *job) admitWait(now time.Time, sub *subrequest) shed.Decision {
-	if !sub.waiting || j.estimate.Basis == cost.BasisTarget {
+	if !sub.waiting {
+		return shed.Decision{Admitted: true}
+	}
+	ahead := j.relay.waiting.Before(now, sub.service, j.latestStart) - 1 // without this one
+	return j.decideWait(now, sub.service, ahead)
+}
+
+// decideWait decides about a request to one replica that gets a slot after ahead others.
+func (j *job) decideWait(now time.Time, s core.ServiceName, ahead int) shed.Decision {
+	if j.estimate.Basis == cost.BasisTarget {
 		return shed.Decision{Admitted: true}
 	}
 	d := j.askFor(now)
 	d.Remaining -= answerMargin
-	ahead := j.relay.waiting.Before(now, sub.service, j.latestStart) - 1 // without this one
-	return shed.Wait(d, max(0, ahead), j.relay.Replicas.Slots(now, sub.service))
+	return shed.Wait(d, max(0, ahead), j.relay.Replicas.Slots(now, s))
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -54,6 +54,7 @@
 	Host        string
 	Fields      []core.Field
 	Body        []byte
+	BodyBytes   int           // size of the body if Body is not set, see Where
 	Remaining   time.Duration // remaining time that the caller states; 0 if it states none
 	Arrived     time.Time
 	FirstOnConn bool   // whether it is the first request on its connection
@@ -187,6 +188,7 @@
 		return r.Reject(req, unavailable(core.ReasonDraining, retrySoon))
 	}
 	j := newJob(r, table, rt, req)
+	r.countEstimate(j.estimate)
 	var reply Reply
 	if len(rt.Gather) > 0 {
 		reply = j.serveQuery(ctx)
--- a/io/relay/shed.go
+++ b/io/relay/shed.go
@@ -34,9 +34,7 @@
 // admit decides whether the query is admitted.
 func (j *job) admit() shed.Decision {
 	now := time.Now()
-	ask := j.askFor(now)
-	ask.Queue = j.queueTime(now)
-	d := j.set.shedder.Admit(now, ask)
+	d := j.decideQuery(now)
 	if d.Admitted {
 		return d
 	}
@@ -47,6 +45,13 @@
 	return d
 }
 
+// decideQuery asks admission control for the query.
+func (j *job) decideQuery(now time.Time) shed.Decision {
+	ask := j.askFor(now)
+	ask.Queue = j.queueTime(now)
+	return j.set.shedder.Admit(now, ask)
+}
+
 // queueTime returns how long it takes until the calls that wait at this host have started. It
 // takes them to be spread evenly over the shards of the query.
 func (j *job) queueTime(now time.Time) time.Duration {
--- a/io/relay/task.go
+++ b/io/relay/task.go
@@ -192,6 +192,7 @@
 		Remaining: t.Deadline.Sub(now),
 		Arrived:   now,
 	})
+	r.countEstimate(j.estimate)
 	j.query = gather.New(len(rt.Gather), rt.TopK, t.MinRatio)
 	j.setServices(rt.Gather)
 	j.set = r.setFor(t.FirstService)
--- a/io/tasks/tasks.go
+++ b/io/tasks/tasks.go
@@ -45,7 +45,10 @@
 	running *assign.Assigner // for all running hosts
 }
 
-var _ core.TaskClient = (*Client)(nil)
+var (
+	_ core.TaskClient    = (*Client)(nil)
+	_ core.TaskPreviewer = (*Client)(nil)
+)
 
 // New returns a Client with the given dependencies.
 func New(d Deps) *Client {
@@ -57,11 +60,23 @@
 // get all tasks, or this host would call every replica itself. A host that cannot serve
 // a task yet refuses it at once.
 func (c *Client) Plan(now time.Time, services []core.ServiceName, divide bool) []core.TaskBatch {
+	assigner, view := c.assigner(now)
+	return assigner.Plan(view, services, divide, c.Near)
+}
+
+// Preview implements core.TaskPreviewer.
+func (c *Client) Preview(now time.Time, services []core.ServiceName, divide bool) []core.TaskBatch {
+	assigner, view := c.assigner(now)
+	return assigner.Copy().Plan(view, services, divide, c.Near)
+}
+
+// assigner returns the assigner to use and its view.
+func (c *Client) assigner(now time.Time) (*assign.Assigner, core.View) {
 	ready, running := c.Views.View(now), c.Reachability.Reachable(now)
 	if 2*len(ready.Hosts()) < len(running.Hosts()) {
-		return c.running.Plan(running, services, divide, c.Near)
+		return c.running, running
 	}
-	return c.ready.Plan(ready, services, divide, c.Near)
+	return c.ready, ready
 }
 
 // Run implements core.TaskClient. If the host fails, refuses the task or doesn't
