--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -97,7 +97,7 @@
 	registerGauges(metrics, host)
 	metrics.Gauge("clients_held_bytes", limits.Budget.Used)
 	if *port > 0 {
-		stop, err := serveMetrics(net.JoinHostPort(settings.IP, strconv.Itoa(*port)), metrics, limits, log)
+		stop, err := serveMetrics(net.JoinHostPort(settings.IP, strconv.Itoa(*port)), metrics, host.WhereHandler(), limits, log)
 		if err != nil {
 			_, _ = fmt.Fprintf(std.err, "oriolebarrow gateway: %v\n", err)
 			return ExitFault
@@ -129,14 +129,15 @@
 	metrics.Gauge("gateway_directory_era", func() int64 { return int64(host.Status().Era) })
 }
 
-// serveMetrics serves the metrics at an address until stop is called.
-func serveMetrics(address string, metrics *telem.Registry, limits *conns.Limits, log *slog.Logger) (stop func(), err error) {
+// serveMetrics serves the metrics and the command where at an address until stop is called.
+func serveMetrics(address string, metrics *telem.Registry, where http.Handler, limits *conns.Limits, log *slog.Logger) (stop func(), err error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics")
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", metrics.Handler())
+	mux.Handle("/v1/where", where)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	ctx, stop := context.WithCancel(context.Background())
 	go func() {
--- a/core/await/await.go
+++ b/core/await/await.go
@@ -71,19 +71,30 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	own := entry[T]{call, latestStart}
-	before := 0
-	for _, e := range q.waiting[s] {
-		if !own.precedes(e, now) {
-			before++
-		}
-	}
-	if !admit(before) {
+	if !admit(q.before(now, s, own)) {
 		return false
 	}
 	q.waiting[s] = append(q.waiting[s], own)
 	return true
 }
 
+// Before returns how many calls to a service would get a slot before a call with this latest
+// start that is added now.
+func (q *Queue[T]) Before(now time.Time, s core.ServiceName, latestStart time.Time) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.before(now, s, entry[T]{latestStart: latestStart})
+}
+
+func (q *Queue[T]) before(now time.Time, s core.ServiceName, own entry[T]) (n int) {
+	for _, e := range q.waiting[s] {
+		if !own.precedes(e, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Len returns how many calls wait for all services.
 func (q *Queue[T]) Len() (n int) {
 	q.mu.Lock()
--- a/io/relay/reject.go
+++ b/io/relay/reject.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oriolebarrow/core"
+	"oriolebarrow/core/cost"
 	"oriolebarrow/core/shed"
 )
 
@@ -30,7 +31,7 @@
 	return shed.Demand{
 		Route:     j.route.Name,
 		Priority:  j.route.Priority,
-		Cost:      j.expected,
+		Cost:      j.estimate.Usual,
 		Target:    j.route.Target,
 		Remaining: j.deadline.Sub(now),
 		Caller:    j.req.Caller,
@@ -67,30 +68,29 @@
 	return name
 }
 
-// timesKnown reports whether the usual time of a route's calls is known.
-func (r *Relay) timesKnown(rt *core.Route) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	t, ok := r.times[rt.Name]
-	return ok && t.Known()
-}
-
 // join adds a subrequest to the relay's queue and reports whether it did. A request to one
 // replica that would not be answered in time is rejected instead.
 func (j *job) join(now time.Time, sub *subrequest) bool {
 	w := waiter{j, sub}
-	if j.query != nil || sub.attempts > 0 || !j.relay.timesKnown(j.route) {
+	if j.query != nil || sub.attempts > 0 {
 		j.relay.waiting.Add(sub.service, w, j.latestStart)
 		return true
 	}
-	ask := j.askFor(now)
-	ask.Remaining -= answerMargin
-	slots := j.relay.Replicas.Slots(now, sub.service)
 	return j.relay.waiting.AddIf(now, sub.service, w, j.latestStart, func(before int) bool {
-		d := shed.Wait(ask, before, slots)
+		d := j.decideWait(now, sub.service, before)
 		if !d.Admitted {
 			j.rejection = &d
 		}
 		return d.Admitted
 	})
 }
+
+// decideWait decides about a request to one replica that gets a slot after ahead others.
+func (j *job) decideWait(now time.Time, s core.ServiceName, ahead int) shed.Decision {
+	if j.estimate.Basis == cost.BasisTarget {
+		return shed.Decision{Admitted: true}
+	}
+	d := j.askFor(now)
+	d.Remaining -= answerMargin
+	return shed.Wait(d, ahead, j.relay.Replicas.Slots(now, s))
+}
--- a/io/relay/shed.go
+++ b/io/relay/shed.go
@@ -34,9 +34,7 @@
 // admit decides whether the query is admitted.
 func (j *job) admit() shed.Decision {
 	now := time.Now()
-	ask := j.askFor(now)
-	ask.Queue = j.queueTime(now)
-	d := j.set.shedder.Admit(now, ask)
+	d := j.decideQuery(now)
 	if d.Admitted {
 		return d
 	}
@@ -47,6 +45,13 @@
 	return d
 }
 
+// decideQuery asks admission control for the query.
+func (j *job) decideQuery(now time.Time) shed.Decision {
+	ask := j.askFor(now)
+	ask.Queue = j.queueTime(now)
+	return j.set.shedder.Admit(now, ask)
+}
+
 // queueTime returns how long it takes until the calls that wait at this host have started. It
 // takes them to be spread evenly over the shards of the query.
 func (j *job) queueTime(now time.Time) time.Duration {
@@ -55,7 +60,7 @@
 		return 0
 	}
 	slots := max(1, j.relay.Replicas.Slots(now, j.set.first)) * len(j.subs)
-	return time.Duration(float64(j.expected) * float64(waiting) / float64(slots))
+	return time.Duration(float64(j.estimate.Usual) * float64(waiting) / float64(slots))
 }
 
 // overload counts the shards of a query whose replicas were at capacity.
