fix(io/relay): requests wait a moment for the first routing document

Change: a request waits up to 100 ms for the document, which usually arrives 20 to 80 ms after the start; otherwise Retry-After is 200 ms. TestResponsesWithoutReplica expected the 50 ms.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -118,8 +118,8 @@
 	}
 	noDocument := relay.New(relay.Deps{Log: slog.New(slog.DiscardHandler)})
 	f = front.New(front.Deps{Relay: noDocument, Names: names, Limits: func() core.CallerLimits { return core.CallerLimits{} }})
-	if w := post(f, "/a/", ""); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") != "0.050" {
-		t.Errorf("no document: got status %d, fields %v; want 503 with Retry-After 0.050", w.Code, w.Header())
+	if w := post(f, "/a/", ""); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") != "0.200" {
+		t.Errorf("no document: got status %d, fields %v; want 503 with Retry-After 0.200", w.Code, w.Header())
 	}
 	f.DisableKeepAlive()
 	if w := post(f, "/a/", ""); w.Header().Get("Connection") != "close" {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -32,6 +32,12 @@
 	// retrySoon is the Retry-After of a request that another host, or this one a
 	// moment later, can probably serve.
 	retrySoon = 50 * time.Millisecond
+	// startWait is how long a request waits for the first routing document on a host that has
+	// just started: the document usually arrives within this time, and the caller of a
+	// rejected request would meet another host that has just started.
+	startWait = 100 * time.Millisecond
+	// retryStarting is the Retry-After on a host that has no routing document after startWait.
+	retryStarting = 200 * time.Millisecond
 	// retryNoReplica is the Retry-After when a service has no usable replica: an
 	// ejected replica is first probed after this time.
 	retryNoReplica = 400 * time.Millisecond
@@ -102,6 +108,10 @@
 	costs   *cost.Model
 	turns   turnCounts // subrequests that wait for a turn at a cold replica
 
+	// started is closed by the first call of SetTable.
+	started   chan struct{}
+	startOnce sync.Once
+
 	// finish is closed by Finish.
 	finish     chan struct{}
 	finishOnce sync.Once
@@ -126,6 +136,7 @@
 		waiting:         await.New[waiter](),
 		costs:           cost.New(),
 
+		started:   make(chan struct{}),
 		finish:    make(chan struct{}),
 		partSizes: make(map[string]float64),
 		sets:      make(map[core.ServiceName]*shardSet),
@@ -156,7 +167,27 @@
 }
 
 // SetTable makes a version of the routing document the active one.
-func (r *Relay) SetTable(t *route.Table) { r.table.Store(t) }
+func (r *Relay) SetTable(t *route.Table) {
+	r.table.Store(t)
+	r.startOnce.Do(func() { close(r.started) })
+}
+
+// awaitTable returns the active version of the routing document. If there is none yet, it waits
+// for one up to startWait; the result is nil if none has arrived then.
+func (r *Relay) awaitTable(ctx context.Context) *route.Table {
+	if t := r.table.Load(); t != nil {
+		return t
+	}
+	timer := time.NewTimer(startWait)
+	defer timer.Stop()
+	select {
+	case <-r.started:
+	case <-r.finish:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return r.table.Load()
+}
 
 // Table returns the active version of the routing document, or nil.
 func (r *Relay) Table() *route.Table { return r.table.Load() }
@@ -178,9 +209,9 @@
 // Do forwards a request to replicas and returns the answer to its caller. ctx must end
 // when the caller leaves.
 func (r *Relay) Do(ctx context.Context, req Request) Reply {
-	table := r.table.Load()
+	table := r.awaitTable(ctx)
 	if table == nil {
-		return r.Reject(req, unavailable(core.ReasonNotReady, retrySoon))
+		return r.Reject(req, unavailable(core.ReasonNotReady, retryStarting))
 	}
 	rt, ok := table.Match(req.Host, req.Path)
 	if !ok {
