--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -5,14 +5,18 @@
 	"flag"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"oriolebarrow/io/conns"
 	"oriolebarrow/io/edge"
 	"oriolebarrow/io/telem"
 	"oriolebarrow/platform"
@@ -33,6 +37,9 @@
 	// replyMemoryDivisor is the host's memory divided by the part of it that answers of
 	// replicas may use while they are read.
 	replyMemoryDivisor = 8
+	// collectorShare of the host's memory is the soft limit of the garbage collector. Up to
+	// it, the heap may double between two collections; the rest is for what it does not count.
+	collectorShare = 0.6
 )
 
 // gateway runs one host on the platform. The host sends callers' requests to the
@@ -62,6 +69,8 @@
 	handler := telem.NewHandler(std.out, telem.Options{Format: "json", Level: lowest, Metrics: metrics})
 	defer closeLog(handler)
 	log := slog.New(handler)
+	setCollectorLimit(settings.MemoryBytes)
+	limits := conns.NewLimits(settings.MemoryBytes, descriptors(settings.MaxFDs), metrics, log)
 	store := platform.NewStore(settings.StoreAddress, storeClient(), log)
 	host, err := edge.New(edge.Options{
 		Host:          settings.Host,
@@ -74,18 +83,21 @@
 		DataCentres:   settings.DataCentres,
 		Grace:         settings.Grace,
 		PeerAddress:   settings.PeerAddress,
+		Compete:       settings.Compete,
 		PeerSeeds:     settings.PeerSeeds,
 		TaskPort:      settings.FreePorts[0],
 		Meter:         metrics,
 		BufferBytes:   settings.MemoryBytes / replyMemoryDivisor,
+		Clients:       limits,
 	}, store, log)
 	if err != nil {
 		_, _ = fmt.Fprintf(std.err, "oriolebarrow gateway: %v\n", err)
 		return ExitFault
 	}
 	registerGauges(metrics, host)
+	metrics.Gauge("clients_held_bytes", limits.Budget.Used)
 	if *port > 0 {
-		stop, err := serveMetrics(net.JoinHostPort(settings.IP, strconv.Itoa(*port)), metrics, host.WhereHandler(), log)
+		stop, err := serveMetrics(net.JoinHostPort(settings.IP, strconv.Itoa(*port)), metrics, host.WhereHandler(), limits, log)
 		if err != nil {
 			_, _ = fmt.Fprintf(std.err, "oriolebarrow gateway: %v\n", err)
 			return ExitFault
@@ -118,7 +130,7 @@
 }
 
 // serveMetrics serves the metrics and the command where at an address until stop is called.
-func serveMetrics(address string, metrics *telem.Registry, where http.Handler, log *slog.Logger) (stop func(), err error) {
+func serveMetrics(address string, metrics *telem.Registry, where http.Handler, limits *conns.Limits, log *slog.Logger) (stop func(), err error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics")
@@ -127,12 +139,34 @@
 	mux.Handle("/metrics", metrics.Handler())
 	mux.Handle("/v1/where", where)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	ctx, stop := context.WithCancel(context.Background())
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := limits.ServeSmall(ctx, "metrics", server, l); err != nil {
 			log.Error("telem: metrics are not served", "address", address, "cause", err)
 		}
 	}()
-	return func() { _ = server.Close() }, nil // running requests for metrics get no answer
+	return stop, nil
+}
+
+// setCollectorLimit sets the soft limit of the garbage collector, if the memory of the machine
+// is known.
+func setCollectorLimit(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(collectorShare * float64(memory)))
+	}
+}
+
+// descriptors returns the number of descriptors that the process may open: that of the
+// settings, if it states one, but at most the limit of the system. 0 means unknown.
+func descriptors(stated int) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return stated
+	}
+	if stated > 0 {
+		return min(stated, int(limit.Cur))
+	}
+	return int(limit.Cur)
 }
 
 // reloadSettings reads the settings file again at each SIGHUP and change of the file and
--- a/core/shed/demand.go
+++ b/core/shed/demand.go
@@ -43,3 +43,17 @@
 func (s *sum) rate(now time.Time) float64 {
 	return s.get(now) * math.Ln2 / demandHalfLife.Seconds()
 }
+
+// admitAlike decides about a request if all are admitted alike.
+func (d Demand) admitAlike(share float64) Decision {
+	out := Decision{Admitted: share >= 1 || float64(d.Hash) < share*math.MaxUint64, Share: share, Chance: share}
+	if out.Admitted {
+		return out
+	}
+	out.Reason = ReasonShare
+	fraction := minRetryFraction + (maxRetryFraction-minRetryFraction)*d.spread()
+	if wait := time.Duration(fraction * float64(d.Remaining)); wait+d.Target <= d.Remaining {
+		out.RetryAfter = wait
+	}
+	return out
+}
--- a/core/shed/shed_test.go
+++ b/core/shed/shed_test.go
@@ -14,7 +14,7 @@
 // TestShare guards against a share that falls after failures which admitting fewer queries
 // would not prevent, that never rises again, or that falls to zero.
 func TestShare(t *testing.T) {
-	s := shed.New()
+	s := shed.New(shed.Options{Compete: true})
 	for range 100 {
 		s.Ended(false, false)
 	}
@@ -45,7 +45,7 @@
 // against a share reported by another host that never expires.
 func TestAdmit(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := shed.New()
+	s := shed.New(shed.Options{Compete: true})
 	admit := func(now time.Time, hash uint64) bool {
 		return s.Admit(now, shed.Demand{Route: "q", Cost: time.Millisecond, Remaining: time.Second, Content: hash, Hash: hash}).Admitted
 	}
@@ -70,7 +70,7 @@
 func TestRetryAfter(t *testing.T) {
 	const remaining, target = 600 * time.Millisecond, 100 * time.Millisecond
 	now := time.Unix(1000, 0)
-	s := shed.New()
+	s := shed.New(shed.Options{Compete: true})
 	s.SetPeerShare(now, 0.3)
 	times := make(map[time.Duration]int)
 	for i := range 100 {
@@ -100,7 +100,7 @@
 // however often they repeat it.
 func TestCalm(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := shed.New()
+		s := shed.New(shed.Options{Compete: true})
 		now := time.Unix(1000, 0)
 		for range rapid.IntRange(1, 300).Draw(t, "queries") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "gap_ms")) * time.Millisecond)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -12,18 +12,15 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"oriolebarrow/core"
+	"oriolebarrow/core/quota"
 	"oriolebarrow/io/conns"
 	"oriolebarrow/io/relay"
 )
@@ -31,7 +28,8 @@
 const (
 	// defaultBodyBytes bounds a body while the routing document states no limit.
 	defaultBodyBytes = 1 << 20
-	// maxHeaderBytes and headerTimeout bound the reading of a head. No setting changes them.
+	// maxHeaderBytes and headerTimeout bound the reading of a head while the routing document
+	// states no limits, or larger ones.
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
 	// bodyTimeout bounds the reading of a body. The caller's remaining time replaces it
@@ -39,6 +37,11 @@
 	bodyTimeout = 10 * time.Second
 	// maxAgentBytes bounds the part of the User-Agent field in the key of a caller.
 	maxAgentBytes = 64
+	// headerSlack is how far a head may exceed the limit of the routing document, which does
+	// not say whether the request line and the line ends count.
+	headerSlack = 4 << 10
+	// retryRefused is the Retry-After of a request for which there is no memory.
+	retryRefused = 500 * time.Millisecond
 )
 
 // Deps are the dependencies of a Front.
@@ -46,6 +49,11 @@
 	Relay  *relay.Relay
 	Names  core.HeaderNames
 	Limits func() core.CallerLimits // limits of the routing document
+	// Connections bounds the callers' connections, and Budget the bytes that a host holds for
+	// them. 0 and nil mean no limit.
+	Connections int
+	Budget      *quota.Budget
+	Refusals    *conns.Refusals // may be nil
 }
 
 // Front serves the requests of callers.
@@ -58,14 +66,34 @@
 var _ http.Handler = (*Front)(nil)
 
 // New returns a Front.
-func New(d Deps) *Front { return &Front{deps: d, conns: conns.New()} }
+func New(d Deps) *Front {
+	f := &Front{deps: d}
+	f.conns = conns.NewLimited(conns.Options{
+		Listener: "callers", Connections: d.Connections, Budget: d.Budget, Head: f.headLimits, Refusals: d.Refusals,
+	})
+	return f
+}
+
+// headLimits returns the limits on heads: those of the routing document, or the server's own
+// if they are lower.
+func (f *Front) headLimits() conns.HeadLimits {
+	l := f.deps.Limits()
+	h := conns.HeadLimits{Bytes: maxHeaderBytes, Timeout: headerTimeout}
+	if l.HeaderBytes > 0 {
+		h.Bytes = min(h.Bytes, l.HeaderBytes+headerSlack)
+	}
+	if l.HeaderTimeout > 0 {
+		h.Timeout = min(h.Timeout, l.HeaderTimeout)
+	}
+	return h
+}
 
 // Server returns an HTTP server whose handler is f.
 func (f *Front) Server() *http.Server {
 	return &http.Server{
 		Handler: f,
-		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-			return context.WithValue(ctx, usedKey{}, new(atomic.Bool))
+		ConnContext: func(ctx context.Context, raw net.Conn) context.Context {
+			return conns.NewContext(context.WithValue(ctx, usedKey{}, new(atomic.Bool)), raw)
 		},
 		ConnState:         f.conns.ConnState,
 		ReadHeaderTimeout: headerTimeout,
@@ -83,12 +111,8 @@
 }
 
 // CloseIdle closes the callers' connections that have carried no request for longer than
-// the routing document allows.
-func (f *Front) CloseIdle(now time.Time) {
-	if limit := f.deps.Limits().IdleTimeout; limit > 0 {
-		f.conns.CloseIdle(now, limit)
-	}
-}
+// the routing document allows, and those whose head or reader is too slow.
+func (f *Front) CloseIdle(now time.Time) { f.conns.CloseIdle(now, f.deps.Limits().IdleTimeout) }
 
 // usedKey is the context key of the flag that is set once a connection has carried a
 // request.
@@ -120,13 +144,17 @@
 		FirstOnConn: firstOnConn(r.Context()),
 		Caller:      caller(r),
 	}
-	body, rejection := f.body(w, r, req.Remaining)
+	body, rejection := f.body(w, r, req)
 	if rejection != nil {
-		f.write(w, r, f.deps.Relay.Reject(req, *rejection))
+		f.write(w, r, *rejection)
 		return
 	}
 	req.Body = body
-	f.write(w, r, f.deps.Relay.Do(r.Context(), req))
+	reply := f.deps.Relay.Do(r.Context(), req)
+	if !conns.FromContext(r.Context()).ChargeAnswer(len(reply.Body)) {
+		reply = relay.Reply{Status: http.StatusBadGateway, Reason: core.ReasonOverload}
+	}
+	f.write(w, r, reply)
 }
 
 // caller returns a key that tells callers apart: the address of the connection without the
@@ -148,34 +176,28 @@
 	return r.URL.RequestURI()
 }
 
-// body reads the body of a request, or returns a reply that rejects it.
-func (f *Front) body(w http.ResponseWriter, r *http.Request, remaining time.Duration) (body []byte, rejection *relay.Reply) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	limit := f.deps.Limits().BodyBytes
+// body reads the body of a request, or returns a reply that rejects the request, which has
+// not run.
+func (f *Front) body(w http.ResponseWriter, r *http.Request, req relay.Request) (body []byte, rejection *relay.Reply) {
+	limit, timeout := f.deps.Limits().BodyBytes, bodyTimeout
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	timeout := bodyTimeout
-	if remaining > 0 {
-		timeout = min(timeout, remaining)
+	if req.Remaining > 0 {
+		timeout = min(timeout, req.Remaining)
 	}
-	// Setting a deadline fails only for the response recorders of tests.
-	ctrl := http.NewResponseController(w)
-	_ = ctrl.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	// If the body is rejected, the deadline stays set, since the server still reads the
-	// rest of it.
+	body, reason, err := conns.ReadBody(w, r, limit, timeout)
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &relay.Reply{Status: http.StatusRequestTimeout, Reason: core.ReasonUnreadable}
 	case err != nil:
-		return nil, &relay.Reply{Status: http.StatusBadRequest, Reason: core.ReasonUnreadable}
-	case len(body) > limit:
+		reply := f.deps.Relay.Reject(req, relay.Reply{Status: http.StatusBadRequest, Reason: core.ReasonUnreadable})
+		return nil, &reply
+	case reason == conns.BodyTooLarge:
 		return nil, &relay.Reply{Status: http.StatusRequestEntityTooLarge, Reason: core.ReasonTooLarge}
+	case reason == conns.SlowBody:
+		return nil, &relay.Reply{Status: http.StatusRequestTimeout, Reason: core.ReasonUnreadable}
+	case reason != "":
+		return nil, &relay.Reply{Status: http.StatusServiceUnavailable, Reason: core.ReasonOverload, RetryAfter: retryRefused}
 	}
-	_ = ctrl.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
@@ -232,6 +254,16 @@
 	return false
 }
 
+// status returns the status of a final response that a caller can understand. No other one is
+// expected from the relay.
+func status(s int) int {
+	const lowest, highest = 200, 599
+	if s < lowest || s > highest {
+		return http.StatusBadGateway
+	}
+	return s
+}
+
 // write sends a reply to the caller.
 func (f *Front) write(w http.ResponseWriter, r *http.Request, reply relay.Reply) {
 	n := &f.deps.Names
@@ -256,7 +288,7 @@
 	if f.closing.Load() {
 		h.Set("Connection", "close")
 	}
-	w.WriteHeader(reply.Status)
+	w.WriteHeader(status(reply.Status))
 	if r.Method != http.MethodHead {
 		// The write fails if the caller has closed the connection and needs no response.
 		_, _ = w.Write(reply.Body)
--- a/io/relay/reject.go
+++ b/io/relay/reject.go
@@ -68,21 +68,32 @@
 	return name
 }
 
-// admitWait decides whether a request to one replica that has to wait for a free slot may wait.
-func (j *job) admitWait(now time.Time, sub *subrequest) shed.Decision {
-	if !sub.waiting {
-		return shed.Decision{Admitted: true}
+// join adds a subrequest to the relay's queue and reports whether it did. A request to one
+// replica that would not be answered in time is rejected instead.
+func (j *job) join(now time.Time, sub *subrequest) bool {
+	w := waiter{j, sub}
+	if j.query != nil || sub.attempts > 0 {
+		j.relay.waiting.Add(sub.service, w, j.latestStart)
+		return true
 	}
-	ahead := j.relay.waiting.Before(now, sub.service, j.latestStart) - 1 // without this one
-	return j.decideWait(now, sub.service, ahead)
+	decide := j.decideWait(now, sub.service)
+	return j.relay.waiting.AddIf(now, sub.service, w, j.latestStart, func(before int) bool {
+		d := decide(before)
+		if !d.Admitted {
+			j.rejection = &d
+		}
+		return d.Admitted
+	})
 }
 
-// decideWait decides about a request to one replica that gets a slot after ahead others.
-func (j *job) decideWait(now time.Time, s core.ServiceName, ahead int) shed.Decision {
+// decideWait returns the decision about a request to one replica that gets a slot after a number
+// of others. All may wait while the usual time of a call is not known.
+func (j *job) decideWait(now time.Time, s core.ServiceName) func(before int) shed.Decision {
 	if j.estimate.Basis == cost.BasisTarget {
-		return shed.Decision{Admitted: true}
+		return func(int) shed.Decision { return shed.Decision{Admitted: true, Share: 1, Chance: 1} }
 	}
-	d := j.askFor(now)
-	d.Remaining -= answerMargin
-	return shed.Wait(d, max(0, ahead), j.relay.Replicas.Slots(now, s))
+	ask := j.askFor(now)
+	ask.Remaining -= answerMargin
+	slots := j.relay.Replicas.Slots(now, s)
+	return func(before int) shed.Decision { return shed.Wait(ask, before, slots) }
 }
--- a/io/relay/shed.go
+++ b/io/relay/shed.go
@@ -25,7 +25,7 @@
 	defer r.mu.Unlock()
 	s, ok := r.sets[first]
 	if !ok {
-		s = &shardSet{first: first, shedder: shed.New(), demand: demand.New()}
+		s = &shardSet{first: first, shedder: shed.New(shed.Options{Compete: r.Compete}), demand: demand.New()}
 		r.sets[first] = s
 	}
 	return s
