feat(core/picker): replicas are chosen by the work of their calls

Cause: queueFactor weighed a call of 160 ms like one of 2 ms, a long call counted as stuck for a short one, and a reported queue counted in full for 100 ms.

Change: own calls count with their own estimates (StartCall), other hosts' with the mean estimate of this host's calls, less the work done since the report. A call is stuck by its own estimate. where prints the queued work.

--- a/cmd/where.go
+++ b/cmd/where.go
@@ -108,11 +108,11 @@
 		_, _ = fmt.Fprintf(w, "rejected: %s; come back after %d ms\n", a.Admission.Reason, a.Admission.RetryAfterMS)
 	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "SERVICE\tOWNER\tWAITING\tORDER\tREPLICA\tDATA CENTRE\tCOST\tRUNNING\tREPORTED\tSLOWNESS\tFAILURES\tSTATE")
+	_, _ = fmt.Fprintln(table, "SERVICE\tOWNER\tWAITING\tORDER\tREPLICA\tDATA CENTRE\tCOST\tQUEUED\tRUNNING\tREPORTED\tSLOWNESS\tFAILURES\tSTATE")
 	for _, s := range a.Services {
 		for _, c := range s.Candidates {
-			_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%d of %d\t%s\t%.2f\t%.2f\t%s\n",
-				serviceName(s), s.Owner, s.Waiting, placeOf(c), c.ID, c.DataCentre, micros(c.CostUS), c.Running, c.Slots,
+			_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%d of %d\t%s\t%.2f\t%.2f\t%s\n",
+				serviceName(s), s.Owner, s.Waiting, placeOf(c), c.ID, c.DataCentre, micros(c.CostUS), micros(c.QueuedUS), c.Running, c.Slots,
 				reported(c), c.Slowness, c.FailureShare, states(c))
 		}
 		if len(s.Candidates) == 0 {
--- a/core/cost/load_test.go
+++ b/core/cost/load_test.go
@@ -199,7 +199,7 @@
 			return
 		}
 	}
-	r.host.table.Start(now, replica)
+	r.host.table.StartCall(now, replica, r.estimate.Usual)
 	r.tried = append(r.tried, replica)
 	c := &call{request: r, replica: replica, server: s.servers[replica.Instance().ID], start: s.clock.Elapsed()}
 	c.work = time.Duration(float64(r.work) * math.Exp(callSigma*s.rng.NormFloat64()))
--- a/core/picker/candidates.go
+++ b/core/picker/candidates.go
@@ -53,8 +53,8 @@
 func (t *Table) candidate(now time.Time, r *Replica, expected time.Duration, order int) core.Candidate {
 	out := core.Candidate{
 		ID: r.inst.ID, DataCentre: r.inst.DataCentre, Order: order, Running: r.running, Slots: r.inst.Slots,
-		CostUS:     time.Duration(r.cost(now, expected, t.localDC)).Microseconds(),
-		BusyFactor: r.queueFactor(now), Slowness: r.slowness, FailureShare: r.failureShare,
+		CostUS:   time.Duration(r.cost(now, expected, t.localDC)).Microseconds(),
+		QueuedUS: time.Duration(r.queuedWork(now, float64(max(expected, minExpected)))).Microseconds(), Slowness: r.slowness, FailureShare: r.failureShare,
 		Local: r.inst.DataCentre == t.localDC, InSubset: r.inSubset, Cold: now.Before(r.warmUntil), Evacuated: r.evacuated,
 		CallAgeMS: now.Sub(r.updatedAt).Milliseconds(), LoadAgeMS: -1,
 	}
--- a/core/picker/replica.go
+++ b/core/picker/replica.go
@@ -32,7 +32,7 @@
 	// maxQueueAge is the age up to which a reported queue indicates an overload. It
 	// exceeds maxLoadAge since an overload lasts longer than the reported queue.
 	maxQueueAge = 500 * time.Millisecond
-	// stuckFactor is the multiple of the expected duration after which a running call
+	// stuckFactor is the multiple of its expected duration after which a running call
 	// counts as stuck. Its replica is presumably paused or gone, and a new call would
 	// wait too.
 	stuckFactor = 3
@@ -95,10 +95,11 @@
 	invalid   bool
 	waitUntil time.Time
 
-	running int
-	calls   []runningCall
-	load    Load
-	loadAt  time.Time
+	running   int
+	calls     []runningCall
+	usualWork float64 // moving average of the expected durations of its calls; 0 if unknown
+	load      Load
+	loadAt    time.Time
 
 	slowness     float64   // average duration of its calls, without queueing, relative to the expected one
 	failureShare float64   // average share of failed calls
@@ -114,8 +115,9 @@
 
 // runningCall is a call in flight from this host.
 type runningCall struct {
-	at          time.Time // start
-	queueFactor float64   // see Replica.queueFactor, at the start
+	at          time.Time     // start
+	expected    time.Duration // 0 if not stated
+	queueFactor float64       // see Replica.queueFactor, at the start
 }
 
 func newReplica(now time.Time, in core.Instance) *Replica {
@@ -160,10 +162,10 @@
 	if now.Sub(r.loadAt) < maxLoadAge {
 		slowness = max(slowness, float64(r.load.ServiceTimePct)/usualServiceTimePct)
 	}
-	cost := base * slowness * r.queueFactor(now)
+	cost := slowness * (base + r.queuedWork(now, base))
 	cost += base * failureCost * r.failureShare * decay
 	for _, c := range r.calls {
-		if age := now.Sub(c.at); age > stuckFactor*max(expected, minExpected) {
+		if age := now.Sub(c.at); age > stuckFactor*c.expectedOr(max(expected, minExpected)) {
 			cost += float64(age)
 		}
 	}
@@ -186,11 +188,6 @@
 	return 1 + float64(busy)/float64(max(1, r.inst.Slots))
 }
 
-func (r *Replica) started(now time.Time) {
-	r.calls = append(r.calls, runningCall{at: now, queueFactor: r.queueFactor(now)})
-	r.running++
-}
-
 // ended records the end of a call and reports whether this ejected the replica.
 func (r *Replica) ended(now time.Time, e CallEnd) bool {
 	r.running--
--- a/core/picker/table.go
+++ b/core/picker/table.go
@@ -8,7 +8,7 @@
 //	t := picker.New("host-1", "mixco")
 //	t.Put(now, instance)
 //	r, _ := t.Pick(now, "tickets", expected, nil)
-//	t.Start(now, r)
+//	t.StartCall(now, r, expected)
 //	t.Ended(now, r, picker.CallEnd{Took: took, Expected: expected})
 package picker
 
@@ -382,16 +382,19 @@
 	return slices.ContainsFunc(t.byService[s], func(r *Replica) bool { return r.usable(now) && r.inst.DataCentre == dc })
 }
 
-// Start records the start of a call. It returns false if since Pick the replica has become
+// Start is StartCall for a call whose expected duration is that of any other call.
+func (t *Table) Start(now time.Time, r *Replica) bool { return t.StartCall(now, r, 0) }
+
+// StartCall records the start of a call with its expected duration. It returns false if since Pick the replica has become
 // unusable or calls have used up the limits of Pick; the call must then not be sent.
-func (t *Table) Start(now time.Time, r *Replica) bool {
+func (t *Table) StartCall(now time.Time, r *Replica, expected time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !r.usable(now) || r.running >= t.maxCalls(r) || !t.warm.Allow(now, r.initial.ID) {
 		return false
 	}
 	t.warm.Sent(now, r.initial.ID)
-	r.started(now)
+	r.started(now, expected)
 	return true
 }
 
--- a/core/where.go
+++ b/core/where.go
@@ -46,7 +46,7 @@
 	Order        int        `json:"order"`            // from 1; 0 if it can't get the request now
 	Reason       string     `json:"reason,omitempty"` // if Order is 0
 	CostUS       int64      `json:"cost_us"`          // expected time until the answer, with penalties
-	BusyFactor   float64    `json:"busy_factor"`      // by which calls there delay the request
+	QueuedUS     int64      `json:"queued_us"`        // remaining work of its calls, divided by the slots
 	Running      int        `json:"running"`          // calls of this host
 	ReportedBusy int        `json:"reported_busy"`    // calls of all hosts, as last reported
 	LoadAgeMS    int64      `json:"load_age_ms"`      // of the report; -1 without one
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -171,7 +171,7 @@
 			return false
 		}
 		paid = true
-		if !j.relay.Replicas.Start(now, replica) {
+		if !j.relay.Replicas.StartCall(now, replica, j.estimate.Usual) {
 			continue // another job has just used the last slot
 		}
 		if sub.attempts > 0 {
@@ -367,7 +367,7 @@
 		j.addEvent(now, sub, noBudget, replica, "")
 		return false
 	}
-	if !j.relay.Replicas.Start(now, replica) {
+	if !j.relay.Replicas.StartCall(now, replica, j.estimate.Usual) {
 		return false
 	}
 	j.extraCalls++
