--- a/core/shed/copy.go
+++ b/core/shed/copy.go
@@ -7,7 +7,8 @@
 func (s *Shedder) Copy() *Shedder {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := &Shedder{options: s.options, share: s.share, peerShare: s.peerShare, peerShareAt: s.peerShareAt, kinds: make(map[string]*kind, len(s.kinds))}
+	c := New(s.options)
+	c.share, c.peerShare, c.peerShareAt = s.share, s.peerShare, s.peerShareAt
 	copies := make(map[*kind]*kind, len(s.kinds))
 	for route, k := range s.kinds {
 		copied := k.copy()
--- a/io/relay/reject.go
+++ b/io/relay/reject.go
@@ -76,8 +76,9 @@
 		j.relay.waiting.Add(sub.service, w, j.latestStart)
 		return true
 	}
+	decide := j.decideWait(now, sub.service)
 	return j.relay.waiting.AddIf(now, sub.service, w, j.latestStart, func(before int) bool {
-		d := j.decideWait(now, sub.service, before)
+		d := decide(before)
 		if !d.Admitted {
 			j.rejection = &d
 		}
@@ -85,12 +86,14 @@
 	})
 }
 
-// decideWait decides about a request to one replica that gets a slot after ahead others.
-func (j *job) decideWait(now time.Time, s core.ServiceName, ahead int) shed.Decision {
+// decideWait returns the decision about a request to one replica that gets a slot after a number
+// of others. All may wait while the usual time of a call is not known.
+func (j *job) decideWait(now time.Time, s core.ServiceName) func(before int) shed.Decision {
 	if j.estimate.Basis == cost.BasisTarget {
-		return shed.Decision{Admitted: true}
+		return func(int) shed.Decision { return shed.Decision{Admitted: true, Share: 1, Chance: 1} }
 	}
-	d := j.askFor(now)
-	d.Remaining -= answerMargin
-	return shed.Wait(d, ahead, j.relay.Replicas.Slots(now, s))
+	ask := j.askFor(now)
+	ask.Remaining -= answerMargin
+	slots := j.relay.Replicas.Slots(now, s)
+	return func(before int) shed.Decision { return shed.Wait(ask, before, slots) }
 }
