--- a/io/relay/where.go
+++ b/io/relay/where.go
@@ -106,7 +106,7 @@
 	case replica != nil:
 		return admission(shed.Decision{Admitted: true, Share: 1, Chance: 1})
 	case busy:
-		return admission(j.decideWait(now, s.Service, s.Waiting))
+		return admission(j.decideWait(now, s.Service)(s.Waiting))
 	}
 	reason := core.ReasonNoReplica
 	if _, withheld := j.relay.Replicas.AllWithheld(now, s.Service); withheld {
@@ -116,9 +116,14 @@
 }
 
 func (j *job) whereService(now time.Time, s core.ServiceName) core.WhereService {
+	waiting := 0
+	j.relay.waiting.AddIf(now, s, waiter{}, j.latestStart, func(before int) bool {
+		waiting = before
+		return false // only asked, not added
+	})
 	return core.WhereService{
 		Service: s, Owner: j.relay.Self, Next: true,
-		Waiting:    j.relay.waiting.Before(now, s, j.latestStart),
+		Waiting:    waiting,
 		Candidates: j.relay.Replicas.Candidates(now, s, j.estimate.Usual),
 	}
 }
