--- a/review/lab2/replica.go
+++ b/review/lab2/replica.go
@@ -45,6 +45,7 @@
 		return nil, err
 	}
 	w.store.PutInstance(r.in)
+	w.replicas = append(w.replicas, r)
 	return r, nil
 }
 
--- a/review/lab2/world.go
+++ b/review/lab2/world.go
@@ -42,7 +42,12 @@
 	store   *fake.Store
 	servers []*http.Server
 	hosts   []*host
-	doc     core.Routing // the configuration in force
+
+	replicas []*replica
+	// With spreadPorts, each host has its own ports for the traffic between hosts, so that a
+	// proxy can stand between each two of them.
+	spreadPorts bool
+	doc         core.Routing // the configuration in force
 
 	mu     sync.Mutex
 	record *os.File
@@ -108,6 +113,7 @@
 	ip       string
 	zone     string
 	memoryMB int
+	ports    [2]int // first and last port for the traffic between hosts
 	settings string
 	cmd      *exec.Cmd
 	log      *os.File
@@ -120,6 +126,10 @@
 // seeds are the numbers of the hosts that serve as seeds.
 func (w *world) addHost(n int, zone string, zones []string, seeds []int, memoryMB int) (*host, error) {
 	h := &host{w: w, name: fmt.Sprintf("edge-%s-%d", zone, n), ip: fmt.Sprintf("%s.%d", w.prefix, 20+n), zone: zone, memoryMB: memoryMB}
+	h.ports = [2]int{firstPort, lastPort}
+	if w.spreadPorts {
+		h.ports = [2]int{firstPort + 20*n, lastPort + 20*n}
+	}
 	h.settings = filepath.Join(w.dir, h.name+".yaml")
 	var zoneLines, seedLines strings.Builder
 	for _, z := range zones {
@@ -189,7 +199,7 @@
   value_bytes: 1048576
   ttl_min_ms: 1000
 `, h.name, h.ip, zone, zoneLines.String(), h.ip, frontPort, h.ip, readyPort, h.ip, controlPort,
-		firstPort, lastPort, seedLines.String(), memoryMB, w.storeAddress())
+		h.ports[0], h.ports[1], seedLines.String(), memoryMB, w.storeAddress())
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
