--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -3,10 +3,10 @@
 //
 // # Usage
 //
-//	lab2 CASE RECORD
+//	lab2 CASE RECORD TROUBLE
 //
-// It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
-// TROUBLE=0 in the environment it leaves out the disruption.
+// TROUBLE is 1, or 0 to leave out the disruption. It exits with 1 if the rule was broken, 0 if it
+// held, and 2 if the case could not run.
 package main
 
 import (
@@ -29,8 +29,8 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	if len(args) != 2 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: lab2 CASE RECORD")
+	if len(args) != 3 || cases[args[0]] == nil || args[2] != "0" && args[2] != "1" {
+		fmt.Fprintln(os.Stderr, "usage: lab2 CASE RECORD TROUBLE, which is 0 or 1")
 		return exitNotRun
 	}
 	w, err := newWorld(args[1])
@@ -46,7 +46,7 @@
 		w.close()
 		os.Exit(exitNotRun)
 	}()
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := args[2] == "1"
 	w.note("case %s, disruption %v", args[0], trouble)
 	broken, err := cases[args[0]](w, trouble)
 	switch {
