fix(io/relay): two requests never wait for the same turn at a cold replica

What callers saw: of requests that arrive together at a service whose replicas are all cold, one more than there are turns waited, and got its 503 only when the turn came that another one took. Cause: a request read how many others wait, chose its turn behind them, and added itself in three steps; two requests could do so behind the same number. Change: the number is read and raised under one lock, which is held while the turn is chosen.

--- a/io/relay/cold.go
+++ b/io/relay/cold.go
@@ -9,26 +9,32 @@
 	"oriolebarrow/core/warm"
 )
 
-// turnCounts counts the subrequests of each service that wait for a turn at a cold replica.
+// turnCounts counts the subrequests of each service that wait for a turn at a cold replica. Its
+// lock is taken before that of the replica table.
 type turnCounts struct {
 	mu     sync.Mutex
 	counts map[core.ServiceName]int
 }
 
-func (t *turnCounts) count(s core.ServiceName) int {
+// addIf adds a subrequest if admit allows it, which gets the number of those that wait. Both
+// happen at once: two subrequests that were admitted behind the same number would get one turn,
+// and one of them would be given up only when it comes.
+func (t *turnCounts) addIf(s core.ServiceName, admit func(waiting int) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.counts[s]
+	if !admit(t.counts[s]) {
+		return
+	}
+	if t.counts == nil {
+		t.counts = make(map[core.ServiceName]int)
+	}
+	t.counts[s]++
 }
 
-func (t *turnCounts) add(s core.ServiceName, n int) {
+func (t *turnCounts) remove(s core.ServiceName) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.counts == nil {
-		t.counts = make(map[core.ServiceName]int)
-	}
-	t.counts[s] += n
-	if t.counts[s] <= 0 {
+	if t.counts[s]--; t.counts[s] <= 0 {
 		delete(t.counts, s)
 	}
 }
@@ -40,18 +46,23 @@
 	if sub.running > 0 || !sub.turnAt.IsZero() {
 		return !sub.turnAt.IsZero()
 	}
-	at, withheld, ok := j.relay.Replicas.Turn(now, sub.service, sub.tried, j.relay.turns.count(sub.service))
+	var at time.Time
+	var withheld, ok bool
+	j.relay.turns.addIf(sub.service, func(waiting int) bool {
+		at, withheld, ok = j.relay.Replicas.Turn(now, sub.service, sub.tried, waiting)
+		ok = withheld && ok && !at.After(j.latestStart)
+		return ok
+	})
 	if !withheld {
 		return false
 	}
-	if !ok || at.After(j.latestStart) {
+	if !ok {
 		j.relay.Meter.Count("relay_cold_given_up", 1)
 		// With fewer queries, each would find more turns.
 		sub.reason, sub.overloaded = core.ReasonCold, true
 		return false
 	}
 	j.relay.Meter.Count("relay_cold_waits", 1)
-	j.relay.turns.add(sub.service, 1)
 	sub.turnAt = at
 	return true
 }
@@ -73,7 +84,7 @@
 		return
 	}
 	sub.turnAt = time.Time{}
-	j.relay.turns.add(sub.service, -1)
+	j.relay.turns.remove(sub.service)
 }
 
 // sendBy returns the time after which a call must not be sent any more: a request to a cold replica
