fix(io/client): connections to replicas stay within a share of the descriptors

What callers saw: a host that clients press with queries over many shards uses more descriptors than its machine allows; new callers are then not accepted. Cause: the connections of callers, hosts and tasks have shares of the descriptors, but those to replicas had only a limit for each replica, up to 6. A host whose tasks are refused calls the replicas of all shards itself: 96 replicas are 576 connections. Change: seven eighths of what the listeners leave of the descriptors are for connections to replicas. At the limit, a call closes the connection that has been idle longest, to any replica. If there is none, it fails as not run and counts against no replica, as when a replica's own connections are in use. The default for 4,100 descriptors is 888 connections.

--- a/io/client/call.go
+++ b/io/client/call.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Call is one request that was passed to Client.Send.
@@ -104,10 +106,10 @@
 	c.mu.Lock()
 	c.cancel = cancel
 	c.mu.Unlock()
-	conn, err := c.client.open(ctx, c.target, p)
+	conn, err := c.client.dial(ctx, c.target, p)
 	if err != nil {
 		p.release()
-		c.finish(Result{Err: err, NotRun: true, NoResponse: true})
+		c.finish(Result{Err: err, NotRun: true, NoResponse: !errors.Is(err, ErrNoConn)})
 		return
 	}
 	c.mu.Lock()
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -15,7 +15,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,6 +82,9 @@
 	// bodies of all responses that are being read. 0 means 8 MiB and 64 MiB.
 	BodyBytes   int
 	BufferBytes int64
+	// Connections bounds the connections to all instances; 0 means no bound. At the bound, a
+	// new one replaces the connection that has been idle longest.
+	Connections int
 }
 
 // Target is the instance that a request goes to.
@@ -147,6 +152,7 @@
 	memory *memoryBudget
 
 	lastConn atomic.Uint64 // number of the connection that was opened last
+	open     atomic.Int64  // connections that are open or being opened, also those of no pool
 
 	mu    sync.Mutex
 	pools map[core.InstanceID]*pool
@@ -204,7 +210,7 @@
 	if !p.reserveFirst() {
 		return
 	}
-	conn, err := c.open(ctx, t, p)
+	conn, err := c.dial(ctx, t, p)
 	if err != nil {
 		p.release()
 		return
@@ -289,14 +295,62 @@
 	return p
 }
 
-// open dials an instance and starts a connection that p counts already.
-func (c *Client) open(ctx context.Context, t Target, p *pool) (*conn, error) {
+// dial dials an instance and starts a connection that p counts already.
+func (c *Client) dial(ctx context.Context, t Target, p *pool) (*conn, error) {
+	if !c.reserve() {
+		c.meter.Count("client_connection_limit", 1)
+		return nil, errors.Wrap(ErrNoConn, t.Address)
+	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	c.meter.Count("client_dials", 1)
 	raw, err := c.opts.Dial(ctx, "tcp", t.Address)
 	if err != nil {
+		c.open.Add(-1)
 		return nil, errors.Wrapf(ErrDial, "%s: %v", t.Address, err)
 	}
-	return newConn(raw, p, c, c.lastConn.Add(1)), nil
+	return newConn(&countedConn{Conn: raw, closed: func() { c.open.Add(-1) }}, p, c, c.lastConn.Add(1)), nil
+}
+
+// reserve reserves a connection. At the limit, it closes the one that has been idle longest.
+func (c *Client) reserve() bool {
+	limit := int64(c.opts.Connections)
+	if c.open.Add(1) <= limit || limit <= 0 {
+		return true
+	}
+	if c.closeLongestIdle() {
+		return true
+	}
+	c.open.Add(-1)
+	return false
+}
+
+// closeLongestIdle closes the connection that has been idle longest. It returns false if there
+// is none.
+func (c *Client) closeLongestIdle() bool {
+	c.mu.Lock()
+	pools := slices.Collect(maps.Values(c.pools))
+	c.mu.Unlock()
+	var oldest *pool
+	var since time.Time
+	for _, p := range pools {
+		if t, ok := p.idleSince(); ok && (oldest == nil || t.Before(since)) {
+			oldest, since = p, t
+		}
+	}
+	return oldest != nil && oldest.closeOldest()
+}
+
+// countedConn calls a function when it is closed for the first time.
+type countedConn struct {
+	net.Conn
+	once   sync.Once
+	closed func()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.closed)
+	return err
 }
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -72,6 +72,13 @@
 	return !fresh || idle < maxFreshIdle
 }
 
+// usedAt returns when the connection was last used.
+func (c *conn) usedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastUsed
+}
+
 // unusedSince reports whether an idle connection was last used before a time.
 func (c *conn) unusedSince(t time.Time) bool {
 	c.mu.Lock()
--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -142,6 +142,32 @@
 	return len(spare)
 }
 
+// idleSince returns since when the connection that was used least recently is idle.
+func (p *pool) idleSince() (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return time.Time{}, false
+	}
+	return p.idle[0].usedAt(), true
+}
+
+// closeOldest closes the idle connection that was used least recently. It returns false if
+// there is none.
+func (p *pool) closeOldest() bool {
+	p.mu.Lock()
+	if len(p.idle) == 0 {
+		p.mu.Unlock()
+		return false
+	}
+	c := p.idle[0]
+	p.idle = slices.Delete(p.idle, 0, 1)
+	p.open--
+	p.mu.Unlock()
+	c.close()
+	return true
+}
+
 func (p *pool) size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/conns/share.go
+++ b/io/conns/share.go
@@ -18,6 +18,10 @@
 	// make the host hold. defaultBudget replaces it if the memory is not stated.
 	memoryDivisor = 4
 	defaultBudget = 64 << 20
+	// smallListeners is how many listeners have the share Small, and linkDivisor the rest of the
+	// descriptors divided by the part of it that is for connections to other hosts.
+	smallListeners = 2
+	linkDivisor    = 8
 	// minConnections is the least share of a listener.
 	minConnections = 8
 
@@ -45,22 +49,36 @@
 	return &Limits{Budget: quota.New(bytes), Refusals: NewRefusals(m, log), Shares: Share(descriptors)}
 }
 
+// ReplicaConnections returns the number of connections to replicas that may be open; 0 means no
+// limit.
+func (l *Limits) ReplicaConnections() int {
+	if l == nil {
+		return 0
+	}
+	return l.Shares.Replicas
+}
+
 // Shares are the connections that the listeners may have open; 0 means no limit.
 type Shares struct {
 	Callers int
 	Hosts   int // of the listener for other hosts
 	Tasks   int
 	Small   int // each of those for readiness, metrics and administration
+	// Replicas is not for a listener: it bounds the connections to replicas.
+	Replicas int
 }
 
-// Share divides descriptors. What remains is for connections to replicas and other hosts.
+// Share divides descriptors. What remains is for connections to other hosts.
 func Share(descriptors int) Shares {
 	if descriptors <= 0 {
 		return Shares{}
 	}
 	free := max(0, descriptors-reservedDescriptors)
 	part := func(divisor int) int { return max(minConnections, free/divisor) }
-	return Shares{Callers: part(2), Hosts: part(10), Tasks: part(10), Small: part(50)}
+	s := Shares{Callers: part(2), Hosts: part(10), Tasks: part(10), Small: part(50)}
+	rest := free - s.Callers - s.Hosts - s.Tasks - smallListeners*s.Small
+	s.Replicas = max(minConnections, rest-rest/linkDivisor)
+	return s
 }
 
 // ServeSmall serves a listener whose requests are small, like readiness checks, until ctx
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -165,7 +165,10 @@
 		feeds:    feeds,
 		warming:  make(chan core.Instance, warmQueueSize),
 	}
-	e.client = client.New(client.Options{Names: o.Names, Dial: traffic.Dial(usage.Replicas, o.Dial), Meter: o.Meter, LastConnClosed: e.reconnect, BufferBytes: o.BufferBytes})
+	e.client = client.New(client.Options{
+		Names: o.Names, Dial: traffic.Dial(usage.Replicas, o.Dial), Meter: o.Meter, LastConnClosed: e.reconnect,
+		BufferBytes: o.BufferBytes, Connections: o.Clients.ReplicaConnections(),
+	})
 	e.extra = budget.NewExtra(o.Extra, e.hostCount())
 	e.grace.Store(int64(o.Grace))
 	e.replicas.SetWarmBounds(time.Now(), o.Warm)
