fix(io/conns): callers get a connection beside others that use all of them

What callers saw: while clients send one request after the other on all connections that a listener may have, an ordinary caller's connection is closed before its request is read, again and again. Cause: a new connection took the place of the one that was idle longest. If the others run requests, that is the new one before it: each was closed by the next one. If all ran requests, the new one was closed at once, however often one of them was answered. Change: a connection is not closed for a new one in its first 20 ms without progress. If none can be closed, the new one waits 250 ms for the next request that is answered and takes the place of its connection; the system queues those behind it.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -48,6 +48,9 @@
 	open         map[*Conn]bool
 	closing      bool
 	closingCount int // displaced connections that have not ended
+	// newcomer is closed when a connection was displaced for a new one that waits; nil if none
+	// does.
+	newcomer chan struct{}
 }
 
 // New returns an empty set without limits.
@@ -91,14 +94,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.open)-s.closingCount >= s.opts.Connections {
-		victim := s.longestStuck(time.Now())
-		if victim == nil {
-			return false
-		}
-		victim.displaced = true
-		s.closingCount++
-		victim.cut(Displaced)
+	if len(s.open)-s.closingCount >= s.opts.Connections && !s.displaceOne() {
+		return false
 	}
 	for s.closingCount > maxClosing {
 		s.mu.Unlock()
@@ -111,6 +108,58 @@
 	return true
 }
 
+// displaceOne closes the connection that was idle or stuck longest. If all carry running
+// requests or are new, it waits a moment: for the next request that is answered, since callers
+// that send one after the other would keep out those that come later, or until a new connection
+// has had time for its first request, since otherwise the next one would take its place. It
+// returns false if there is none. The lock of the set must be held; it is given up meanwhile.
+func (s *Set) displaceOne() bool {
+	for end := time.Now().Add(newcomerWait); ; {
+		now := time.Now()
+		wait := end.Sub(now)
+		if victim := s.longestStuck(now); victim != nil {
+			stuck := victim.holder.Stuck(now)
+			if stuck >= newcomerTime {
+				s.displace(victim)
+				return true
+			}
+			wait = min(wait, newcomerTime-stuck)
+		}
+		if wait <= 0 {
+			return false
+		}
+		if s.awaitAnswer(wait) {
+			return true
+		}
+	}
+}
+
+// awaitAnswer waits until a connection whose request was answered has been displaced for a new
+// one. The lock of the set must be held; it is given up meanwhile.
+func (s *Set) awaitAnswer(wait time.Duration) bool {
+	answered := make(chan struct{})
+	s.newcomer = answered
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	s.mu.Unlock()
+	select {
+	case <-answered:
+	case <-timer.C:
+	}
+	s.mu.Lock()
+	if s.newcomer == answered {
+		s.newcomer = nil
+		return false
+	}
+	return true
+}
+
+func (s *Set) displace(c *Conn) {
+	c.displaced = true
+	s.closingCount++
+	c.cut(Displaced)
+}
+
 // longestStuck returns the connection that was idle or stuck longest, or nil. The lock of the
 // set must be held.
 func (s *Set) longestStuck(now time.Time) *Conn {
@@ -155,7 +204,12 @@
 			s.opts.Budget.RefundTo(c.holder, BaseBytes)
 		}
 		c.holder.SetState(now, quota.Receiving)
-		if c.leaves {
+		switch {
+		case s.newcomer != nil && !c.closed:
+			close(s.newcomer)
+			s.newcomer = nil
+			s.displace(c)
+		case c.leaves:
 			c.cut(Displaced)
 		}
 	case http.StateHijacked, http.StateClosed:
--- a/io/conns/limits.go
+++ b/io/conns/limits.go
@@ -44,6 +44,13 @@
 	maxClosing  = 32
 	closingWait = 20 * time.Millisecond
 
+	// newcomerWait is how long a new connection waits for one that is answered. Meanwhile, the
+	// system queues further ones.
+	newcomerWait = 250 * time.Millisecond
+	// newcomerTime is how long a connection without progress is not closed for a new one. A
+	// caller in the same region needs a few milliseconds to send its request.
+	newcomerTime = 20 * time.Millisecond
+
 	// unusedWeight multiplies the idle time of a connection that has never carried a request
 	// when one is closed for a new one.
 	unusedWeight = 4
