--- a/bench/crowd/crowd.go
+++ b/bench/crowd/crowd.go
@@ -1,12 +1,19 @@
-// Package crowd runs a host as a process of the program, with lowered limits, for tests in
-// which many clients misuse it. The stand-ins of the store and of one replica run in the
-// process of the test.
+// Package crowd runs hosts as processes of the program, with lowered limits, for tests in
+// which many clients misuse them: a single host, or several that divide the work of queries
+// and orders among themselves. The stand-ins of the store or the platform and of the replicas
+// run in the process of the test.
 //
 // # Usage
 //
 //	h, err := crowd.Start(crowd.Options{Program: path, Dir: dir})
 //	defer h.Close()
 //	usage, err := h.Usage()
+//
+//	f, err := crowd.StartFleet(crowd.Options{Program: path, Dir: dir})
+//	defer f.Close()
+//	for _, h := range f.Hosts() {
+//		err := h.Answers(1)
+//	}
 package crowd
 
 import (
@@ -52,6 +59,11 @@
 	pollInterval = 50 * time.Millisecond
 	grace        = 2 * time.Second
 	metricsPort  = 8030
+
+	// standInIP and firstHostIP are the last numbers of the addresses of the stand-ins of a
+	// fleet and of the first host.
+	standInIP   = 1
+	firstHostIP = 10
 )
 
 // Options are the options of a Host.
@@ -63,6 +75,7 @@
 // Host is a running process of the program, with its stand-ins.
 type Host struct {
 	names   core.HeaderNames
+	number  int
 	ip      string
 	cmd     *exec.Cmd
 	exited  chan struct{}
@@ -73,13 +86,20 @@
 	isAnswer   func(body string) bool
 }
 
-func newHost() *Host {
-	return &Host{names: platform.Names(), ip: fmt.Sprintf("127.%d.%d.1", 120+os.Getpid()%100, os.Getpid()/100%250+1)}
+// newHost returns the host with a number from 0 on. Its address depends on the process, so that
+// test processes that run at the same time don't share addresses.
+func newHost(number int) *Host {
+	return &Host{names: platform.Names(), number: number, ip: ip(firstHostIP + number)}
+}
+
+// ip returns a loopback address of this process.
+func ip(last int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 120+os.Getpid()%100, os.Getpid()/100%250+1, last)
 }
 
 // Start starts a gateway host and waits until it is ready.
 func Start(o Options) (*Host, error) {
-	h := newHost()
+	h := newHost(0)
 	h.newRequest = h.order
 	h.isAnswer = func(body string) bool { return body == "done" }
 	if err := h.start(o); err != nil {
@@ -107,27 +127,37 @@
 		Upstreams: []core.Upstream{{Name: "orders", HealthPath: "/healthz", Connections: 40}},
 		Limits:    core.CallerLimits{HeaderBytes: HeadBytes, BodyBytes: BodyBytes, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	})
-	settings := filepath.Join(o.Dir, "settings.yaml")
+	if err := h.runGateway(o, h.address(7000), []string{h.PeerAddress()}); err != nil {
+		return err
+	}
+	return h.awaitReady()
+}
+
+// runGateway starts the process of a gateway host.
+func (h *Host) runGateway(o Options, store string, seeds []string) error {
+	settings := filepath.Join(o.Dir, h.name()+".yaml")
 	text := fake.SettingsFile(fake.Process{
-		Host: "host-0", DataCentre: "mixco", DataCentres: []core.DataCentre{"mixco"}, IP: h.ip,
+		Host: core.HostID(h.name()), DataCentre: "mixco", DataCentres: []core.DataCentre{"mixco"}, IP: h.ip,
 		CallerAddress: h.CallerAddress(), ReadyAddress: h.ReadyAddress(), PeerAddress: h.PeerAddress(),
-		Seeds: []string{h.PeerAddress()}, Ports: [2]int{8010, 8020}, StoreAddress: h.address(7000),
+		Seeds: seeds, Ports: [2]int{8010, 8020}, StoreAddress: store,
 		Grace: grace, ExtraRatio: 0.2, ExtraWindow: 10 * time.Second, ExtraMinimum: 54,
 		MemoryMB: MemoryMB, MaxFDs: MaxFDs,
 	})
 	if err := os.WriteFile(settings, text, 0o600); err != nil {
 		return errors.Wrap(err, "crowd: write settings")
 	}
-	log, err := os.Create(filepath.Join(o.Dir, "host.log"))
+	return h.run(o, exec.Command(o.Program, "gateway", "-settings", settings, "-metrics-port", strconv.Itoa(metricsPort)))
+}
+
+func (h *Host) name() string { return fmt.Sprint("host-", h.number) }
+
+// run starts the process, which writes its log to the folder of the options.
+func (h *Host) run(o Options, cmd *exec.Cmd) error {
+	log, err := os.Create(filepath.Join(o.Dir, h.name()+".log"))
 	if err != nil {
 		return errors.Wrap(err, "crowd: create log")
 	}
 	h.log = log
-	return h.run(exec.Command(o.Program, "gateway", "-settings", settings, "-metrics-port", strconv.Itoa(metricsPort)))
-}
-
-// run starts the process and waits until the host is ready.
-func (h *Host) run(cmd *exec.Cmd) error {
 	h.cmd = cmd
 	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
 	if err := h.cmd.Start(); err != nil {
@@ -139,7 +169,7 @@
 		_ = h.cmd.Wait() // Alive reports the end of the process
 		close(h.exited)
 	}()
-	return h.awaitReady()
+	return nil
 }
 
 // awaitReady waits until the host answers a request.
@@ -153,16 +183,25 @@
 }
 
 func (h *Host) serve(port int, handler http.Handler) error {
-	l, err := net.Listen("tcp", h.address(port))
+	s, err := serve(h.address(port), handler)
 	if err != nil {
-		return errors.Wrap(err, "crowd: listen for a stand-in")
+		return err
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	h.servers = append(h.servers, s)
-	go func() { _ = s.Serve(l) }() // returns after Close
 	return nil
 }
 
+// serve starts a stand-in.
+func serve(address string, handler http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "crowd: listen for a stand-in")
+	}
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(l) }() // returns after Close
+	return s, nil
+}
+
 // replica answers as a backend server does.
 func (h *Host) replica(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // fails only if the host has left
@@ -278,9 +317,16 @@
 	return Usage{PeakMB: kb >> 10, Descriptors: len(files)}, nil
 }
 
+// Pause stops the process until Resume is called.
+func (h *Host) Pause() error { return h.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets the process run again.
+func (h *Host) Resume() error { return h.cmd.Process.Signal(syscall.SIGCONT) }
+
 // Close ends the process and the stand-ins.
 func (h *Host) Close() {
 	if h.cmd != nil {
+		_ = h.Resume()                            // a paused process does not end
 		_ = h.cmd.Process.Signal(syscall.SIGTERM) // fails if the process has ended
 		select {
 		case <-h.exited:
--- a/bench/crowd/serve.go
+++ b/bench/crowd/serve.go
@@ -6,12 +6,9 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 
-	"github.com/pkg/errors"
-
 	"oriolebarrow/core"
 	"oriolebarrow/standin/plat"
 )
@@ -20,7 +17,7 @@
 // descriptors are limited by the process that starts it. Its ordinary request asks for a token,
 // which needs no backend server.
 func StartServe(o Options) (*Host, error) {
-	h := newHost()
+	h := newHost(0)
 	h.newRequest = func() (*http.Request, error) {
 		return http.NewRequest(http.MethodPost, "http://"+h.CallerAddress()+"/v1/tokens", strings.NewReader("{}"))
 	}
@@ -39,20 +36,23 @@
 	}
 	platform.SetHosts([]core.HostEntry{{Host: core.NewHost("host-0", "mixco", h.PeerAddress())}})
 	platform.Publish(1, []byte("kind: caller\nname: dispatch\nteam: b\nedition: 1\nservices: [kiln]\n---\nkind: end\n"))
-	log, err := os.Create(filepath.Join(o.Dir, "host.log"))
-	if err != nil {
-		return errors.Wrap(err, "crowd: create log")
+	if err := h.runServe(o, h.address(7000)); err != nil {
+		return err
 	}
-	h.log = log
+	return h.awaitReady()
+}
+
+// runServe starts the process of a host of the product's own interface.
+func (h *Host) runServe(o Options, platform string) error {
 	const limited = `ulimit -n "$1" && shift && exec "$@"`
-	return h.run(exec.Command("sh", "-c", limited, "sh", strconv.Itoa(MaxFDs), o.Program, "serve", "-id", "host-0", "-data-centre", "mixco",
+	return h.run(o, exec.Command("sh", "-c", limited, "sh", strconv.Itoa(MaxFDs), o.Program, "serve", "-id", h.name(), "-data-centre", "mixco",
 		"-peer-address", h.PeerAddress(), "-caller-address", h.CallerAddress(), "-admin-address", h.AdminAddress(),
-		"-platform", "http://"+h.address(7000), "-lb-lag", "100ms", "-memory-mb", strconv.Itoa(MemoryMB)))
+		"-platform", "http://"+platform, "-lb-lag", "100ms", "-memory-mb", strconv.Itoa(MemoryMB)))
 }
 
 // AdminAddress returns the address of the interface for operators, which has to be 127.0.0.1
 // without a token.
 func (h *Host) AdminAddress() string {
-	const firstPort, ports = 21000, 1000
-	return net.JoinHostPort("127.0.0.1", fmt.Sprint(firstPort+os.Getpid()%ports))
+	const firstPort, ports, hosts = 21000, 1000, 10
+	return net.JoinHostPort("127.0.0.1", fmt.Sprint(firstPort+os.Getpid()%ports*hosts+h.number))
 }
--- a/core/errs.go
+++ b/core/errs.go
@@ -38,3 +38,6 @@
 // ErrLowerEra is returned when a directory, or a host that serves its changes, is in a lower
 // era than the caller.
 var ErrLowerEra = errors.New("core: directory data of a lower era")
+
+// ErrNoMemory is returned for a request that was not started because there is no memory for it.
+var ErrNoMemory = errors.New("core: no memory for the request")
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -26,6 +26,14 @@
 // that holds more. Pauses of the callers' machines and lost packets are usually shorter.
 const StuckAfter = time.Second
 
+const (
+	// smallBytes is the size up to which a holder may use all of the budget. Holders of more must
+	// leave a part of it free, the limit divided by smallDivisor: otherwise large requests that
+	// run would keep out small ones until they end.
+	smallBytes   = 128 << 10
+	smallDivisor = 32
+)
+
 // State says whether a holder may have to give way.
 type State int32
 
@@ -87,7 +95,7 @@
 	used    int64 // by all holders, including those that give way
 	leaving int64 // by holders that give way
 	holders map[*Holder]struct{}
-	changed chan struct{} // closed when bytes are returned; nil until Changed is called
+	changed chan struct{} // closed by signal; nil until Changed is called
 }
 
 // New returns a budget of limit bytes.
@@ -141,6 +149,33 @@
 	if h.leaving {
 		b.leaving -= n
 	}
+	b.signal()
+}
+
+// Move makes n bytes of one holder those of another, or all if it has fewer. It returns how
+// many it has moved: none if one of the holders is closed.
+func (b *Budget) Move(from, to *Holder, n int64) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n = min(n, from.held)
+	if n <= 0 || from.closed || to.closed {
+		return 0
+	}
+	from.held -= n
+	to.held += n
+	if from.leaving != to.leaving {
+		if from.leaving {
+			b.leaving -= n
+		} else {
+			b.leaving += n
+		}
+		b.signal() // those who wait for the bytes have to decide again
+	}
+	return n
+}
+
+// signal wakes those who wait for a change. The lock must be held.
+func (b *Budget) signal() {
 	if b.changed != nil {
 		close(b.changed)
 		b.changed = nil
@@ -152,15 +187,16 @@
 func (b *Budget) Charge(now time.Time, h *Holder, n int64) (Verdict, []*Holder) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n < 0 || h.leaving || h.closed || h.held+n > b.limit {
+	limit := b.limitFor(h.held + n)
+	if n < 0 || h.leaving || h.closed || h.held+n > limit {
 		return Refused, nil
 	}
-	if b.used+n <= b.limit {
+	if b.used+n <= limit {
 		b.used += n
 		h.held += n
 		return Granted, nil
 	}
-	missing := b.used - b.leaving + n - b.limit
+	missing := b.used - b.leaving + n - limit
 	if missing <= 0 {
 		return Wait, nil
 	}
@@ -175,6 +211,14 @@
 	return Wait, victims
 }
 
+// limitFor returns how many bytes may be used after a charge of a holder that then has held.
+func (b *Budget) limitFor(held int64) int64 {
+	if held <= smallBytes {
+		return b.limit
+	}
+	return b.limit - b.limit/smallDivisor
+}
+
 // victims returns holders that have missing bytes together, the largest and slowest first, or
 // nil if too few can give way to one that would hold want bytes.
 func (b *Budget) victims(now time.Time, h *Holder, want, missing int64) []*Holder {
@@ -208,7 +252,8 @@
 	return nil
 }
 
-// Changed returns a channel that is closed when bytes are returned.
+// Changed returns a channel that is closed when bytes are returned, or are no longer about to
+// be.
 func (b *Budget) Changed() <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -88,6 +88,19 @@
 					k.held -= min(n, k.held)
 				}
 			},
+			"move": func(t *rapid.T) {
+				from, to := pick(), pick()
+				if from == nil || from == to {
+					return
+				}
+				n := rapid.Int64Range(0, 1000).Draw(t, "bytes")
+				want := min(n, from.held)
+				if got := b.Move(from.h, to.h, n); got != want {
+					t.Fatalf("%d bytes of %d were moved, want %d", got, from.held, want)
+				}
+				from.held -= want
+				to.held += want
+			},
 			"charge": func(t *rapid.T) {
 				k := pick()
 				if k == nil {
--- a/core/task.go
+++ b/core/task.go
@@ -1,19 +1,17 @@
 package core
 
 import (
+	"bytes"
 	"context"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Task is the part of a query over many shards that another host executes.
 type Task struct {
-	ID           RequestID     `json:"id"`
+	Request      *TaskRequest  `json:"-"`     // sent as it is, since it need not be valid UTF-8
 	Route        string        `json:"route"` // name under which call times are recorded
-	Method       string        `json:"method"`
-	URI          string        `json:"uri"`
-	Host         string        `json:"host"`
-	Fields       []Field       `json:"fields,omitempty"`
-	Body         []byte        `json:"body,omitempty"`
 	Services     []ServiceName `json:"services"`
 	Attempts     int           `json:"attempts"`
 	TopK         int           `json:"top_k"`
@@ -27,6 +25,60 @@
 	Deadline time.Time `json:"-"` // sent as remaining time
 }
 
+// TaskRequest is the caller's request of a query. The tasks of the query share it, and its
+// bytes are not copied when they are sent.
+type TaskRequest struct {
+	ID          RequestID
+	Method      string
+	URI         string
+	Host        string
+	Header      Header
+	Body        []byte
+	encodedHead []byte
+}
+
+// lineEnd ends each of the four lines before the header fields in an encoded head. None of
+// them can contain it, since callers send them in lines of their own.
+const lineEnd = "\r\n"
+
+// HeadBytes returns the size of the encoded head.
+func (r *TaskRequest) HeadBytes() int {
+	return len(r.ID) + len(r.Method) + len(r.URI) + len(r.Host) + 4*len(lineEnd) + len(r.Header)
+}
+
+// EncodeHead returns all but the body, encoded. Only its first call does the work; it must not
+// run beside another one.
+func (r *TaskRequest) EncodeHead() []byte {
+	if r.encodedHead != nil {
+		return r.encodedHead
+	}
+	b := make([]byte, 0, r.HeadBytes())
+	for _, line := range []string{string(r.ID), r.Method, r.URI, r.Host} {
+		b = append(b, line...)
+		b = append(b, lineEnd...)
+	}
+	r.encodedHead = append(b, r.Header...)
+	return r.encodedHead
+}
+
+// DecodeTaskRequest returns the request with an encoded head and a body. The result refers to
+// both.
+func DecodeTaskRequest(head, body []byte) (*TaskRequest, error) {
+	rest := head
+	var lines [4]string
+	for i := range lines {
+		line, after, ok := bytes.Cut(rest, []byte(lineEnd))
+		if !ok {
+			return nil, errors.New("core: head of a task is cut off")
+		}
+		lines[i], rest = string(line), after
+	}
+	return &TaskRequest{
+		ID: RequestID(lines[0]), Method: lines[1], URI: lines[2], Host: lines[3],
+		Header: Header(rest), Body: body, encodedHead: head,
+	}, nil
+}
+
 // TaskPart identifies a shard whose records are in a result. It has only the stamp
 // of the shard's answer, since the records of all parts of a result are merged.
 type TaskPart struct {
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -96,12 +96,15 @@
 
 // Request is one request to a replica.
 type Request struct {
-	ID             core.RequestID
-	Method         string
-	URI            string
-	Host           string
-	Fields         []core.Field // header fields, without those that the client sets itself
-	Body           []byte
+	ID     core.RequestID
+	Method string
+	URI    string
+	Host   string
+	Header core.Header // without the fields that the client sets itself
+	Body   []byte
+	// Head is the result of Client.Head for this request, so that the calls for a request
+	// with a large head share it. nil: the call makes its own.
+	Head           []byte
 	Remaining      time.Duration // remaining time, sent to the replica unless it is 0
 	AvoidStaleConn bool          // must not use a connection that the replica may just have closed
 	// Earlier lists the earlier calls of the same request. The request is not sent on a
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -119,30 +119,37 @@
 	small := call.size <= smallRequestBytes
 	c.written = small
 	c.mu.Unlock()
-	head := c.head(call)
-	if !small {
-		go c.write(head, call.request.Body, true)
+	if small && call.request.Head == nil {
+		c.write(append(c.head(call), call.request.Body...))
 		return
 	}
-	c.write(append(head, call.request.Body...), nil, false)
+	head := call.request.Head
+	if head == nil {
+		head = call.client.Head(&call.request)
+	}
+	go c.writeLarge(head, appendCallFields(nil, c.names, call), call.request.Body)
+}
+
+// writeLarge sends the parts of a large request, which are not copied, within writeTimeout.
+func (c *conn) writeLarge(parts ...[]byte) {
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	defer func() { _ = c.raw.SetWriteDeadline(time.Time{}) }()
+	c.write(parts...)
 }
 
-// write sends a request and unlocks writing. The body of a large one is passed separately from the head;
-// the write then has a deadline.
-func (c *conn) write(head, body []byte, large bool) {
+// write sends the parts of a request and unlocks writing.
+func (c *conn) write(parts ...[]byte) {
 	defer c.writing.Unlock()
-	if large {
-		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-		defer func() { _ = c.raw.SetWriteDeadline(time.Time{}) }()
-	}
-	n, err := c.raw.Write(head)
+	n, err := c.raw.Write(parts[0])
 	if err != nil && n == 0 {
 		c.mu.Lock()
 		c.neverSent = true
 		c.mu.Unlock()
 	}
-	if err == nil && len(body) > 0 {
-		_, err = c.raw.Write(body)
+	for _, part := range parts[1:] {
+		if err == nil && len(part) > 0 {
+			_, err = c.raw.Write(part)
+		}
 	}
 	if err != nil {
 		// The read loop ends the call, since a response may have arrived already.
@@ -154,42 +161,45 @@
 	c.mu.Unlock()
 }
 
-// head returns the request line and the header fields, in a buffer that the next request
-// on the connection reuses.
+// head returns the whole head of a request, in a buffer that the next request on the
+// connection reuses.
 func (c *conn) head(call *Call) []byte {
-	r := &call.request
-	b := c.headBuf[:0]
+	b := appendCallFields(appendHead(c.headBuf[:0], c.names, &call.request), c.names, call)
+	c.headBuf = nil
+	if cap(b) <= keptHeadBytes {
+		c.headBuf = b
+	}
+	return b
+}
+
+// Head returns the part of the head of a request that is the same for all calls.
+func (c *Client) Head(r *Request) []byte {
+	const estimated = 256 // bytes of what is not counted by size
+	return appendHead(make([]byte, 0, r.size()-len(r.Body)+len(r.Host)+len(r.ID)+estimated), &c.opts.Names, r)
+}
+
+func appendHead(b []byte, names *core.HeaderNames, r *Request) []byte {
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.URI...)
 	b = append(b, " HTTP/1.1\r\n"...)
-	b = appendField(b, "Host", r.Host)
-	b = appendField(b, c.names.RequestID, string(r.ID))
-	if call.target.ID != "" {
-		b = appendField(b, c.names.Expect, string(call.target.ID))
-	}
-	if r.Remaining > 0 {
-		b = appendField(b, c.names.Deadline, strconv.FormatInt(max(1, r.Remaining.Milliseconds()), 10))
-	}
-	for _, f := range r.Fields {
-		b = appendField(b, f.Name, f.Value)
-	}
+	h := core.Header(b).Append("Host", r.Host).Append(names.RequestID, string(r.ID))
 	if len(r.Body) > 0 || r.Method == "POST" || r.Method == "PUT" || r.Method == "PATCH" {
-		b = appendField(b, "Content-Length", strconv.Itoa(len(r.Body)))
+		h = h.Append("Content-Length", strconv.Itoa(len(r.Body)))
 	}
-	b = append(b, "\r\n"...)
-	c.headBuf = nil
-	if cap(b) <= keptHeadBytes {
-		c.headBuf = b
-	}
-	return b
+	return append(h, r.Header...)
 }
 
-func appendField(b []byte, name, value string) []byte {
-	b = append(b, name...)
-	b = append(b, ": "...)
-	b = append(b, value...)
-	return append(b, "\r\n"...)
+// appendCallFields adds the fields that differ from call to call, and the end of the head.
+func appendCallFields(b []byte, names *core.HeaderNames, call *Call) []byte {
+	h := core.Header(b)
+	if call.target.ID != "" {
+		h = h.Append(names.Expect, string(call.target.ID))
+	}
+	if r := &call.request; r.Remaining > 0 {
+		h = h.Append(names.Deadline, strconv.FormatInt(max(1, r.Remaining.Milliseconds()), 10))
+	}
+	return append(h, "\r\n"...)
 }
 
 // readLoop reads responses until the connection ends. Bytes that arrive while no call
--- a/io/client/flight.go
+++ b/io/client/flight.go
@@ -28,9 +28,5 @@
 
 // size returns the number of bytes that a request has at least.
 func (r *Request) size() int {
-	n := len(r.URI) + len(r.Body)
-	for i := range r.Fields {
-		n += len(r.Fields[i].Name) + len(r.Fields[i].Value)
-	}
-	return n
+	return len(r.URI) + len(r.Header) + len(r.Body)
 }
--- a/io/conns/body.go
+++ b/io/conns/body.go
@@ -61,6 +61,7 @@
 		most = int(r.ContentLength)
 	}
 	charged := 0
+	defer func() { conn.setBodyCharged(charged) }()
 	body = make([]byte, 0, min(most, FreeBytes))
 	for {
 		if len(body) == cap(body) {
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -28,6 +28,7 @@
 	head        headCount
 	headCharged int64
 	extra       int64 // charged beyond BaseBytes
+	bodyCharged int64 // part of extra, for the body of the request
 
 	writingSince atomic.Int64 // begin of a write that has not returned, Unix nanoseconds; 0 if there is none
 
@@ -177,6 +178,13 @@
 	c.set.opts.Budget.Refund(c.holder, int64(n))
 }
 
+// setBodyCharged records how much of what is charged is for the body of the request.
+func (c *Conn) setBodyCharged(n int) {
+	if c != nil {
+		c.bodyCharged = int64(n)
+	}
+}
+
 // ChargeAnswer must be called before an answer of n bytes is written. It returns false if the
 // answer must be dropped, since there is no room for it while its reader takes it. The answer
 // is in memory already, so it waits only briefly, and only a few answers wait at a time.
@@ -214,7 +222,7 @@
 
 // charge charges n bytes and waits for those that give way.
 func (c *Conn) charge(n int64, wait time.Duration) bool {
-	if !charge(c.set.opts.Budget, c.holder, n, wait) {
+	if !charge(context.Background(), c.set.opts.Budget, c.holder, n, wait) {
 		return false
 	}
 	c.extra += n
@@ -229,7 +237,7 @@
 	return verdict
 }
 
-func charge(b *quota.Budget, h *quota.Holder, n int64, wait time.Duration) bool {
+func charge(ctx context.Context, b *quota.Budget, h *quota.Holder, n int64, wait time.Duration) bool {
 	verdict := tryCharge(b, h, n)
 	if verdict != quota.Wait {
 		return verdict == quota.Granted
@@ -245,6 +253,8 @@
 		case <-changed:
 		case <-timer.C:
 			return false
+		case <-ctx.Done():
+			return false
 		}
 	}
 }
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -198,7 +198,7 @@
 		c.holder.SetState(now, quota.Running)
 	case http.StateIdle:
 		c.idleSince, c.idle = now, true
-		c.head, c.headCharged = headCount{}, 0
+		c.head, c.headCharged, c.bodyCharged = headCount{}, 0, 0
 		if c.extra > 0 {
 			c.extra = 0
 			s.opts.Budget.RefundTo(c.holder, BaseBytes)
--- a/io/conns/guard.go
+++ b/io/conns/guard.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -108,7 +109,7 @@
 	}
 	missing = (missing + unknownStep - 1) / unknownStep * unknownStep
 	c.charged += missing
-	return charge(c.guard.limits.Budget, c.holder, missing, chargeWait)
+	return charge(context.Background(), c.guard.limits.Budget, c.holder, missing, chargeWait)
 }
 
 // Write implements net.Conn.
--- a/io/conns/share.go
+++ b/io/conns/share.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"oriolebarrow/core"
@@ -37,6 +38,8 @@
 	Budget   *quota.Budget
 	Refusals *Refusals
 	Shares   Shares
+
+	leaseWaits atomic.Int64 // requests of other hosts that wait until others have given way
 }
 
 // NewLimits derives the limits from the memory of the machine in bytes and the descriptors
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -208,6 +208,7 @@
 	if e.taskServer, err = peer.NewServer(tasks.NewHandler(e.relay, log)); err != nil {
 		return nil, err
 	}
+	e.taskServer.SetLimits("tasks", o.Clients)
 	return e, nil
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -138,7 +138,6 @@
 		URI:         uri(r),
 		Path:        r.URL.EscapedPath(),
 		Host:        r.Host,
-		Fields:      f.fields(r.Header),
 		Remaining:   f.remaining(r.Header),
 		Arrived:     arrived,
 		FirstOnConn: firstOnConn(r.Context()),
@@ -150,13 +149,25 @@
 		return
 	}
 	req.Body = body
-	reply := f.deps.Relay.Do(r.Context(), req)
+	reply := f.forward(r, req)
 	if !conns.FromContext(r.Context()).ChargeAnswer(len(reply.Body)) {
 		reply = relay.Reply{Status: http.StatusBadGateway, Reason: core.ReasonOverload}
 	}
 	f.write(w, r, reply)
 }
 
+// forward passes a request to the relay. The lease ends before the answer is written, which
+// needs neither the header nor the body of the request.
+func (f *Front) forward(r *http.Request, req relay.Request) relay.Reply {
+	lease := conns.TakeLease(r.Context())
+	defer lease.Release()
+	if !lease.Charge(fieldBytes(r.Header)) {
+		return f.deps.Relay.Reject(req, relay.Reply{Status: http.StatusServiceUnavailable, Reason: core.ReasonOverload, RetryAfter: retryRefused})
+	}
+	req.Header = f.header(r.Header)
+	return f.deps.Relay.Do(core.WithLease(r.Context(), lease), req)
+}
+
 // caller returns a key that tells callers apart: the address of the connection without the
 // port, and the program that it names.
 func caller(r *http.Request) string {
@@ -211,12 +222,24 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// fields returns the header fields that are forwarded to a replica: all but the
+// fieldBytes returns the size of all header fields as they are sent.
+func fieldBytes(h http.Header) int {
+	const separators = len(": \r\n")
+	size := 0
+	for name, values := range h {
+		for _, v := range values {
+			size += len(name) + len(v) + separators
+		}
+	}
+	return size
+}
+
+// header returns the header fields that are forwarded to a replica: all but the
 // hop-by-hop fields and those that the client sets itself.
-func (f *Front) fields(h http.Header) []core.Field {
+func (f *Front) header(h http.Header) core.Header {
 	n := &f.deps.Names
 	options := connectionOptions(h)
-	fields := make([]core.Field, 0, len(h))
+	out := make(core.Header, 0, fieldBytes(h))
 	for name, values := range h {
 		switch {
 		case hopByHop(name), strings.EqualFold(name, "Content-Length"),
@@ -225,10 +248,10 @@
 			continue
 		}
 		for _, v := range values {
-			fields = append(fields, core.Field{Name: name, Value: v})
+			out = out.Append(name, v)
 		}
 	}
-	return fields
+	return out
 }
 
 // hopByHop reports whether a field applies to a single connection and must not be
--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -137,6 +137,7 @@
 		return err
 	}
 	server.SetMeter(n.meter())
+	server.SetLimits("hosts", n.opts.Clients)
 	limits := conns.Options{Listener: "callers", Head: caller.HeadLimits}
 	hostShare := 0
 	if l := n.opts.Clients; l != nil {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -62,7 +62,7 @@
 // incarnation inc.
 func NewClient(host core.HostID, inc core.Incarnation, dial Dial) *Client {
 	return &Client{
-		hello:  &wire.Hello{Host: string(host), Incarnation: uint64(inc)},
+		hello:  &wire.Hello{Host: string(host), Incarnation: uint64(inc), LargeReplies: true},
 		dial:   dial,
 		meter:  core.NoMeter{},
 		packer: sync.OnceValues(wire.NewPacker),
@@ -119,25 +119,62 @@
 // Read sends a batch to the owner of its shards and calls sink with each result. It
 // returns when the owner has sent its last reply, the link fails, or ctx ends. If
 // the owner doesn't acknowledge the batch within ackTimeout, Read calls
-// b.Unacknowledged and keeps waiting, or fails if that function is nil.
+// b.Unacknowledged and keeps waiting, or fails if that function is nil. The rows are charged
+// to the lease of ctx; a shard for whose rows there is no room is reported as missing.
 func (c *Client) Read(ctx context.Context, h core.Host, b core.ReadBatch, sink func(core.ShardResult)) error {
+	return c.read(ctx, h, readRequest{
+		op: "read", frame: &wire.Frame{Body: &wire.Frame_ReadBatch{ReadBatch: batchToWire(b)}},
+		deadline: b.Query.Deadline, unacknowledged: b.Unacknowledged, keepsRows: true,
+	}, sink)
+}
+
+// Task is a part of a query that another host executes. What Head and Body refer to is not
+// copied.
+type Task struct {
+	Plan     []byte // how to execute it
+	Head     []byte // of the caller's request
+	Body     []byte
+	Deadline time.Time
+}
+
+// Execute sends a task to a host and calls sink with each result. It returns when the host has
+// sent its last reply, the link fails, or ctx ends. If the host doesn't acknowledge the task
+// within ackTimeout, Execute calls unacknowledged and keeps waiting. The lease of ctx is held
+// while the link refers to the task.
+func (c *Client) Execute(ctx context.Context, h core.Host, t Task, unacknowledged func(), sink func(result []byte)) error {
+	return c.read(ctx, h, readRequest{
+		op: "task", frame: &wire.Frame{Body: &wire.Frame_Task{Task: &wire.Task{Plan: t.Plan, Head: t.Head, Body: t.Body}}},
+		deadline: t.Deadline, unacknowledged: unacknowledged,
+	}, func(r core.ShardResult) { sink(r.Rows) })
+}
+
+// readRequest is a request whose replies are results of shards.
+type readRequest struct {
+	op             string
+	frame          *wire.Frame
+	deadline       time.Time
+	unacknowledged func() // if it is nil, a request that is not acknowledged in time fails
+	keepsRows      bool
+}
+
+func (c *Client) read(ctx context.Context, h core.Host, req readRequest, sink func(core.ShardResult)) error {
 	l, err := c.linkTo(ctx, h)
 	if err != nil {
-		return notRunError("read", h, core.ReasonOwnerLost, err)
+		return notRunError(req.op, h, core.ReasonOwnerLost, err)
 	}
 	r := &batchReplies{sink: sink, acked: make(chan struct{}, 1), done: make(chan error, 1)}
-	x, err := l.start(ctx, &wire.Frame{Body: &wire.Frame_ReadBatch{ReadBatch: batchToWire(b)}}, b.Query.Deadline,
-		callbacks{onFrame: r.receive, onClosed: func(err error) { r.done <- err }})
+	x, err := l.start(ctx, req.frame, req.deadline,
+		callbacks{onFrame: r.receive, onClosed: func(err error) { r.done <- err }, keepsReplies: req.keepsRows})
 	if err != nil {
-		return notRunError("read", h, core.ReasonOwnerLost, err)
+		return notRunError(req.op, h, core.ReasonOwnerLost, err)
 	}
 	defer x.end()
-	// lost returns the error for a batch that ended without the owner's last reply.
+	// lost returns the error for a request that ended without the owner's last reply.
 	lost := func(err error) error {
 		if x.end() {
-			return notRunError("read", h, core.ReasonOwnerLost, err)
+			return notRunError(req.op, h, core.ReasonOwnerLost, err)
 		}
-		return ownerLostError("read", h, err)
+		return ownerLostError(req.op, h, err)
 	}
 	timer := time.NewTimer(ackTimeout)
 	defer timer.Stop()
@@ -147,17 +184,17 @@
 			timer.Stop()
 		case err := <-r.done:
 			if err == nil && r.refused != "" {
-				return notRunError("read", h, r.refused, nil)
+				return notRunError(req.op, h, r.refused, nil)
 			}
 			if err != nil {
 				return lost(err)
 			}
 			return nil
 		case <-timer.C:
-			if b.Unacknowledged == nil {
-				return ownerLostError("read", h, errors.New("owner did not acknowledge the batch in time"))
+			if req.unacknowledged == nil {
+				return ownerLostError(req.op, h, errors.New("owner did not acknowledge the batch in time"))
 			}
-			b.Unacknowledged()
+			req.unacknowledged()
 		case <-ctx.Done():
 			return lost(ctx.Err())
 		}
@@ -269,6 +306,8 @@
 	x, err := l.start(ctx, f, deadline, callbacks{
 		onFrame:  func(f *wire.Frame) { deliver(reply{frame: f}) },
 		onClosed: func(err error) { deliver(reply{err: err}) },
+
+		keepsReplies: true,
 	})
 	if err != nil {
 		return nil, false, err
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -35,9 +35,14 @@
 // sent.
 var ErrDeadlinePassed = errors.New("peer: deadline passed before sending")
 
+// errStopped is returned for contents that are no longer needed.
+var errStopped = errors.New("peer: exchange ended before its contents were sent")
+
 const (
-	sendQueueLength = 1024      // frames
-	maxBatchBytes   = 256 << 10 // keeps a batch far below drpc's 4 MB message limit
+	sendQueueLength = 1024 // frames
+	// maxBatchBytes bounds a batch, but for its last frame. Both ends of a link keep buffers of
+	// the size of the largest batch.
+	maxBatchBytes = 32 << 10
 )
 
 // sender is the sending half of a Link stream, on the client or the server.
@@ -55,32 +60,51 @@
 
 // outgoing is a frame in the send queue, or a flush marker.
 type outgoing struct {
-	frame    *wire.Frame   // nil for a flush marker
+	id       uint64        // of the exchange
+	frame    *wire.Frame   // nil for a flush marker, and once it was withdrawn
 	deadline time.Time     // zero when the frame carries no remaining time
 	flushed  chan struct{} // of a flush marker; closed when all frames queued before it are written
+	written  func()        // called after the frame was claimed and the write has ended; may be nil
 	state    atomic.Int32
 }
 
+func newOutgoing(f *wire.Frame, deadline time.Time) *outgoing {
+	return &outgoing{id: f.Id, frame: f, deadline: deadline}
+}
+
 // claim marks the frame as sent and writes the remaining time into it. claimed is
 // false if the frame was withdrawn or its deadline has passed. expired is true only
 // in the latter case.
 func (o *outgoing) claim(now time.Time) (claimed, expired bool) {
+	remaining := time.Duration(0)
 	if !o.deadline.IsZero() {
-		remaining := pause.Remaining(now, o.deadline)
-		if remaining <= 0 {
+		if remaining = pause.Remaining(now, o.deadline); remaining <= 0 {
 			return false, true
 		}
+	}
+	if !o.state.CompareAndSwap(frameQueued, frameSent) {
+		return false, false
+	}
+	if !o.deadline.IsZero() {
 		setRemaining(o.frame, remaining)
 	}
-	return o.state.CompareAndSwap(frameQueued, frameSent), false
+	return true, false
 }
 
 // withdraw prevents a queued frame from being sent. It returns false if the frame
-// may have been sent already.
+// may have been sent already. The queue no longer refers to the frame, which may stay in it
+// for long if the other host does not read.
 func (o *outgoing) withdraw() bool {
-	return o.state.CompareAndSwap(frameQueued, frameWithdrawn)
+	if !o.state.CompareAndSwap(frameQueued, frameWithdrawn) {
+		return false
+	}
+	o.frame = nil
+	return true
 }
 
+// claimed reports whether the frame was or will be sent.
+func (o *outgoing) claimed() bool { return o.state.Load() == frameSent }
+
 func setRemaining(f *wire.Frame, remaining time.Duration) {
 	switch b := f.Body.(type) {
 	case *wire.Frame_ReadBatch:
@@ -89,6 +113,12 @@
 		b.OrderCall.RemainingUs = remaining.Microseconds()
 	case *wire.Frame_Redeem:
 		b.Redeem.RemainingUs = remaining.Microseconds()
+	case *wire.Frame_Task:
+		b.Task.RemainingUs = remaining.Microseconds()
+	case *wire.Frame_Large:
+		setRemaining(b.Large.Frame, remaining)
+	case *wire.Frame_Chunk:
+		b.Chunk.RemainingUs = remaining.Microseconds()
 	}
 }
 
@@ -145,9 +175,13 @@
 		case <-q.closed:
 			return ErrLinkClosed
 		case f := <-q.frames:
-			batch, markers := q.nextBatch(f)
+			batch, written, markers := q.nextBatch(f)
 			if len(batch.Frames) > 0 {
-				if err := s.Send(batch); err != nil {
+				err := s.Send(batch)
+				for _, f := range written {
+					f()
+				}
+				if err != nil {
 					return errors.Wrap(err, "peer: send frames")
 				}
 				q.meter.Count("peer_batches_sent", 1)
@@ -160,12 +194,60 @@
 	}
 }
 
+// sendChunks sends chunks one after the other, so that other frames are sent in between and
+// only one chunk waits in the queue. It returns when the last one is written, stopped is
+// closed, or the queue is closed. last is the frame of the last chunk. The lease is held until
+// no chunk is referred to.
+func (q *sendQueue) sendChunks(stopped <-chan struct{}, chunks [][]byte, last *outgoing, lease core.Lease) error {
+	for i, data := range chunks {
+		o := last
+		if i < len(chunks)-1 {
+			o = newOutgoing(chunkFrame(last.id, data), time.Time{})
+		}
+		done := make(chan struct{})
+		lease.Hold()
+		o.written = func() {
+			lease.Release()
+			close(done)
+		}
+		if err := q.putChunk(stopped, o, done); err != nil {
+			if o.withdraw(); !o.claimed() {
+				lease.Release()
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+// putChunk queues a chunk and waits until it is written.
+func (q *sendQueue) putChunk(stopped <-chan struct{}, o *outgoing, done <-chan struct{}) error {
+	select {
+	case q.frames <- o:
+	case <-q.closed:
+		return ErrLinkClosed
+	case <-stopped:
+		return errStopped
+	}
+	select {
+	case <-done:
+		return nil
+	case <-q.closed:
+		return ErrLinkClosed
+	case <-stopped:
+		return errStopped
+	}
+}
+
+func chunkFrame(id uint64, data []byte) *wire.Frame {
+	return &wire.Frame{Id: id, Body: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: data}}}
+}
+
 // nextBatch collects next and the frames queued after it until there are none or
 // their size reaches maxBatchBytes. It skips withdrawn and expired frames, and
-// returns the channels of flush markers separately.
-func (q *sendQueue) nextBatch(next *outgoing) (*wire.Frames, []chan struct{}) {
-	batch := new(wire.Frames)
-	var markers []chan struct{}
+// returns what has to be called after the write, and the channels of flush markers.
+func (q *sendQueue) nextBatch(next *outgoing) (batch *wire.Frames, written []func(), markers []chan struct{}) {
+	batch = new(wire.Frames)
 	size := 0
 	for {
 		if next.flushed != nil {
@@ -173,16 +255,19 @@
 		} else if claimed, expired := next.claim(time.Now()); claimed {
 			batch.Frames = append(batch.Frames, next.frame)
 			size += frameBytes(next.frame)
+			if next.written != nil {
+				written = append(written, next.written)
+			}
 		} else if expired && q.onExpired != nil {
-			q.onExpired(next.frame.Id)
+			q.onExpired(next.id)
 		}
 		if size >= maxBatchBytes {
-			return batch, markers
+			return batch, written, markers
 		}
 		select {
 		case next = <-q.frames:
 		default:
-			return batch, markers
+			return batch, written, markers
 		}
 	}
 }
@@ -190,16 +275,20 @@
 // frameBytes estimates the size of a frame from its large fields.
 func frameBytes(f *wire.Frame) int {
 	const overhead = 64
+	size := overhead + contentBytes(f)
 	switch b := f.Body.(type) {
-	case *wire.Frame_ShardResult:
-		return overhead + len(b.ShardResult.Rows)
 	case *wire.Frame_ReadBatch:
-		return overhead + len(b.ReadBatch.Body) + 8*len(b.ReadBatch.Shards)
+		size += 8 * len(b.ReadBatch.Shards)
 	case *wire.Frame_SectionsReply:
-		return overhead + len(b.SectionsReply.Compressed)
-	default:
-		return overhead
+		size += len(b.SectionsReply.Compressed)
+	case *wire.Frame_Task:
+		size += len(b.Task.Plan)
+	case *wire.Frame_Large:
+		size += frameBytes(b.Large.Frame)
+	case *wire.Frame_Chunk:
+		size += len(b.Chunk.Data)
 	}
+	return size
 }
 
 // callbacks receive the replies and the failure of one exchange. The link's
@@ -207,6 +296,16 @@
 type callbacks struct {
 	onFrame  func(*wire.Frame)
 	onClosed func(error) // called if the request expired or the link failed
+	// keepsReplies is set if what the replies hold is kept until the caller's request ends.
+	keepsReplies bool
+}
+
+// clientExchange is an open exchange as the client's link knows it.
+type clientExchange struct {
+	callbacks
+	lease    core.Lease    // of the caller's request
+	proceed  chan struct{} // gets a value when the other host has room for the contents
+	assembly *assembly     // of a large reply; only the link's reader uses it
 }
 
 // link is the client side of one stream.
@@ -214,8 +313,8 @@
 	conn  *drpcconn.Conn
 	queue *sendQueue
 
-	mu        sync.Mutex           // guards the fields below; no callback is called while it is held
-	exchanges map[uint64]callbacks // open exchanges by id
+	mu        sync.Mutex                 // guards the fields below; no callback is called while it is held
+	exchanges map[uint64]*clientExchange // open exchanges by id
 	lastID    uint64
 	err       error // why the link failed
 }
@@ -229,10 +328,10 @@
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "peer: open stream")
 	}
-	l := &link{conn: conn, exchanges: make(map[uint64]callbacks)}
+	l := &link{conn: conn, exchanges: make(map[uint64]*clientExchange)}
 	l.queue = newSendQueue(meter, l.expire)
 	meter.Count("peer_links_opened", 1)
-	l.queue.frames <- &outgoing{frame: &wire.Frame{Body: &wire.Frame_Hello{Hello: hello}}}
+	l.queue.frames <- newOutgoing(&wire.Frame{Body: &wire.Frame_Hello{Hello: hello}}, time.Time{})
 	go func() { l.fail(l.queue.run(stream)) }()
 	go func() {
 		defer cancel()
@@ -248,52 +347,107 @@
 			return errors.Wrap(err, "peer: receive frames")
 		}
 		for _, f := range batch.Frames {
-			l.deliver(f)
+			if err := l.deliver(f); err != nil {
+				return err
+			}
 		}
 	}
 }
 
-func (l *link) deliver(f *wire.Frame) {
+func (l *link) deliver(f *wire.Frame) error {
 	l.mu.Lock()
-	cb, ok := l.exchanges[f.Id]
-	if ok && f.Last {
-		delete(l.exchanges, f.Id)
-	}
+	x, ok := l.exchanges[f.Id]
 	l.mu.Unlock()
-	if ok {
-		cb.onFrame(f)
+	if !ok {
+		return nil // it was abandoned
+	}
+	switch b := f.Body.(type) {
+	case *wire.Frame_Continue:
+		select {
+		case x.proceed <- struct{}{}:
+		default: // a second one has no meaning
+		}
+		return nil
+	case *wire.Frame_Large:
+		a, err := newAssembly(b.Large)
+		if err != nil {
+			return err
+		}
+		if x.lease.Charge(a.total) {
+			a.allocate()
+		}
+		x.assembly = a
+		return nil
+	case *wire.Frame_Chunk:
+		if x.assembly == nil {
+			return errContent
+		}
+		complete, err := x.assembly.add(b.Chunk.Data)
+		if err != nil || !complete {
+			return err
+		}
+		f, x.assembly = x.assembly.frame, nil
+	default:
+		if x.keepsReplies && !x.lease.Charge(contentBytes(f)) {
+			dropContents(f)
+		}
+	}
+	if f.Last {
+		l.mu.Lock()
+		_, ok = l.exchanges[f.Id]
+		delete(l.exchanges, f.Id)
+		l.mu.Unlock()
+		if !ok {
+			return nil // it ended meanwhile
+		}
 	}
+	x.onFrame(f)
+	return nil
 }
 
 // expire ends an exchange whose deadline passed before the request was sent.
 func (l *link) expire(id uint64) {
 	l.mu.Lock()
-	cb, ok := l.exchanges[id]
+	x, ok := l.exchanges[id]
 	delete(l.exchanges, id)
 	l.mu.Unlock()
 	if ok {
-		cb.onClosed(ErrDeadlinePassed)
+		x.onClosed(ErrDeadlinePassed)
 	}
 }
 
 // openExchange is an exchange whose request was queued.
 type openExchange struct {
-	link    *link
-	request *outgoing
+	link *link
+	id   uint64
+	// first and last are the frames in which the request begins and ends. They are the same
+	// unless its contents follow in chunks. The other host can't execute the request before it
+	// has received the last one.
+	first, last *outgoing
+	stopped     chan struct{} // closed by end
+	ended       sync.Once
+	neverSent   bool // set by end
 }
 
 // end ends the exchange if it is still open. It returns true only if the request
-// was not sent and never will be. A callback for a frame that is being delivered
+// was not sent completely and never will be. A callback for a frame that is being delivered
 // may still run after end has returned; no later frame is delivered.
 func (x *openExchange) end() (neverSent bool) {
-	neverSent = x.request.withdraw()
-	x.link.abandon(x.request.frame.Id, neverSent)
-	return neverSent
+	x.ended.Do(func() {
+		close(x.stopped)
+		x.neverSent = x.last.withdraw()
+		x.link.abandon(x.id, x.first == x.last && x.neverSent || x.first != x.last && x.first.withdraw())
+	})
+	return x.neverSent
 }
 
-// start begins an exchange by queueing its request. If it returns an error, the
-// request was not queued and the other host never receives it.
+// start begins an exchange by queueing its request. Large contents follow once the other host
+// has room for them; the lease is held while the queue refers to them, and what the replies
+// hold is charged to it. If start returns an error, the request was not queued and the other
+// host never receives it.
 func (l *link) start(ctx context.Context, f *wire.Frame, deadline time.Time, cb callbacks) (*openExchange, error) {
+	lease := core.LeaseOf(ctx)
+	proceed := make(chan struct{}, 1)
 	l.mu.Lock()
 	if l.err != nil {
 		l.mu.Unlock()
@@ -301,14 +455,39 @@
 	}
 	l.lastID++
 	f.Id = l.lastID
-	l.exchanges[f.Id] = cb
+	l.exchanges[f.Id] = &clientExchange{callbacks: cb, lease: lease, proceed: proceed}
 	l.mu.Unlock()
-	request := &outgoing{frame: f, deadline: deadline}
-	if err := l.queue.put(ctx, request); err != nil {
-		l.abandon(f.Id, true)
+	x := &openExchange{link: l, id: f.Id, stopped: make(chan struct{})}
+	var chunks [][]byte
+	if contentBytes(f) > maxInlineBytes {
+		f, chunks = detach(f)
+	}
+	x.first = newOutgoing(f, deadline)
+	x.last = x.first
+	if len(chunks) > 0 {
+		x.last = newOutgoing(chunkFrame(x.id, chunks[len(chunks)-1]), deadline)
+	}
+	if err := l.queue.put(ctx, x.first); err != nil {
+		l.abandon(x.id, true)
 		return nil, err
 	}
-	return &openExchange{link: l, request: request}, nil
+	if len(chunks) > 0 {
+		lease.Hold()
+		go x.sendContents(proceed, chunks, lease)
+	}
+	return x, nil
+}
+
+// sendContents sends the contents of the request once the other host has room for them, and
+// releases the lease. Its errors need no handling: the exchange has ended, or its link has
+// failed.
+func (x *openExchange) sendContents(proceed <-chan struct{}, chunks [][]byte, lease core.Lease) {
+	defer lease.Release()
+	select {
+	case <-proceed:
+		_ = x.link.queue.sendChunks(x.stopped, chunks, x.last, lease)
+	case <-x.stopped:
+	}
 }
 
 // abandon removes an exchange if it is still open. Unless its request was never
@@ -324,7 +503,7 @@
 	}
 	f := &wire.Frame{Id: id, Last: true, Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{}}}
 	select {
-	case l.queue.frames <- &outgoing{frame: f}:
+	case l.queue.frames <- newOutgoing(f, time.Time{}):
 	default: // don't block on a full queue; the request's deadline ends the work
 	}
 }
@@ -338,13 +517,13 @@
 	}
 	l.err = err
 	open := l.exchanges
-	l.exchanges = make(map[uint64]callbacks)
+	l.exchanges = make(map[uint64]*clientExchange)
 	l.mu.Unlock()
 	l.queue.close()
 	l.queue.meter.Count("peer_links_closed", 1)
 	_ = l.conn.Close()
-	for _, cb := range open {
-		cb.onClosed(err)
+	for _, x := range open {
+		x.onClosed(err)
 	}
 }
 
--- a/io/peer/link_test.go
+++ b/io/peer/link_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"oriolebarrow/core"
+	"oriolebarrow/io/conns"
 	"oriolebarrow/io/peer"
 	"oriolebarrow/io/wire"
 )
@@ -105,12 +106,18 @@
 // withServer calls test with a server for h and a client of it. It runs in a
 // synctest bubble, which ends only after all their goroutines have ended.
 func withServer(t *testing.T, wrap func(net.Conn) net.Conn, h handler, test func(*testing.T, *peer.Client, *peer.Server)) {
+	withLimits(t, nil, wrap, h, test)
+}
+
+// withLimits is withServer with a server that has limits.
+func withLimits(t *testing.T, limits *conns.Limits, wrap func(net.Conn) net.Conn, h handler, test func(*testing.T, *peer.Client, *peer.Server)) {
 	synctest.Test(t, func(t *testing.T) {
 		l := &memoryListener{conns: make(chan net.Conn, 8), closed: make(chan struct{}), wrap: wrap}
 		s, err := peer.NewServer(h)
 		if err != nil {
 			t.Fatal(err)
 		}
+		s.SetLimits("hosts", limits)
 		ctx, stop := context.WithCancel(context.Background())
 		var served sync.WaitGroup
 		served.Go(func() { _ = s.Serve(ctx, l) })
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcmanager"
@@ -12,11 +13,12 @@
 	"storj.io/drpc/drpcwire"
 
 	"oriolebarrow/core"
+	"oriolebarrow/io/conns"
 	"oriolebarrow/io/wire"
 )
 
 // maxMessageBytes bounds a message from another host: a batch of maxBatchBytes and one more
-// frame with the largest body of an order, 1 MB.
+// frame, in which hosts of earlier versions send the whole body of an order.
 const maxMessageBytes = 2 << 20
 
 // Handler answers the requests of other hosts.
@@ -32,9 +34,11 @@
 
 // Server accepts links from other hosts.
 type Server struct {
-	handler Handler
-	meter   core.Meter
-	drpc    *drpcserver.Server
+	handler  Handler
+	meter    core.Meter
+	drpc     *drpcserver.Server
+	limits   *conns.Limits // nil for none
+	listener string        // name of the listener in the log
 
 	mu     sync.Mutex    // guards the fields below
 	active int           // exchanges whose replies are not all written
@@ -58,6 +62,11 @@
 // Serve.
 func (s *Server) SetMeter(m core.Meter) { s.meter = core.MeterOr(m) }
 
+// SetLimits sets the limits to whose budget the requests of other hosts are charged. A request
+// for which there is no room is refused with core.ReasonOverload. It must be called before
+// Serve.
+func (s *Server) SetLimits(listener string, l *conns.Limits) { s.listener, s.limits = listener, l }
+
 // Serve accepts links until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	return s.drpc.Serve(ctx, l)
@@ -107,7 +116,10 @@
 func (s *Server) Link(stream wire.DRPCPeer_LinkStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	l := &inboundLink{server: s, ctx: ctx, queue: newSendQueue(s.meter, nil), cancels: make(map[uint64]*context.CancelFunc)}
+	l := &inboundLink{
+		server: s, ctx: ctx, queue: newSendQueue(s.meter, nil),
+		cancels: make(map[uint64]*context.CancelFunc), incoming: make(map[uint64]*incoming),
+	}
 	defer l.queue.close()
 	go func() {
 		_ = l.queue.run(stream)
@@ -119,7 +131,9 @@
 			return errors.Wrap(err, "peer: receive frames")
 		}
 		for _, f := range batch.Frames {
-			l.handle(f)
+			if err := l.handle(f); err != nil {
+				return err
+			}
 		}
 	}
 }
@@ -130,17 +144,28 @@
 	ctx    context.Context
 	queue  *sendQueue
 
-	mu      sync.Mutex                     // guards cancels; no cancel function is called while it is held
-	cancels map[uint64]*context.CancelFunc // of the open exchanges, by id
+	largeReplies atomic.Bool // the other host accepts them
+
+	mu       sync.Mutex                     // guards the fields below; no cancel function is called while it is held
+	cancels  map[uint64]*context.CancelFunc // of the open exchanges, by id
+	incoming map[uint64]*incoming           // requests whose contents are arriving, by id
 }
 
-func (l *inboundLink) handle(f *wire.Frame) {
-	switch f.Body.(type) {
+// handle handles a frame. The link is closed after an error.
+func (l *inboundLink) handle(f *wire.Frame) error {
+	switch b := f.Body.(type) {
 	case *wire.Frame_Hello:
-		return
+		l.largeReplies.Store(b.Hello.LargeReplies)
+		return nil
 	case *wire.Frame_Cancel:
 		l.cancel(f.Id)
-		return
+		return nil
+	case *wire.Frame_Chunk:
+		return l.addChunk(f.Id, b.Chunk)
+	}
+	x, err := newInboundExchange(l, f)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
 	l.mu.Lock()
@@ -149,14 +174,24 @@
 	l.server.beginExchange()
 	go func() {
 		defer l.server.endExchange()
+		defer x.release()
 		defer l.queue.flush(l.ctx)
 		defer l.finish(f.Id, &cancel)
-		l.server.handler.Handle(ctx, f, func(last bool, frame *wire.Frame) error {
-			frame.Id = f.Id
-			frame.Last = last
-			return l.queue.put(l.ctx, &outgoing{frame: frame})
-		})
+		x.run(ctx)
 	}()
+	return nil
+}
+
+// addChunk adds a chunk to a request whose contents are arriving. One that was refused or
+// cancelled meanwhile gets no more.
+func (l *inboundLink) addChunk(id uint64, c *wire.Chunk) error {
+	l.mu.Lock()
+	in := l.incoming[id]
+	l.mu.Unlock()
+	if in == nil {
+		return nil
+	}
+	return in.add(c)
 }
 
 // finish removes an exchange that the handler has answered. If the request was
--- a/io/relay/job.go
+++ b/io/relay/job.go
@@ -48,6 +48,11 @@
 	// after twice that: a busy replica has free slots again by then.
 	maxRefusedRetries = 2
 	refusedRetryDelay = 3 * time.Millisecond
+	// subrequestBytes is charged for each shard of a query: its state, its calls and their ends.
+	subrequestBytes = 512
+	// sharedHeadBytes is the size from which the calls of a request share one copy of its head.
+	// Below it, each connection keeps a buffer of about this size.
+	sharedHeadBytes = 4 << 10
 	// noDeadline is the remaining time of a request without a timeout.
 	noDeadline = 365 * 24 * time.Hour
 )
@@ -103,7 +108,7 @@
 	deadline     time.Time
 	subs         []subrequest
 	calls        []sentCall
-	results      chan event
+	results      chan *event
 	class        cost.Class
 	estimate     cost.Estimate // of each call; hedges start when it is late
 	callCount    int
@@ -122,6 +127,8 @@
 	events       eventLog
 	rejection    *shed.Decision
 	latestStart  time.Time // a call that starts later is probably not in time
+	lease        core.Lease
+	head         []byte // of all calls; nil unless the head is large
 }
 
 func newJob(r *Relay, t *route.Table, rt *core.Route, req Request) *job {
@@ -139,11 +146,31 @@
 	return j
 }
 
+// takeLease charges what the request needs beyond its body: its calls, and what all of them
+// share. It returns false if there is no room for that.
+func (j *job) takeLease(l core.Lease) bool {
+	j.lease = l
+	calls, shared := subrequestBytes*len(j.route.Gather), len(j.req.URI)+len(j.req.Header)
+	if shared < sharedHeadBytes {
+		shared = 0
+	}
+	if !l.Charge(calls + shared) {
+		return false
+	}
+	if shared == 0 {
+		return true
+	}
+	j.head = j.relay.Client.Head(&client.Request{
+		ID: j.req.ID, Method: j.req.Method, URI: j.req.URI, Host: j.req.Host, Header: j.req.Header, Body: j.req.Body,
+	})
+	return true
+}
+
 // setServices creates one subrequest for each service.
 func (j *job) setServices(services []core.ServiceName) {
 	j.subs = make([]subrequest, len(services))
 	// Besides the ends of its calls, each subrequest gets one free slot at a time.
-	j.results = make(chan event, len(services)*(max(1, j.route.Attempts)+maxRefusedRetries+1))
+	j.results = make(chan *event, len(services)*(max(1, j.route.Attempts)+maxRefusedRetries+1))
 	for i, s := range services {
 		j.subs[i] = subrequest{index: i, service: s}
 	}
@@ -241,6 +268,7 @@
 	if j.query != nil {
 		bodyBytes = j.relay.partLimit(j.route)
 	}
+	j.lease.Hold() // until callEnded
 	call := j.relay.Client.Send(client.Target{
 		ID:          inst.ID,
 		Address:     inst.Address,
@@ -250,7 +278,8 @@
 		Method:         j.req.Method,
 		URI:            j.req.URI,
 		Host:           j.req.Host,
-		Fields:         j.req.Fields,
+		Header:         j.req.Header,
+		Head:           j.head,
 		Body:           j.req.Body,
 		Remaining:      j.deadline.Sub(now),
 		AvoidStaleConn: !j.route.Idempotent,
@@ -309,7 +338,8 @@
 			r.logDemand(now, j.set)
 		}
 	}
-	j.results <- event{sub: sub, replica: replica, result: res, call: index}
+	j.results <- &event{sub: sub, replica: replica, result: res, call: index}
+	j.lease.Release()
 	r.offerSlot(time.Now(), sub.service)
 }
 
@@ -442,7 +472,7 @@
 func (j *job) wait(ctx context.Context, until time.Time) (e event, got, ok bool) {
 	select {
 	case e := <-j.results:
-		return e, true, true
+		return *e, true, true
 	case t := <-j.tasks:
 		return event{task: &t}, true, true
 	default:
@@ -458,7 +488,7 @@
 	}
 	select {
 	case e := <-j.results:
-		return e, true, true
+		return *e, true, true
 	case t := <-j.tasks:
 		return event{task: &t}, true, true
 	case <-j.timer.C:
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -38,6 +38,8 @@
 	startWait = 100 * time.Millisecond
 	// retryStarting is the Retry-After on a host that has no routing document after startWait.
 	retryStarting = 200 * time.Millisecond
+	// retryNoMemory is the Retry-After when there is no memory for what a request needs.
+	retryNoMemory = 500 * time.Millisecond
 	// retryNoReplica is the Retry-After when a service has no usable replica: an
 	// ejected replica is first probed after this time.
 	retryNoReplica = 400 * time.Millisecond
@@ -58,7 +60,7 @@
 	URI         string // path and query as sent
 	Path        string
 	Host        string
-	Fields      []core.Field
+	Header      core.Header // fields that are forwarded
 	Body        []byte
 	BodyBytes   int           // size of the body if Body is not set, see Where
 	Remaining   time.Duration // remaining time that the caller states; 0 if it states none
@@ -154,7 +156,7 @@
 // offerSlot gives a free slot at a replica of a service to the next subrequest that waits.
 func (r *Relay) offerSlot(now time.Time, s core.ServiceName) {
 	if w, ok := r.waiting.Next(now, s); ok {
-		w.job.results <- event{sub: w.sub, slot: true}
+		w.job.results <- &event{sub: w.sub, slot: true}
 	}
 }
 
@@ -207,7 +209,8 @@
 }
 
 // Do forwards a request to replicas and returns the answer to its caller. ctx must end
-// when the caller leaves.
+// when the caller leaves. What the request needs beyond its body is charged to the lease of
+// ctx, which is held until the last call has ended.
 func (r *Relay) Do(ctx context.Context, req Request) Reply {
 	table := r.awaitTable(ctx)
 	if table == nil {
@@ -222,6 +225,9 @@
 	}
 	j := newJob(r, table, rt, req)
 	r.countEstimate(j.estimate)
+	if !j.takeLease(core.LeaseOf(ctx)) {
+		return r.Reject(req, unavailable(core.ReasonOverload, retryNoMemory))
+	}
 	var reply Reply
 	if len(rt.Gather) > 0 {
 		reply = j.serveQuery(ctx)
--- a/io/relay/shed_test.go
+++ b/io/relay/shed_test.go
@@ -89,7 +89,8 @@
 		var last core.TaskResult
 		for i := range 30 {
 			task := core.Task{
-				ID: core.RequestID(fmt.Sprint("t", i)), Route: "query", Method: "GET", URI: "/q/", Host: "h", Attempts: 2, TopK: 5,
+				Request: &core.TaskRequest{ID: core.RequestID(fmt.Sprint("t", i)), Method: "GET", URI: "/q/", Host: "h"},
+				Route:   "query", Attempts: 2, TopK: 5,
 				FirstService: service(0), MinRatio: 0.89, TargetUS: 100_000, CloseUS: 80_000, Deadline: time.Now().Add(600 * time.Millisecond),
 			}
 			for s := range 20 {
--- a/io/relay/task.go
+++ b/io/relay/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,13 @@
 		return
 	}
 	batches := j.relay.Tasks.Plan(now, j.route.Gather, j.set.demand.Short(now))
+	if !slices.ContainsFunc(batches, func(b core.TaskBatch) bool { return b.Host.ID() != j.relay.Self }) {
+		return
+	}
+	request := j.taskRequest()
+	if request == nil {
+		return
+	}
 	j.tasks = make(chan taskEvent, taskEventBuffer*len(batches))
 	for i := range batches {
 		b := &batches[i]
@@ -48,19 +56,26 @@
 		}
 		j.taskCount++
 		j.tasksOpen++
-		go j.runTask(ctx, b, j.newTask(now, b, closeAt))
+		j.lease.Hold()
+		go j.runTask(ctx, b, j.newTask(now, b, closeAt, request))
 	}
 }
 
-func (j *job) newTask(now time.Time, b *core.TaskBatch, closeAt time.Time) core.Task {
+// taskRequest returns what the tasks of the query share. It returns nil if there is no room
+// for it; then this host calls the replicas itself, which takes no further memory.
+func (j *job) taskRequest() *core.TaskRequest {
+	r := &core.TaskRequest{ID: j.req.ID, Method: j.req.Method, URI: j.req.URI, Host: j.req.Host, Header: j.req.Header, Body: j.req.Body}
+	if !j.lease.Charge(r.HeadBytes()) {
+		return nil
+	}
+	r.EncodeHead()
+	return r
+}
+
+func (j *job) newTask(now time.Time, b *core.TaskBatch, closeAt time.Time, r *core.TaskRequest) core.Task {
 	t := core.Task{
-		ID:           j.req.ID,
+		Request:      r,
 		Route:        j.route.Name,
-		Method:       j.req.Method,
-		URI:          j.req.URI,
-		Host:         j.req.Host,
-		Fields:       j.req.Fields,
-		Body:         j.req.Body,
 		Services:     make([]core.ServiceName, len(b.Shards)),
 		Attempts:     j.route.Attempts,
 		TopK:         j.route.TopK,
@@ -77,7 +92,9 @@
 	return t
 }
 
+// runTask runs a task, and releases the lease of the query in the end.
 func (j *job) runTask(ctx context.Context, b *core.TaskBatch, t core.Task) {
+	defer j.lease.Release()
 	post := func(e taskEvent) {
 		// The end of a task is awaited after ctx has ended, see awaitTasks.
 		select {
@@ -183,16 +200,19 @@
 		TopK:       t.TopK,
 	}
 	j := newJob(r, table, rt, Request{
-		ID:        t.ID,
-		Method:    t.Method,
-		URI:       t.URI,
-		Host:      t.Host,
-		Fields:    t.Fields,
-		Body:      t.Body,
+		ID:        t.Request.ID,
+		Method:    t.Request.Method,
+		URI:       t.Request.URI,
+		Host:      t.Request.Host,
+		Header:    t.Request.Header,
+		Body:      t.Request.Body,
 		Remaining: t.Deadline.Sub(now),
 		Arrived:   now,
 	})
 	r.countEstimate(j.estimate)
+	if !j.takeLease(core.LeaseOf(ctx)) {
+		return core.ErrNoMemory
+	}
 	j.query = gather.New(len(rt.Gather), rt.TopK, t.MinRatio)
 	j.setServices(rt.Gather)
 	j.set = r.setFor(t.FirstService)
--- a/io/relay/tasks_test.go
+++ b/io/relay/tasks_test.go
@@ -36,6 +36,8 @@
 	switch f.mode {
 	case "not run":
 		return &core.CallError{Op: "read", Reason: core.ReasonOwnerLost, NotRun: true}
+	case "no memory":
+		return &core.CallError{Op: "task", Reason: core.ReasonOverload, NotRun: true}
 	case "lost":
 		<-time.After(40 * time.Millisecond)
 		return &core.CallError{Op: "read", Reason: core.ReasonOwnerLost}
--- a/io/relay/truth.go
+++ b/io/relay/truth.go
@@ -37,7 +37,7 @@
 	for !j.anyRan() && (j.tasksOpen > 0 || j.callsOpen()) {
 		select {
 		case e := <-j.results:
-			j.recordCall(e)
+			j.recordCall(*e)
 		case e := <-j.tasks:
 			j.recordOutcome(e)
 		case <-timer.C:
@@ -76,7 +76,7 @@
 	for {
 		select {
 		case e := <-j.results:
-			j.recordCall(e)
+			j.recordCall(*e)
 		default:
 			return
 		}
--- a/io/tasks/tasks.go
+++ b/io/tasks/tasks.go
@@ -1,6 +1,9 @@
 // Package tasks delegates parts of queries, called tasks, to other hosts over the
 // links of package peer, and serves the tasks that other hosts send.
 //
+// A task consists of a plan, which is JSON, and of the head and the body of the caller's
+// request. All tasks of a query share the latter two, which are sent as they are.
+//
 // # Usage
 //
 //	c := tasks.New(tasks.Deps{Self: self, Views: detector, Reachability: detector, Near: replicas.AvailableIn, Peers: client, Log: log})
@@ -25,6 +28,14 @@
 
 var errUnacknowledged = errors.New("tasks: task was not acknowledged in time")
 
+// Peers sends tasks to other hosts, as peer.Client does.
+type Peers interface {
+	// Execute sends a task to a host. It calls sink with each result and returns when the
+	// task has ended, ctx has, or the host is lost. It calls unacknowledged if the host does
+	// not acknowledge the task in time, and keeps waiting.
+	Execute(ctx context.Context, h core.Host, t peer.Task, unacknowledged func(), sink func(result []byte)) error
+}
+
 // Deps holds the dependencies of a Client.
 type Deps struct {
 	Self  core.Host
@@ -33,7 +44,7 @@
 	Reachability core.Reachability
 	// Near reports whether a service has a usable replica in a data centre.
 	Near  func(core.ServiceName, core.DataCentre) bool
-	Peers core.BatchReader
+	Peers Peers
 	Log   *slog.Logger
 }
 
@@ -81,29 +92,28 @@
 
 // Run implements core.TaskClient. If the host fails, refuses the task or doesn't
 // acknowledge it in time, following plans avoid the host until the failure detector
-// hears from it.
+// hears from it. A host that refuses the task for lack of memory is not avoided: it may have
+// room for the next one, and the others would get what it refuses.
 func (c *Client) Run(ctx context.Context, h core.Host, t core.Task, sink func(core.TaskResult)) error {
-	body, err := json.Marshal(t)
+	plan, err := json.Marshal(t)
 	if err != nil {
 		return errors.Wrap(err, "tasks: encode task")
 	}
-	batch := core.ReadBatch{
-		Query: core.Query{ID: t.ID, Body: body, Deadline: t.Deadline},
-		// The host may be busy and may already have called replicas, so the task
-		// continues and only the following plans avoid the host.
-		Unacknowledged: func() { c.markDown(h, t.ID, errUnacknowledged) },
-	}
+	task := peer.Task{Plan: plan, Head: t.Request.EncodeHead(), Body: t.Request.Body, Deadline: t.Deadline}
+	// The host may be busy and may already have called replicas, so the task
+	// continues and only the following plans avoid the host.
+	unacknowledged := func() { c.markDown(h, t.Request.ID, errUnacknowledged) }
 	var decodeErr error
-	err = c.Peers.Read(ctx, h, batch, func(r core.ShardResult) {
+	err = c.Peers.Execute(ctx, h, task, unacknowledged, func(raw []byte) {
 		var result core.TaskResult
-		if err := json.Unmarshal(r.Rows, &result); err != nil {
+		if err := json.Unmarshal(raw, &result); err != nil {
 			decodeErr = errors.Wrapf(err, "tasks: decode a task result of host %s", h.ID())
 			return
 		}
 		sink(result)
 	})
-	if err != nil && ctx.Err() == nil {
-		c.markDown(h, t.ID, err)
+	if err != nil && ctx.Err() == nil && !outOfMemory(err) {
+		c.markDown(h, t.Request.ID, err)
 	}
 	if err != nil {
 		return err
@@ -111,6 +121,12 @@
 	return decodeErr
 }
 
+// outOfMemory reports whether a host refused a task for lack of memory.
+func outOfMemory(err error) bool {
+	var call *core.CallError
+	return errors.As(err, &call) && call.NotRun && call.Reason == core.ReasonOverload
+}
+
 // markDown makes following plans avoid a host and logs the cause.
 func (c *Client) markDown(h core.Host, id core.RequestID, cause error) {
 	c.Views.MarkDown(time.Now(), h.ID())
@@ -148,38 +164,52 @@
 
 // Handle implements peer.Handler.
 func (h *Handler) Handle(ctx context.Context, f *wire.Frame, reply peer.Reply) {
-	body, ok := f.Body.(*wire.Frame_ReadBatch)
+	body, ok := f.Body.(*wire.Frame_Task)
 	if !ok {
-		h.refuse(reply, core.ReasonWrongAnswer, errors.New("tasks: frame is not a read batch"))
+		h.refuse(reply, core.ReasonWrongAnswer, errors.New("tasks: frame is not a task"))
 		return
 	}
-	b := peer.BatchFromWire(body.ReadBatch, time.Now())
-	var t core.Task
-	if err := json.Unmarshal(b.Query.Body, &t); err != nil {
+	t, err := decode(body.Task, time.Now())
+	if err != nil {
 		h.refuse(reply, core.ReasonWrongAnswer, err)
 		return
 	}
-	t.Deadline = b.Query.Deadline
 	ack := &wire.Frame{Body: &wire.Frame_ReadAck{ReadAck: &wire.ReadAck{Accepted: int32(len(t.Services))}}}
 	if reply(false, ack) != nil {
 		return // the link to the requesting host is lost
 	}
-	err := h.runner.Execute(ctx, t, func(result core.TaskResult) {
+	err = h.runner.Execute(ctx, t, func(result core.TaskResult) {
 		rows, err := json.Marshal(result)
 		if err != nil {
-			h.log.Error("relay: task result cannot be encoded", "request", t.ID, "cause", err)
+			h.log.Error("relay: task result cannot be encoded", "request", t.Request.ID, "cause", err)
 			return
 		}
 		// The error needs no handling: a lost link ends ctx.
 		_ = reply(false, &wire.Frame{Body: &wire.Frame_ShardResult{ShardResult: peer.ResultToWire(core.ShardResult{Rows: rows})}})
 	})
-	if err != nil {
+	switch {
+	case errors.Is(err, core.ErrNoMemory):
+		h.refuse(reply, core.ReasonOverload, err)
+		return
+	case err != nil:
 		h.refuse(reply, core.ReasonNotReady, err)
 		return
 	}
 	_ = reply(true, &wire.Frame{Body: &wire.Frame_ReadAck{ReadAck: &wire.ReadAck{}}}) // fails only if the link is lost
 }
 
+// decode returns a task that was received now. Its deadline is on this host's clock.
+func decode(w *wire.Task, now time.Time) (core.Task, error) {
+	var t core.Task
+	if err := json.Unmarshal(w.Plan, &t); err != nil {
+		return t, errors.Wrap(err, "tasks: decode the plan of a task")
+	}
+	var err error
+	t.Request, err = core.DecodeTaskRequest(w.Head, w.Body)
+	t.Deadline = peer.Deadline(now, w.RemainingUs)
+	return t, err
+}
+
 // refuse reports to the requesting host that the task is not executed.
 func (h *Handler) refuse(reply peer.Reply, reason core.Reason, cause error) {
 	h.log.Warn("relay: task refused", "reason", reason, "cause", cause)
--- a/standin/server/fleet.go
+++ b/standin/server/fleet.go
@@ -17,6 +17,7 @@
 	SlowShare   float64       // share of calls that take ten times as long
 	Seed        uint64
 	JournalMax  int // largest number of entries in the journal; defaultJournalMax when 0
+	RowBytes    int // size to which each row is padded
 	// Listen opens the listener of a server; nil means net.Listen.
 	Listen func(network, address string) (net.Listener, error)
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -17,6 +17,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -265,10 +266,21 @@
 	s.respond(w, f, map[string]any{
 		"snapshot": in.Snapshot,
 		"shard":    shard,
-		"rows":     Rows(in.Snapshot, in.Shard),
+		"rows":     s.paddedRows(in),
 	})
 }
 
+// paddedRows returns the rows of a shard with Options.RowBytes.
+func (s *Server) paddedRows(in callBody) []Row {
+	rows := Rows(in.Snapshot, in.Shard)
+	for i := range rows {
+		if missing := s.fleet.opts.RowBytes - len(rows[i].Ticket); missing > 0 {
+			rows[i].Ticket += strings.Repeat("-", missing)
+		}
+	}
+	return rows
+}
+
 // Row is one row of an answer.
 type Row struct {
 	Snapshot uint64 `json:"snapshot"`
