fix: each copy of a request and of its rows is charged in hosts of the product's own interface

What callers saw: queries and orders with bodies of 1 MB, or queries with large answers, end the processes of serve: they exceed the memory of their machines. Cause: beside the body that was charged, the decoder held four times as much, the owner of a replica group encoded the body again for each call, and the rows that backend servers answer were charged only when the whole answer was written, after they had been copied four times. Change: the decoder and the encoder charge what they take to the lease of the request; calls to backend servers send the body from where it lies; rows are charged as they are read, and on the host that asked for them before they are received. A shard without room for its rows is missing with the reason overload. A host that refuses a batch for lack of memory is not taken out of the view. The digest of an order no longer copies the body twice. Not whole: in the case "large rows" nearly all answers are partial while the clients go on, since reads that find no room have cost their backend server the work.

--- a/bench/crowd/fleet_test.go
+++ b/bench/crowd/fleet_test.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -23,6 +24,10 @@
 	fleetClients = 200
 	// reconnectPause is the time between two connections of a client.
 	reconnectPause = 20 * time.Millisecond
+	// serveBodyBytes is the largest body of a request to the product's own interface.
+	serveBodyBytes = 1 << 20
+	// largeRowBytes is the size of the rows of a shard that make a large answer together.
+	largeRowBytes = 600 << 10
 )
 
 // sender uses a connection to a host once. The host is the one with the number i, and a client
@@ -199,3 +204,80 @@
 		}
 	})
 }
+
+// serveRequest returns a request to the product's own interface.
+func serveRequest(path, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+}
+
+// padded returns a body with the given first fields that has serveBodyBytes.
+func padded(fields string) string {
+	begin, end := "{"+fields+`,"body":"`, `"}`
+	return begin + strings.Repeat("b", serveBodyBytes-len(begin)-len(end)) + end
+}
+
+// TestServeFleet guards against hosts of the product's own interface that end because of the
+// copies of what their clients sent, or of what the backend servers answered.
+func TestServeFleet(t *testing.T) {
+	names := fmt.Sprintf(`"caller":%q,"service":%q`, crowd.ServeCaller, crowd.ServeService)
+	query := serveRequest("/v1/query", padded(names))
+	smallQuery := serveRequest("/v1/query", "{"+names+`,"body":{}}`)
+	for name, c := range map[string]struct {
+		rowBytes int
+		send     sender
+	}{
+		"queries":            {0, exchange(query)},
+		"queries, most cut":  {0, mixed(4, exchange(query), stopShort(query))},
+		"orders":             {0, orders(names)},
+		"large rows":         {largeRowBytes, exchange(smallQuery)},
+		"large rows, unread": {largeRowBytes, unread(smallQuery)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, err := crowd.StartServeFleet(crowd.Options{Program: program, Dir: t.TempDir()}, c.rowBytes)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(f.Close)
+			misuseFleet(t, f, c.send, nil)
+		})
+	}
+}
+
+// unread sends a request and does not read the answer.
+func unread(text string) sender {
+	return func(ctx context.Context, _ *crowd.Fleet, _ int, c net.Conn) {
+		if send(c, text) {
+			<-ctx.Done()
+		}
+	}
+}
+
+// orders gets a token from one host and uses it at another, so that up to three hosts hold the
+// order.
+func orders(names string) sender {
+	return func(ctx context.Context, f *crowd.Fleet, i int, c net.Conn) {
+		issuer := f.Hosts()[(i+1)%len(f.Hosts())]
+		for read := bufio.NewReader(c); ; {
+			token := ""
+			useOnce(ctx, issuer.CallerAddress(), func(c net.Conn) {
+				if !send(c, serveRequest("/v1/tokens", "{}")) {
+					return
+				}
+				var answer struct{ Token string }
+				if text, err := response(bufio.NewReader(c)); err == nil && json.Unmarshal([]byte(text), &answer) == nil {
+					token = answer.Token
+				}
+			})
+			if token == "" {
+				return
+			}
+			order := padded(fmt.Sprintf(`%s,"key":"k","token":%q`, names, token))
+			if !send(c, serveRequest("/v1/orders", order)) {
+				return
+			}
+			if _, err := response(read); err != nil {
+				return
+			}
+		}
+	}
+}
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -286,11 +286,11 @@
 // give a caller the result of another order.
 func Fingerprint(o core.Order) Digest {
 	d := sha256.New()
-	for _, field := range []string{string(o.Caller), string(o.Service), o.Key, string(o.Body)} {
+	for _, field := range [][]byte{[]byte(o.Caller), []byte(o.Service), []byte(o.Key), o.Body} {
 		var size [8]byte
 		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
 		_, _ = d.Write(size[:])
-		_, _ = io.WriteString(d, field)
+		_, _ = d.Write(field)
 	}
 	return Digest(d.Sum(nil))
 }
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -125,6 +125,14 @@
 	})
 }
 
+func rowBytes(rows [][]byte) int {
+	size := 0
+	for _, r := range rows {
+		size += len(r)
+	}
+	return size
+}
+
 // dropRows removes the rows of each shard for which keep returns false, counts the shard
 // as missing for the given reason, and updates the coverage.
 func dropRows(a core.Answer, minCoverage float64, reason core.Reason, keep func([]byte) bool) core.Answer {
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -21,7 +21,14 @@
 	maxHeaderBytes       = 16 << 10
 	maxServerHeaderBytes = 64 << 10
 	maxNameBytes         = 256
-	headerTimeout        = 5 * time.Second
+	// decodeFactor is how much memory the decoder of a body takes, as a multiple of the body:
+	// its buffer doubles, and the one before it stays until the next collection; the decoded
+	// body is a copy.
+	decodeFactor = 4
+	// encodeFactor is the same for the rows of an answer: the buffer of the encoder doubles,
+	// and the answer is a copy.
+	encodeFactor  = 3
+	headerTimeout = 5 * time.Second
 	// bodyTimeout is far longer than the transfer of 1 MB between data centres.
 	bodyTimeout  = 5 * time.Second
 	writeTimeout = 30 * time.Second
@@ -84,6 +91,15 @@
 	}
 }
 
+// decodeCharged decodes a body that is charged to a lease, and charges what the decoder takes.
+func decodeCharged(l core.Lease, raw []byte, into any) *fault {
+	if !l.Charge(decodeFactor * len(raw)) {
+		return &fault{http.StatusServiceUnavailable, string(core.ReasonOverload), "no memory for the body"}
+	}
+	defer l.Refund(decodeFactor * len(raw)) // what was decoded has about the size of raw, which is not needed any more
+	return decodeStrict(raw, into)
+}
+
 // decodeStrict decodes one JSON value and rejects unknown keys, since a misspelt
 // deadline_ms or token would silently change the meaning of the request.
 func decodeStrict(raw []byte, into any) *fault {
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -60,6 +60,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{h: h, w: w, r: r, path: r.URL.Path, started: time.Now(), rejectOutcome: core.NotRun}
+	defer x.release()
 	serve, ok := h.paths[x.path]
 	switch {
 	case !ok:
@@ -83,14 +84,43 @@
 	path          string
 	started       time.Time
 	rejectOutcome core.Outcome // outcome that a rejection reports
+	lease         core.Lease   // nil until the body was read
+}
+
+// context returns the context of the request with its lease.
+func (x *exchange) context() context.Context { return core.WithLease(x.r.Context(), x.lease) }
+
+// release ends the lease: the answer needs neither the request nor what the backend servers
+// answered.
+func (x *exchange) release() {
+	if x.lease != nil {
+		x.lease.Release()
+		x.lease = nil
+	}
 }
 
 // answer writes the answer and reports it to Observe.
 func (x *exchange) answer(o core.Outcome, status int, body []byte) {
+	x.release()
 	if !conns.FromContext(x.r.Context()).ChargeAnswer(len(body)) {
-		o, status = core.Unknown, http.StatusGatewayTimeout
-		body = encode(tokenOut{Outcome: string(core.Unknown), Reason: string(core.ReasonOverload)})
+		o, status, body = noRoomAnswer()
 	}
+	x.write(o, status, body)
+}
+
+// answerTooLarge answers a request for whose answer there is no memory.
+func (x *exchange) answerTooLarge() {
+	x.release()
+	x.write(noRoomAnswer())
+}
+
+// noRoomAnswer returns the answer to a request that has run and for whose own answer there is
+// no memory.
+func noRoomAnswer() (core.Outcome, int, []byte) {
+	return core.Unknown, http.StatusGatewayTimeout, encode(tokenOut{Outcome: string(core.Unknown), Reason: string(core.ReasonOverload)})
+}
+
+func (x *exchange) write(o core.Outcome, status int, body []byte) {
 	write(x.w, status, body)
 	if x.h.Observe != nil {
 		x.h.Observe(x.path, o, time.Since(x.started))
@@ -118,7 +148,8 @@
 func (x *exchange) decode(into any) bool {
 	raw, f := readBody(x.w, x.r)
 	if f == nil {
-		f = decodeStrict(raw, into)
+		x.lease = conns.TakeLease(x.r.Context())
+		f = decodeCharged(x.lease, raw, into)
 	}
 	if f != nil {
 		x.fail(*f)
@@ -241,7 +272,11 @@
 		Priority:    policy.Priority,
 		Repeatable:  policy.Repeatable,
 	}
-	a := h.Requests.Query(x.r.Context(), q)
+	a := h.Requests.Query(x.context(), q)
+	if !x.lease.Charge(encodeFactor * rowBytes(a.Rows)) {
+		x.answerTooLarge()
+		return
+	}
 	status, body := h.queryAnswer(q, adm.limit, a)
 	x.answer(a.Outcome, status, body)
 }
@@ -294,7 +329,7 @@
 	}
 	defer adm.release()
 	id := newRequestID()
-	result := h.Requests.Order(x.r.Context(), in.Token, id, core.Order{
+	result := h.Requests.Order(x.context(), in.Token, id, core.Order{
 		Caller:  adm.section.Name(),
 		Service: core.ServiceName(in.Service),
 		Key:     in.Key,
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -304,7 +304,8 @@
 
 // recordOutcome records the outcome of a batch to a host and reports whether the host
 // must be removed from the view. A host that refused the batch or could not be reached
-// must be removed at once, any other host once its failures span silenceLimit.
+// must be removed at once, unless it lacked memory; any other host once its failures span
+// silenceLimit.
 func (e *Entry) recordOutcome(now time.Time, id core.HostID, err error) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -315,6 +316,8 @@
 	var call *core.CallError
 	since, ok := e.silentSince[id]
 	switch {
+	case errors.As(err, &call) && call.NotRun && call.Reason == core.ReasonOverload:
+		return false // it runs, but has no memory for the batch
 	case errors.As(err, &call) && call.NotRun:
 	case !ok || now.Sub(since) > silenceExpiry:
 		e.silentSince[id] = now
--- a/io/owner/group.go
+++ b/io/owner/group.go
@@ -19,6 +19,7 @@
 	shard    core.ShardID
 	batch    core.ReadBatch
 	order    *core.OrderCall
+	lease    core.Lease             // of the caller's request; held while a call runs
 	onRead   func(core.ShardResult) // called once with the result of a shard read
 	onOrder  func(core.OrderResult) // called once with the result of an order
 	attempts int                    // attempts started so far
@@ -96,8 +97,8 @@
 	return now.Sub(g.lastUsed)
 }
 
-func (g *group) read(b core.ReadBatch, shard core.ShardID, done func(core.ShardResult)) uint64 {
-	return g.add(&job{batch: b, shard: shard, onRead: done}, queue.Task{
+func (g *group) read(l core.Lease, b core.ReadBatch, shard core.ShardID, done func(core.ShardResult)) uint64 {
+	return g.add(&job{lease: l, batch: b, shard: shard, onRead: done}, queue.Task{
 		Caller:   b.Query.Caller,
 		Priority: b.Query.Priority,
 		Snapshot: b.Snapshot,
@@ -107,8 +108,8 @@
 	})
 }
 
-func (g *group) order(call core.OrderCall, done func(core.OrderResult)) {
-	g.add(&job{order: &call, onOrder: done}, queue.Task{Priority: orderPriority, Deadline: call.Deadline, Once: true})
+func (g *group) order(l core.Lease, call core.OrderCall, done func(core.OrderResult)) {
+	g.add(&job{lease: l, order: &call, onOrder: done}, queue.Task{Priority: orderPriority, Deadline: call.Deadline, Once: true})
 }
 
 func (g *group) withdraw(id uint64) {
@@ -177,6 +178,7 @@
 		j.attempts++
 		g.calls[a.Attempt] = j
 		attempts := j.attempts
+		j.lease.Hold() // until the call has returned
 		return func() { go g.call(a, j, attempts) }
 	case queue.Finish:
 		delete(g.jobs, a.Task)
@@ -226,6 +228,7 @@
 }
 
 func (g *group) call(a queue.Action, j *job, attempts int) {
+	defer j.lease.Release()
 	g.logDecision(a, j, startMessages[a.Cause])
 	payload, err := g.send(a, j, g.replicas[a.Replica].Address())
 	if err != nil {
@@ -272,7 +275,7 @@
 	// The call doesn't use the context of its request: a cancelled call keeps its
 	// slot until the server answers, at most until answerGrace after the deadline.
 	deadline := j.deadline()
-	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(answerGrace))
+	ctx, cancel := context.WithDeadline(core.WithLease(context.Background(), j.lease), deadline.Add(answerGrace))
 	defer cancel()
 	if j.order != nil {
 		return g.owner.backend.Order(ctx, address, *j.order)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -189,7 +189,7 @@
 			continue
 		}
 		wg.Add(1)
-		id := g.read(b, ref.Shard, func(r core.ShardResult) {
+		id := g.read(core.LeaseOf(ctx), b, ref.Shard, func(r core.ShardResult) {
 			sink(r)
 			wg.Done()
 		})
@@ -205,9 +205,9 @@
 }
 
 // Order runs an order on one replica of a group, at most once. A call with an
-// order id that was seen before gets the outcome Unknown and is not sent. The
-// context is ignored: an order is not cancelled.
-func (o *Owner) Order(_ context.Context, call core.OrderCall, id core.GroupID) core.OrderResult {
+// order id that was seen before gets the outcome Unknown and is not sent. Only the lease of
+// the context is used: an order is not cancelled.
+func (o *Owner) Order(ctx context.Context, call core.OrderCall, id core.GroupID) core.OrderResult {
 	switch o.seen.Add(time.Now(), call.OrderID, call.Deadline) {
 	case order.Duplicate:
 		o.log.Warn("owner: duplicate order call dropped", "request_id", call.RequestID, "service", call.Service)
@@ -220,7 +220,7 @@
 		return core.OrderResult{Outcome: core.NotRun, Reason: core.ReasonUnknownService}
 	}
 	done := make(chan core.OrderResult, 1)
-	g.order(call, func(r core.OrderResult) { done <- r })
+	g.order(core.LeaseOf(ctx), call, func(r core.OrderResult) { done <- r })
 	return <-done
 }
 
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -42,6 +42,7 @@
 	dialTimeout     = time.Second
 	idleTimeout     = 5 * time.Minute // long, since a reused connection saves the cost of a new one
 	errorBodyBytes  = 4 << 10         // limit for the body of an error response
+	firstBytes      = 4 << 10         // first size of the buffer for a response, which is not charged
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -195,13 +196,12 @@
 }
 
 type readBody struct {
-	CallID      string          `json:"call_id"`
-	RequestID   string          `json:"request_id"`
-	Service     string          `json:"service"`
-	Snapshot    uint64          `json:"snapshot"`
-	Shard       int32           `json:"shard"`
-	RemainingUS int64           `json:"remaining_us"`
-	Body        json.RawMessage `json:"body,omitempty"`
+	CallID      string `json:"call_id"`
+	RequestID   string `json:"request_id"`
+	Service     string `json:"service"`
+	Snapshot    uint64 `json:"snapshot"`
+	Shard       int32  `json:"shard"`
+	RemainingUS int64  `json:"remaining_us"`
 }
 
 type rowsBody struct {
@@ -220,9 +220,10 @@
 			return readBody{
 				CallID: call.CallID, RequestID: string(call.RequestID), Service: string(call.Service),
 				Snapshot: uint64(call.Snapshot), Shard: int32(call.Shard),
-				RemainingUS: remaining.Microseconds(), Body: call.Body,
+				RemainingUS: remaining.Microseconds(),
 			}
 		},
+		content: call.Body,
 	})
 	if err != nil {
 		return nil, err
@@ -251,12 +252,11 @@
 }
 
 type orderBody struct {
-	OrderID     string          `json:"order_id"`
-	RequestID   string          `json:"request_id"`
-	Service     string          `json:"service"`
-	Key         string          `json:"key"`
-	RemainingUS int64           `json:"remaining_us"`
-	Body        json.RawMessage `json:"body,omitempty"`
+	OrderID     string `json:"order_id"`
+	RequestID   string `json:"request_id"`
+	Service     string `json:"service"`
+	Key         string `json:"key"`
+	RemainingUS int64  `json:"remaining_us"`
 }
 
 // Order runs an order on one server. It sends the order at most once: the request is a
@@ -273,9 +273,10 @@
 		newBody: func(remaining time.Duration) any {
 			return orderBody{
 				OrderID: o.OrderID, RequestID: string(o.RequestID), Service: string(o.Service),
-				Key: o.Key, RemainingUS: remaining.Microseconds(), Body: o.Body,
+				Key: o.Key, RemainingUS: remaining.Microseconds(),
 			}
 		},
+		content: o.Body,
 	})
 	if err != nil {
 		return nil, err
@@ -293,12 +294,28 @@
 	address  string
 	path     string
 	newBody  func(remaining time.Duration) any // returns the body, which is sent as JSON; nil for none
+	content  json.RawMessage                   // sent as the last key of the body, "body", without a copy; may be empty
 	out      any                               // receives the decoded response; nil to ignore it
 	maxBytes int                               // limit of the response; 0 for defaultMaxBytes
 	deadline time.Time                         // zero for none
 	checksum bool                              // whether the response must have a valid checksum
 }
 
+// encode returns the body and its size. All calls for a request share its content.
+func (r *request) encode(remaining time.Duration) (io.Reader, int64, error) {
+	raw, err := json.Marshal(r.newBody(remaining))
+	if err != nil || len(r.content) == 0 {
+		return bytes.NewReader(raw), int64(len(raw)), err
+	}
+	if !json.Valid(r.content) {
+		return nil, 0, errContent
+	}
+	end := []byte("}")
+	begin := append(bytes.TrimSuffix(raw, end), `,"body":`...)
+	data := io.MultiReader(bytes.NewReader(begin), bytes.NewReader(r.content), bytes.NewReader(end))
+	return data, int64(len(begin) + len(r.content) + len(end)), nil
+}
+
 // States of a oneShotBody.
 const (
 	bodyUnread int32 = iota
@@ -311,6 +328,8 @@
 	errAbandoned    = errors.New("remote: request was abandoned before it was sent")
 	errChecksum     = errors.New("remote: checksum does not match the response body")
 	errOtherCall    = errors.New("remote: response to another call")
+	errContent      = errors.New("remote: body of the request is not valid JSON")
+	errNoMemory     = errors.New("remote: no memory for the response")
 )
 
 // oneShotBody is a request body that net/http can read once and can't rewind. Its first
@@ -358,13 +377,13 @@
 	var reader io.Reader
 	size := int64(0)
 	if r.newBody != nil {
-		raw, err := json.Marshal(r.newBody(remaining))
+		data, n, err := r.encode(remaining)
 		if err != nil {
 			return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonBackendError, NotRun: true, Cause: err}
 		}
-		body = &oneShotBody{data: bytes.NewReader(raw), deadline: r.deadline}
+		body = &oneShotBody{data: data, deadline: r.deadline}
 		reader = body
-		size = int64(len(raw))
+		size = n
 	}
 	var conn atomic.Pointer[net.Conn]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -443,7 +462,12 @@
 	if limit == 0 {
 		limit = defaultMaxBytes
 	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit+envelopeBytes+1)))
+	lease := core.LeaseOf(ctx)
+	raw, charged, err := readAll(lease, resp.Body, limit+envelopeBytes+1)
+	defer func() { lease.Refund(charged) }() // what is decoded from raw is a copy
+	if errors.Is(err, errNoMemory) {
+		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonOverload, Cause: err}
+	}
 	if err != nil {
 		return &core.CallError{Op: r.op, Target: r.address, Reason: failureReason(ctx), Cause: err}
 	}
@@ -456,12 +480,41 @@
 	if r.out == nil {
 		return nil
 	}
+	if !lease.Charge(len(raw)) {
+		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonOverload, Cause: errNoMemory}
+	}
 	if err := json.Unmarshal(raw, r.out); err != nil {
 		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonWrongAnswer, Cause: err}
 	}
 	return nil
 }
 
+// readAll reads up to limit bytes into a buffer that grows as they arrive, and charges it to a
+// lease. charged is what the caller has to refund.
+func readAll(lease core.Lease, body io.Reader, limit int) (raw []byte, charged int, err error) {
+	raw = make([]byte, 0, min(limit, firstBytes))
+	for len(raw) < limit {
+		if len(raw) == cap(raw) {
+			size := min(limit, 2*cap(raw))
+			if !lease.Charge(size) {
+				return nil, charged, errNoMemory
+			}
+			raw = append(make([]byte, 0, size), raw...)
+			lease.Refund(charged)
+			charged = size
+		}
+		n, err := body.Read(raw[len(raw):cap(raw)])
+		raw = raw[:len(raw)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return raw, charged, nil
+		case err != nil:
+			return nil, charged, err
+		}
+	}
+	return raw, charged, nil
+}
+
 // Checksum returns the value of ChecksumHeader for a response body.
 func Checksum(body []byte) string {
 	return fmt.Sprintf("%08x", crc32.Checksum(body, castagnoli))
