fix(core/order): the results of orders that are kept for repeated requests are bounded

What callers saw: nothing yet; suspected from reading, not seen to end a process. Cause: a host keeps the result of each order for a minute after its end, up to 100,000 of them, and a result may have 1 MB. Nothing bounded their sum. Change: the results have at most a quarter of what clients may make the host hold, beside it. An order beyond that keeps its outcome; a repeated request gets it with the reason overload and without the result. The first request gets the result. Evidence: TestResultBytes, new with the bound: 1,000 bytes for results of 400 keep two of four, and their bytes are free again after they expire.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -14,8 +14,8 @@
 //
 // # Bounds
 //
-// The table holds at most Options.Max tokens and issues none beyond that. An
-// order with an expired token never starts. A running order is never dropped; its
+// The table holds at most Options.Max tokens and issues none beyond that, and results of at
+// most Options.ResultBytes. An order with an expired token never starts. A running order is never dropped; its
 // result is kept for one more lifetime after it ends. Expiry is judged by
 // whichever of the monotonic and the wall clock has advanced further, since the
 // monotonic clock stops while a machine is suspended.
@@ -98,6 +98,10 @@
 type Options struct {
 	Max      int           // maximum number of tokens
 	Lifetime time.Duration // of an unused token, from its issue; a result is kept as long after the order ends
+	// ResultBytes bounds the results that are kept together; 0 means no bound. An order beyond
+	// it keeps its outcome, and a repeated request gets it without the result, with the reason
+	// overload.
+	ResultBytes int
 }
 
 type entry struct {
@@ -118,6 +122,7 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	kept    int       // bytes of the results of entries
 	sweepAt time.Time // no token expires earlier, so a sweep before this time is skipped
 }
 
@@ -166,7 +171,7 @@
 		return Decision{Verdict: NoEntry}
 	}
 	if e.expired(now) {
-		delete(t.entries, token)
+		t.remove(token, e)
 		return Decision{Verdict: NoEntry}
 	}
 	if e.state != Issued && e.digest != digest {
@@ -197,6 +202,10 @@
 	if r.Outcome == core.NotRun {
 		e.state = Refused
 	}
+	if t.opts.ResultBytes > 0 && t.kept+len(r.Body) > t.opts.ResultBytes {
+		r.Body, r.Reason = nil, core.ReasonOverload
+	}
+	t.kept += len(r.Body)
 	e.result = r
 	e.expiry = now.Add(t.opts.Lifetime)
 	t.scheduleSweep(e)
@@ -235,13 +244,18 @@
 	t.sweepAt = time.Time{}
 	for token, e := range t.entries {
 		if e.expired(now) {
-			delete(t.entries, token)
+			t.remove(token, e)
 		} else if e.state != Running {
 			t.scheduleSweep(e)
 		}
 	}
 }
 
+func (t *Table) remove(token string, e *entry) {
+	delete(t.entries, token)
+	t.kept -= len(e.result.Body)
+}
+
 // scheduleSweep sets the time of the next sweep to the expiry of an entry if that
 // is earlier.
 func (t *Table) scheduleSweep(e *entry) {
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -15,6 +15,39 @@
 
 const lifetime = 10 * time.Second
 
+// TestResultBytes guards against a table whose results exceed its bound, against an outcome that
+// is lost with its result, and against bytes that stay counted after their token has expired.
+func TestResultBytes(t *testing.T) {
+	const limit, resultBytes = 1000, 400
+	table := order.New("h1", 7, order.Options{Max: 10, Lifetime: lifetime, ResultBytes: limit}, rand.NewChaCha8([32]byte{1}))
+	now := time.Unix(1000, 0)
+	for round := range 3 {
+		var kept, dropped int
+		for range 4 {
+			token, ok := table.Issue(now)
+			if !ok {
+				t.Fatal("no token")
+			}
+			table.Redeem(now, token, order.Digest{})
+			table.Finish(now, token, core.OrderResult{Outcome: core.Complete, Body: make([]byte, resultBytes)})
+			d := table.Redeem(now, token, order.Digest{})
+			switch {
+			case d.Verdict != order.Answer || d.Result.Outcome != core.Complete:
+				t.Fatalf("repeated request: verdict %v, outcome %s", d.Verdict, d.Result.Outcome)
+			case len(d.Result.Body) == resultBytes && d.Result.Reason == "":
+				kept++
+			case d.Result.Body == nil && d.Result.Reason == core.ReasonOverload:
+				dropped++
+			}
+		}
+		if kept != limit/resultBytes || dropped != 4-kept {
+			t.Errorf("round %d: %d results kept and %d dropped, want %d and %d", round, kept, dropped, limit/resultBytes, 4-limit/resultBytes)
+		}
+		now = now.Add(2 * lifetime)
+		table.Expire(now)
+	}
+}
+
 func newTable(limit int) *order.Table {
 	return order.New("h1", 7, order.Options{Max: limit, Lifetime: lifetime}, rand.NewChaCha8([32]byte{1}))
 }
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -103,6 +103,9 @@
 	return &Budget{limit: limit, holders: make(map[*Holder]struct{})}
 }
 
+// Limit returns the number of bytes.
+func (b *Budget) Limit() int64 { return b.limit }
+
 // Open adds a holder without bytes. The function giveWay must lead to a call of Close soon.
 func (b *Budget) Open(now time.Time, giveWay func()) *Holder {
 	h := &Holder{giveWay: giveWay}
--- a/io/conns/share.go
+++ b/io/conns/share.go
@@ -61,6 +61,18 @@
 	return l.Shares.Replicas
 }
 
+// resultDivisor is the budget divided by the bytes of the results of orders that a host keeps
+// for repeated requests, in addition to the budget.
+const resultDivisor = 4
+
+// ResultBytes returns the bytes that the kept results of orders may have; 0 means no limit.
+func (l *Limits) ResultBytes() int {
+	if l == nil {
+		return 0
+	}
+	return int(l.Budget.Limit() / resultDivisor)
+}
+
 // Shares are the connections that the listeners may have open; 0 means no limit.
 type Shares struct {
 	Callers int
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -128,7 +128,7 @@
 	if n.opts.Announcer == nil {
 		n.opts.Announcer = gossipAnnouncer{agent}
 	}
-	n.tokens = order.New(o.ID, inc, order.Options{Max: o.TokenMax, Lifetime: o.TokenLifetime}, rand.Reader)
+	n.tokens = order.New(o.ID, inc, order.Options{Max: o.TokenMax, Lifetime: o.TokenLifetime, ResultBytes: o.Clients.ResultBytes()}, rand.Reader)
 	n.entry = n.newEntry(inc)
 	n.handler = caller.New(caller.Deps{
 		Requests: trackedRequests{n.entry, &n.active},
