fix(io/relay): log lines hold at most 128 bytes of each text of a caller

What callers saw: nothing yet; suspected from reading, not seen to end a process. Cause: lines wait for the reader of the log, up to 8,192 of them, and refer to the ID and the host that the caller chose, which may have 64 KB. Change: lines hold a copy of their first 128 bytes. Evidence: TestLoggedTextsAreBounded; without the change its lines have IDs of 16,387 bytes.

--- a/io/relay/log.go
+++ b/io/relay/log.go
@@ -11,6 +11,7 @@
 	"oriolebarrow/core"
 	"oriolebarrow/core/picker"
 	"oriolebarrow/io/client"
+	"oriolebarrow/io/telem"
 )
 
 const (
@@ -151,16 +152,18 @@
 		return reply
 	}
 	r.Log.LogAttrs(context.Background(), slog.LevelInfo, "relay: answered",
-		slog.String("request", string(req.ID)),
+		requestID(req),
 		slog.Int("status", reply.Status),
 		slog.String("reason", string(reply.Reason)),
-		slog.String("host", req.Host),
+		slog.String("host", telem.Clip(req.Host)),
 		slog.Int64("took_us", time.Since(req.Arrived).Microseconds()),
 		slog.Int64("left_out", skipped),
 	)
 	return reply
 }
 
+func requestID(req Request) slog.Attr { return slog.String("request", telem.Clip(string(req.ID))) }
+
 // logReply counts the answer to a request and logs it with the request's events.
 func (r *Relay) logReply(j *job, reply Reply) {
 	took := time.Since(j.start)
@@ -172,7 +175,7 @@
 	}
 	r.logEvents(j)
 	r.Log.LogAttrs(context.Background(), slog.LevelInfo, "relay: answered",
-		slog.String("request", string(j.req.ID)),
+		requestID(j.req),
 		slog.String("route", j.route.Name),
 		slog.Uint64("version", j.table.Version()),
 		slog.Int("status", reply.Status),
@@ -200,7 +203,7 @@
 	}
 	r.logEvents(j)
 	r.Log.LogAttrs(context.Background(), slog.LevelInfo, "relay: task ended",
-		slog.String("request", string(j.req.ID)),
+		requestID(j.req),
 		slog.String("route", j.route.Name),
 		slog.Int("shards", len(j.subs)),
 		slog.Int("calls", j.callCount),
@@ -243,7 +246,7 @@
 func (r *Relay) logEvents(j *job) {
 	for i, e := range j.events.events {
 		attrs := append([]slog.Attr{
-			slog.String("request", string(j.req.ID)),
+			requestID(j.req),
 			slog.Int64("at_us", e.at.Microseconds()),
 		}, e.attrs...)
 		if dropped := j.events.dropped; dropped > 0 && i == len(j.events.events)-1 {
--- a/io/relay/log_test.go
+++ b/io/relay/log_test.go
@@ -31,6 +31,44 @@
 	return found
 }
 
+// TestLoggedTextsAreBounded guards against log lines that hold a long text of a caller until the
+// log is read, and against requests that can no longer be found by the begin of their ID.
+func TestLoggedTextsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 256
+		b := newBackends()
+		r, _ := newRelay(t, b, 20, nil)
+		var log bytes.Buffer
+		r.Log = slog.New(slog.NewJSONHandler(&log, nil))
+		b.setMode("paused", address(0, 0))
+		id := core.RequestID("id-" + strings.Repeat("x", 16<<10))
+		for _, path := range []string{"/q/", "/none/"} {
+			r.Do(context.Background(), relay.Request{ID: id, Method: "GET", URI: path, Path: path, Host: strings.Repeat("y", 16<<10), Arrived: time.Now(), Remaining: time.Second})
+			r.Do(context.Background(), relay.Request{ID: id, Method: "GET", URI: path, Path: path, Host: "h", Arrived: time.Now(), Remaining: time.Second})
+		}
+		awaitCalls()
+		lines := 0
+		for raw := range strings.Lines(log.String()) {
+			var l map[string]any
+			if err := json.Unmarshal([]byte(raw), &l); err != nil {
+				t.Fatal(err)
+			}
+			request, ok := l["request"].(string)
+			if !ok {
+				continue
+			}
+			lines++
+			host, _ := l["host"].(string) // not in all lines
+			if !strings.HasPrefix(request, "id-xx") || len(request) > most || len(host) > most {
+				t.Errorf("line %q has an ID of %d bytes and a host of %d", l["msg"], len(request), len(host))
+			}
+		}
+		if lines < 4 {
+			t.Errorf("%d lines, want one for each request at least", lines)
+		}
+	})
+}
+
 // TestOutcomesAreLogged guards against an answer whose cause cannot be found in the
 // log by the request's ID.
 func TestOutcomesAreLogged(t *testing.T) {
--- a/io/tasks/tasks.go
+++ b/io/tasks/tasks.go
@@ -23,6 +23,7 @@
 	"oriolebarrow/core"
 	"oriolebarrow/core/assign"
 	"oriolebarrow/io/peer"
+	"oriolebarrow/io/telem"
 	"oriolebarrow/io/wire"
 )
 
@@ -130,7 +131,7 @@
 // markDown makes following plans avoid a host and logs the cause.
 func (c *Client) markDown(h core.Host, id core.RequestID, cause error) {
 	c.Views.MarkDown(time.Now(), h.ID())
-	c.Log.Warn("relay: task failed or was not acknowledged", "peer", h.ID(), "request", id, "cause", cause)
+	c.Log.Warn("relay: task failed or was not acknowledged", "peer", h.ID(), "request", telem.Clip(string(id)), "cause", cause)
 }
 
 // Owned returns the services that this host calls for queries over all of the given
@@ -181,7 +182,7 @@
 	err = h.runner.Execute(ctx, t, func(result core.TaskResult) {
 		rows, err := json.Marshal(result)
 		if err != nil {
-			h.log.Error("relay: task result cannot be encoded", "request", t.Request.ID, "cause", err)
+			h.log.Error("relay: task result cannot be encoded", "request", telem.Clip(string(t.Request.ID)), "cause", err)
 			return
 		}
 		// The error needs no handling: a lost link ends ctx.
