--- a/bench/crowd/crowd.go
+++ b/bench/crowd/crowd.go
@@ -278,7 +278,11 @@
 
 // order returns an ordinary request to a gateway host.
 func (h *Host) order() (*http.Request, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+h.CallerAddress()+SmallPath, strings.NewReader("an order"))
+	return h.gatewayRequest(http.MethodPost, SmallPath, strings.NewReader("an order"))
+}
+
+func (h *Host) gatewayRequest(method, path string, body io.Reader) (*http.Request, error) {
+	req, err := http.NewRequest(method, "http://"+h.CallerAddress()+path, body)
 	if err != nil {
 		return nil, err
 	}
--- a/bench/crowd/fleet.go
+++ b/bench/crowd/fleet.go
@@ -90,7 +90,7 @@
 	store.PutRouting(doc)
 	for i := range fleetHosts {
 		h := newHost(i)
-		h.newRequest = h.query
+		h.newRequest = func() (*http.Request, error) { return h.gatewayRequest(http.MethodGet, QueryPath, nil) }
 		h.isAnswer = func(body string) bool { return len(body) == fleetTopK*gather.RecordBytes }
 		f.hosts = append(f.hosts, h)
 		if err := h.runGateway(o, storeAddress, []string{f.hosts[0].PeerAddress()}); err != nil {
@@ -100,18 +100,6 @@
 	return f.awaitReady()
 }
 
-// query returns an ordinary query to a gateway host.
-func (h *Host) query() (*http.Request, error) {
-	req, err := http.NewRequest(http.MethodGet, "http://"+h.CallerAddress()+QueryPath, nil)
-	if err != nil {
-		return nil, err
-	}
-	req.Host = HTTPHost
-	req.Header.Set(h.names.RequestID, "ordinary")
-	req.Header.Set(h.names.Deadline, "4000")
-	return req, nil
-}
-
 // part is a stand-in of a replica of a shard.
 type part struct {
 	names  core.HeaderNames
