test(soak): a third of the clients with bodies sends whole ones to a query that hosts divide

Cause: the clients of the soak that misuse a host sent bodies to the route for orders only, where no other host gets a copy.

--- a/bench/soak/misuse.go
+++ b/bench/soak/misuse.go
@@ -6,7 +6,10 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"oriolebarrow/platform"
 )
 
 const (
@@ -19,6 +22,10 @@
 	soakMaxFDs      = 900
 	misuseDial      = time.Second
 
+	// wholeQueries is one of how many clients with bodies send a whole one, to a query that the
+	// host divides among hosts and replicas.
+	wholeQueries = 3
+
 	misuseHeads  = "short_lines"
 	misuseBodies = "cut_bodies"
 	misuseIdle   = "silent"
@@ -27,6 +34,7 @@
 // misuse is a crowd of clients that misuse a host.
 type misuse struct {
 	address string
+	queries atomic.Int64 // sent so far; the checks tell requests apart by ID
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -40,9 +48,14 @@
 	return target{name: name, faults: []string{misuseHeads, misuseBodies, misuseIdle}, set: m.begin, clear: m.end}
 }
 
-// misuseText returns what each client sends before it falls silent.
-func misuseText(fault string) string {
+// text returns what a client sends before it falls silent.
+func (m *misuse) text(fault string, client int) string {
 	var b strings.Builder
+	if fault == misuseBodies && client%wholeQueries == 0 {
+		fmt.Fprintf(&b, "POST /q/misuse HTTP/1.1\r\nHost: soak\r\n%s: misuse-%s-%d\r\nContent-Length: %d\r\n\r\n%s",
+			platform.Names().RequestID, m.address, m.queries.Add(1), misuseBodyBytes, strings.Repeat("b", misuseBodyBytes))
+		return b.String()
+	}
 	b.WriteString("POST /o/misuse HTTP/1.1\r\nHost: soak\r\n")
 	switch fault {
 	case misuseHeads:
@@ -59,11 +72,11 @@
 
 // begin connects the clients. Those that the host refuses are not replaced.
 func (m *misuse) begin(fault string) {
-	text := misuseText(fault)
 	m.mu.Lock()
 	m.ended = false
 	m.mu.Unlock()
-	for range misusers {
+	for i := range misusers {
+		text := m.text(fault, i)
 		go func() {
 			c, err := net.DialTimeout("tcp", m.address, misuseDial)
 			if err != nil {
