test(io/peer): chunks that are queued when their caller leaves are released

Change: TestQueuedChunksAreReleased lets six callers leave while their link stalls in the middle of their contents. No code of the product changes.

--- a/io/peer/content_test.go
+++ b/io/peer/content_test.go
@@ -253,6 +253,48 @@
 	})
 }
 
+// TestQueuedChunksAreReleased guards against contents that stay charged for good since their caller
+// left while a chunk of them was queued, or being written, on a link that stalls.
+func TestQueuedChunksAreReleased(t *testing.T) {
+	server, client := budgetOf(4<<20), budgetOf(4<<20)
+	var release chan struct{}
+	wrap := func(c net.Conn) net.Conn {
+		release = make(chan struct{}) // in the bubble of the test
+		return stallingConn{countingConn{c, new(atomic.Int64)}, release}
+	}
+	h := func(context.Context, *wire.Frame, peer.Reply) { t.Error("a request runs whose caller has left") }
+	withLimits(t, server, wrap, h, func(t *testing.T, c *peer.Client, _ *peer.Server) {
+		const requests = 6 // more than the chunks of one batch
+		errs := make(chan error, requests)
+		for range requests {
+			go func() {
+				lease, ok := client.NewLease(context.Background(), "callers", largeBytes, func() {})
+				if !ok {
+					errs <- errors.New("no lease")
+					return
+				}
+				defer lease.Release()
+				ctx, cancel := context.WithTimeout(core.WithLease(context.Background(), lease), callTimeout)
+				defer cancel()
+				_, err := redeemBody(ctx, c, "left", sample(largeBytes))
+				errs <- err
+			}()
+		}
+		for range requests {
+			if err := <-errs; !notRun(err) {
+				t.Errorf("error %v, want one that states that the request did not run", err)
+			}
+		}
+		synctest.Wait()
+		if n := client.Budget.Holders(); n >= requests {
+			t.Errorf("%d requests are still charged while the link stalls, want only those of the batch that is being written", n)
+		}
+		close(release)
+		synctest.Wait()
+		checkUnused(t, client)
+	})
+}
+
 // TestNoRoomForReplies guards against a host that keeps more rows for a caller than its budget
 // has, and against a shard without its rows that counts as answered.
 func TestNoRoomForReplies(t *testing.T) {
