fix(io/client): the end of a long line is not the end of a head

Callers could get an answer whose body was the rest of the head of a replica's response.

Cause: readHead takes a piece of a line of at most two bytes that is only a line end for the empty line. bufio.Reader returns a line that fills its buffer of 4096 bytes in two pieces, and the second is such a piece if the line has exactly 4097 or 4098 bytes with its line end. The head then ended there, and a Content-Length that preceded the line was applied to the bytes of the fields after it.

Change: the line is compared as a whole, from where it starts in the head.

Evidence: TestLongFields sends lines of 4088 to 4104 bytes before and after the length, and before chunks. 2 of its 51 cases failed before the fix, with a body that began with the end of the head; all pass with it.

--- a/io/client/response.go
+++ b/io/client/response.go
@@ -61,18 +61,23 @@
 // readHead returns the lines up to and including the empty line that ends the head.
 func readHead(r *bufio.Reader, limit int) (string, error) {
 	var b []byte
+	start := 0 // of the current line, which may be longer than the buffer of r
 	for {
-		line, err := r.ReadSlice('\n')
-		b = append(b, line...)
+		part, err := r.ReadSlice('\n')
+		b = append(b, part...)
 		if err != nil && err != bufio.ErrBufferFull {
 			return "", errors.Wrap(err, "read response head")
 		}
 		if len(b) > limit {
 			return "", errors.New("response head is too long")
 		}
-		if err == nil && len(line) <= 2 && strings.TrimRight(string(line), "\r\n") == "" {
+		if err != nil {
+			continue
+		}
+		if line := string(b[start:]); line == "\r\n" || line == "\n" {
 			return string(b), nil
 		}
+		start = len(b)
 	}
 }
 
