fix(io/client): reject heads with lines that HTTP does not allow

Callers could get an answer in whose head the name of a field had a control byte or a separator, or a value had a control byte such as a lone carriage return or NUL, with that line passed on.

Cause: parseHead checked the name of a field for blanks only, and values and the reason of a status line not at all. What net/http would have rejected was accepted whenever the response had a Content-Length, since io/client then parses it itself. Lines without a colon, without a name, with a blank in the name or folded were rejected before; the test keeps these cases.

Change: the name has to be a token of RFC 9110; values and the reason may have no control byte but tabs. Such a response is an error that proves nothing, and its connection is closed.

--- a/io/client/head_test.go
+++ b/io/client/head_test.go
@@ -1,6 +1,7 @@
 package client_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -17,6 +18,23 @@
 	t.Run(name, func(t *testing.T) { synctest.Test(t, test) })
 }
 
+// rejects checks that a response is not accepted, that it proves nothing, and that its
+// connection is not used again. The replica closes the connection after the response.
+func rejects(t *testing.T, response string) {
+	t.Helper()
+	inBubble(t, "rejected", func(t *testing.T) {
+		r := &cutReplica{text: response}
+		cl := client.New(client.Options{Names: names, Dial: r.dial})
+		defer cl.Close()
+		if got := send(cl, "r"); got.Err == nil || got.NotRun {
+			t.Errorf("%q: got status %d, fields %q and body %q, want an error that proves nothing", response, got.Reply.Status, got.Reply.Fields, got.Reply.Body)
+		}
+		if n := cl.Connections(); n != 0 {
+			t.Errorf("%q: %d connections are open, want 0", response, n)
+		}
+	})
+}
+
 // accepts checks that a response is accepted with the body "ok".
 func accepts(t *testing.T, response string) {
 	t.Helper()
@@ -42,3 +60,45 @@
 		accepts(t, headStart+"Transfer-Encoding: chunked\r\n"+field+"\r\n\r\n2\r\nok\r\n0\r\n\r\n")
 	}
 }
+
+// TestOddLines guards against a line of a head that is no field, or a field whose name or
+// value has bytes that HTTP does not allow, in a response that is accepted or passed on.
+func TestOddLines(t *testing.T) {
+	lines := []string{
+		"no field", ": no name", " : no name", "X Y: z", "X-Y : z", " X-Y: z", "\tX-Y: z", "X-Y\t: z",
+		"X-Y: z\r\n folded", "X-Y: z\r\n\tfolded: z", "X-Y: a\rContent-Length: 1", "X-Y: z\r", "\r", " ", "\x00",
+		"X(Y): z", "X-Y=z: 1", "X-\xc3\xa9: z", "\"X-Y\": z", "X,Y: z", "X/Y: z", "{X}: z", "X-Y;: z", "X@Y: z", "<X>: z", "X[1]: z", "X\\Y: z", "X?: z",
+	}
+	for b := range byte(0x20) {
+		if b == '\n' {
+			continue // ends the line
+		}
+		lines = append(lines, fmt.Sprintf("X%cY: z", b))
+		if b != '\t' {
+			lines = append(lines, fmt.Sprintf("X-Y: a%cz", b))
+		}
+	}
+	lines = append(lines, "X\x7fY: z", "X-Y: a\x7fz")
+	for _, line := range lines {
+		rejects(t, headStart+line+"\r\nContent-Length: 2\r\n\r\nok")
+		rejects(t, headStart+"Content-Length: 2\r\n"+line+"\r\n\r\nok")
+		rejects(t, "HTTP/1.1 100 Continue\r\n"+line+"\r\n\r\n"+okResponse)
+	}
+	for _, line := range []string{"X-Empty:", "X-Spaces: a b\tc", "X-Obs: \xe9", "X-Colon: a:b", "x!#$%&'*+-.^_`|~1: z"} {
+		accepts(t, headStart+line+"\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+// TestOddStatusLines guards against a status line with bytes that HTTP does not allow.
+func TestOddStatusLines(t *testing.T) {
+	const rest = "\r\nReq-Id: r\r\nStamp: s\r\nContent-Length: 2\r\n\r\nok"
+	for _, line := range []string{
+		"HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 \x1b[2J", "HTTP/1.1 200 OK\x7f",
+		"HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", " HTTP/1.1 200 OK", "http/1.1 200 OK", "HTTP/1.2 200 OK", "HTTP/2 200 OK", "HTTP/1.1  200 OK",
+	} {
+		rejects(t, line+rest)
+	}
+	for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 200 Tr\xe8s bien", "HTTP/1.0 200 OK"} {
+		accepts(t, line+rest)
+	}
+}
--- a/io/client/response.go
+++ b/io/client/response.go
@@ -88,9 +88,9 @@
 	if !ok || proto != "HTTP/1.1" && proto != "HTTP/1.0" {
 		return response{}, errors.Errorf("invalid status line %q", shorten(line))
 	}
-	code, _, _ := strings.Cut(after, " ")
+	code, reason, _ := strings.Cut(after, " ")
 	status, ok := parseStatus(code)
-	if !ok {
+	if !ok || !validText(reason) {
 		return response{}, errors.Errorf("invalid status line %q", shorten(line))
 	}
 	res := response{status: status, fields: make([]core.Field, 0, 8), reuse: proto == "HTTP/1.1"}
@@ -101,7 +101,7 @@
 			break
 		}
 		name, value, ok := strings.Cut(line, ":")
-		if !ok || name == "" || strings.ContainsAny(name, " \t") {
+		if !ok || !validName(name) || !validText(value) {
 			return response{}, errors.Errorf("invalid header line %q", shorten(line))
 		}
 		res.fields = append(res.fields, core.Field{Name: name, Value: strings.Trim(value, " \t")})
@@ -110,6 +110,38 @@
 	return res, nil
 }
 
+// validName reports whether a text is the name of a field: a token.
+func validName(name string) bool {
+	for i := range len(name) {
+		if !nameBytes[name[i]] {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// nameBytes tells which bytes the name of a field may have.
+var nameBytes = func() (valid [256]bool) {
+	const symbols = "!#$%&'*+-.^_`|~"
+	const digits, letters = "0123456789", "abcdefghijklmnopqrstuvwxyz"
+	for _, b := range []byte(symbols + digits + letters + strings.ToUpper(letters)) {
+		valid[b] = true
+	}
+	return valid
+}()
+
+// validText reports whether a text has no control byte but tabs, as the value of a field and
+// the reason in a status line.
+func validText(text string) bool {
+	const firstPrintable, del = ' ', 0x7f
+	for i := range len(text) {
+		if b := text[i]; b < firstPrintable && b != '\t' || b == del {
+			return false
+		}
+	}
+	return true
+}
+
 // parseStatus parses the three digits of a status that HTTP defines.
 func parseStatus(code string) (int, bool) {
 	if len(code) != 3 || code[0] < '1' || code[0] > '5' || strings.Trim(code, "0123456789") != "" {
