refactor: io/heads, the heads of responses

io/client parsed heads beside its bodies and connections. The parser moves to a package of its own, so that io/remote can use it too. heads.Buffer finds the end of a head in bytes that arrive in pieces; it takes the place of readHead's loop and its allocations for each line.

--- a/io/client/client.go
+++ b/io/client/client.go
@@ -42,9 +42,6 @@
 	maxWait = 10 * time.Minute
 	// maxWarmup bounds the time for which a replica can state that it is cold.
 	maxWarmup = time.Hour
-	// maxHeadBytes bounds the head of a response, which usually has a few hundred
-	// bytes.
-	maxHeadBytes = 16 << 10
 	// maxInterim bounds the interim responses (status below 200) before the final one.
 	maxInterim = 4
 	// headTimeout bounds the time from the first byte of a head to its end. Pauses of a
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -352,13 +352,3 @@
 
 // close closes an idle connection that was removed from its pool, or not added to it.
 func (c *conn) close() { c.abort() }
-
-// hasToken reports whether a comma-separated list contains a token.
-func hasToken(list, token string) bool {
-	for part := range strings.SplitSeq(list, ",") {
-		if strings.EqualFold(strings.TrimSpace(part), token) {
-			return true
-		}
-	}
-	return false
-}
--- a/io/client/response.go
+++ b/io/client/response.go
@@ -12,10 +12,10 @@
 
 	"oriolebarrow/core"
 	"oriolebarrow/core/picker"
+	"oriolebarrow/io/heads"
 )
 
-// response is one parsed HTTP response. The head of a response is its status line and
-// its header fields.
+// response is one parsed HTTP response.
 type response struct {
 	status      int
 	fields      []core.Field
@@ -39,129 +39,56 @@
 func readResponse(r *bufio.Reader, method string, l limits, startTimeout func() (stop func())) (response, error) {
 	for range maxInterim + 1 {
 		stop := startTimeout()
-		head, err := readHead(r, maxHeadBytes)
+		head, err := readHead(r)
 		stop()
 		if err != nil {
 			return response{}, err
 		}
-		res, err := parseHead(head)
+		parsed, err := heads.Parse(head)
 		if err != nil {
 			return response{}, err
 		}
-		if res.status >= 200 {
+		if res := newResponse(parsed); res.status >= 200 {
 			return res, res.readBody(r, head, method, l)
 		}
-		if res.status == http.StatusSwitchingProtocols {
+		if parsed.Status() == http.StatusSwitchingProtocols {
 			return response{}, errors.New("unexpected protocol switch")
 		}
 	}
 	return response{}, errors.New("too many interim responses")
 }
 
-// readHead returns the lines up to and including the empty line that ends the head.
-func readHead(r *bufio.Reader, limit int) (string, error) {
-	var b []byte
-	start := 0 // of the current line, which may be longer than the buffer of r
-	for {
-		part, err := r.ReadSlice('\n')
-		b = append(b, part...)
-		if err != nil && err != bufio.ErrBufferFull {
+// readHead reads a head with the empty line that ends it.
+func readHead(r *bufio.Reader) (string, error) {
+	var head heads.Buffer
+	for complete := false; !complete; {
+		if _, err := r.Peek(1); err != nil {
 			return "", errors.Wrap(err, "read response head")
 		}
-		if len(b) > limit {
-			return "", errors.New("response head is too long")
-		}
+		received, err := r.Peek(r.Buffered())
 		if err != nil {
-			continue
-		}
-		if line := string(b[start:]); line == "\r\n" || line == "\n" {
-			return string(b), nil
-		}
-		start = len(b)
-	}
-}
-
-func parseHead(head string) (response, error) {
-	line, rest, _ := strings.Cut(head, "\n")
-	line = strings.TrimSuffix(line, "\r")
-	proto, after, ok := strings.Cut(line, " ")
-	if !ok || proto != "HTTP/1.1" && proto != "HTTP/1.0" {
-		return response{}, errors.Errorf("invalid status line %q", shorten(line))
-	}
-	code, reason, _ := strings.Cut(after, " ")
-	status, ok := parseStatus(code)
-	if !ok || !validText(reason) {
-		return response{}, errors.Errorf("invalid status line %q", shorten(line))
-	}
-	res := response{status: status, fields: make([]core.Field, 0, 8), reuse: proto == "HTTP/1.1"}
-	for rest != "" {
-		line, rest, _ = strings.Cut(rest, "\n")
-		line = strings.TrimSuffix(line, "\r")
-		if line == "" {
-			break
+			return "", errors.Wrap(err, "read response head")
 		}
-		name, value, ok := strings.Cut(line, ":")
-		if !ok || !validName(name) || !validText(value) {
-			return response{}, errors.Errorf("invalid header line %q", shorten(line))
+		n := 0
+		if n, complete, err = head.Add(received); err != nil {
+			return "", err
 		}
-		res.fields = append(res.fields, core.Field{Name: name, Value: strings.Trim(value, " \t")})
-	}
-	res.parseConnectionFields()
-	return res, nil
-}
-
-// validName reports whether a text is the name of a field: a token.
-func validName(name string) bool {
-	for i := range len(name) {
-		if !nameBytes[name[i]] {
-			return false
-		}
-	}
-	return name != ""
-}
-
-// nameBytes tells which bytes the name of a field may have.
-var nameBytes = func() (valid [256]bool) {
-	const symbols = "!#$%&'*+-.^_`|~"
-	const digits, letters = "0123456789", "abcdefghijklmnopqrstuvwxyz"
-	for _, b := range []byte(symbols + digits + letters + strings.ToUpper(letters)) {
-		valid[b] = true
-	}
-	return valid
-}()
-
-// validText reports whether a text has no control byte but tabs, as the value of a field and
-// the reason in a status line.
-func validText(text string) bool {
-	const firstPrintable, del = ' ', 0x7f
-	for i := range len(text) {
-		if b := text[i]; b < firstPrintable && b != '\t' || b == del {
-			return false
+		if _, err := r.Discard(n); err != nil {
+			return "", errors.Wrap(err, "read response head")
 		}
 	}
-	return true
+	return head.String(), nil
 }
 
-// parseStatus parses the three digits of a status that HTTP defines.
-func parseStatus(code string) (int, bool) {
-	if len(code) != 3 || code[0] < '1' || code[0] > '5' || strings.Trim(code, "0123456789") != "" {
-		return 0, false
-	}
-	status, err := strconv.Atoi(code)
-	return status, err == nil
-}
-
-func (res *response) parseConnectionFields() {
+// newResponse returns the response that a head begins.
+func newResponse(h heads.Head) response {
+	res := response{status: h.Status(), fields: h.Fields(), reuse: h.Reuse()}
 	for _, f := range res.fields {
-		switch {
-		case strings.EqualFold(f.Name, "Connection"):
-			if hasToken(f.Value, "close") {
-				res.reuse = false
-			}
-		case strings.EqualFold(f.Name, "Keep-Alive"):
+		if strings.EqualFold(f.Name, "Keep-Alive") {
 			res.idleTimeout = keepAliveTimeout(f.Value)
 		}
 	}
+	return res
 }
 
 // readBody reads the body. A body without a Content-Length, which is rare, is parsed
