fix(io/client): reject heads that don't tell where the body ends

Callers could get a 200 whose body was not the replica's: the raw chunks of a response whose Transfer-Encoding had been damaged or that named HTTP/1.0, an empty body for "Content-Length: -0", or the body of a response that stated two different lengths by both fields.

Cause: strconv.Atoi takes signs; a Transfer-Encoding made the Content-Length count for nothing; net/http ignores chunks in HTTP/1.0; and a head without a length always meant a body that ends with the connection, even if the head announced that the connection stays open. A status of 204 or an interim one dropped the body that the head stated.

Change: heads.Parse takes digits only, one Transfer-Encoding that is chunked, no length beside it, no body where the status has none. A response without a length is accepted as before (replicas may send it), unless Keep-Alive or Connection state that its connection stays open: then the head has lost its length.

Evidence: before the fix 9 cases of TestOddLengths failed and, of TestOddHeads, the three in which a caller of io/front got such an answer; all pass with it.

--- a/io/client/head_test.go
+++ b/io/client/head_test.go
@@ -102,3 +102,44 @@
 		accepts(t, line+rest)
 	}
 }
+
+// TestOddLengths guards against a head that does not tell the length of the body, or
+// contradicts itself about it, in a response that is accepted: its body may be cut off, or
+// have bytes that are not part of it.
+func TestOddLengths(t *testing.T) {
+	for _, fields := range []string{
+		"Content-Length: +2", "Content-Length: -0", "Content-Length: -2", "Content-Length:", "Content-Length: 2x", "Content-Length: 0x2",
+		"Content-Length: 2 0", "Content-Length: 2,2", "Content-Length: 2.0", "Content-Length: \xd9\xa2", "Content-Length: 99999999999999999999",
+		"Content-Length: 2\r\nContent-Length: 1", "Content-Length: 1\r\ncontent-length: 2",
+		"Content-Length: 2\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 2",
+	} {
+		rejects(t, headStart+fields+"\r\n\r\nok")
+	}
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	for _, fields := range []string{
+		"Transfer-Encoding: chunkes", "Transfer-Encoding:", "Transfer-Encoding: identity", "Transfer-Encoding: gzip, chunked",
+		"Transfer-Encoding: chunked, chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked;x=y",
+		"Content-Length: 12\r\nTransfer-Encoding: chunked",
+	} {
+		rejects(t, headStart+fields+"\r\n\r\n"+chunks)
+	}
+	// HTTP/1.0 has no chunks.
+	rejects(t, "HTTP/1.0 200 OK\r\nReq-Id: r\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks)
+	// The connection of a response without a length can't stay open.
+	for _, fields := range []string{"Keep-Alive: timeout=10", "Connection: keep-alive", "Transfer-Encodinh: chunked\r\nKeep-Alive: timeout=10"} {
+		rejects(t, headStart+fields+"\r\n\r\n"+chunks)
+	}
+	for _, status := range []string{"204 No Content", "100 Continue", "103 Early Hints"} {
+		rejects(t, "HTTP/1.1 "+status+"\r\nReq-Id: r\r\nStamp: s\r\nContent-Length: 2\r\n\r\nok"+okResponse)
+		rejects(t, "HTTP/1.1 "+status+"\r\nReq-Id: r\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks+okResponse)
+	}
+	for _, fields := range []string{
+		"Content-Length: 2", "Content-Length: 002", "Content-Length: 2\r\nContent-Length: 2",
+		"Connection: close", "Connection: close\r\nKeep-Alive: timeout=10", "X-More: m",
+	} {
+		accepts(t, headStart+fields+"\r\n\r\nok")
+	}
+	for _, value := range []string{"chunked", "Chunked"} {
+		accepts(t, headStart+"Keep-Alive: timeout=10\r\nTransfer-Encoding: "+value+"\r\n\r\n"+chunks)
+	}
+}
--- a/io/client/response.go
+++ b/io/client/response.go
@@ -44,12 +44,12 @@
 		if err != nil {
 			return response{}, err
 		}
-		parsed, err := heads.Parse(head)
+		parsed, err := heads.Parse(head, method)
 		if err != nil {
 			return response{}, err
 		}
 		if res := newResponse(parsed); res.status >= 200 {
-			return res, res.readBody(r, head, method, l)
+			return res, res.readBody(r, head, parsed.Length(), method, l)
 		}
 		if parsed.Status() == http.StatusSwitchingProtocols {
 			return response{}, errors.New("unexpected protocol switch")
@@ -91,22 +91,16 @@
 	return res
 }
 
-// readBody reads the body. A body without a Content-Length, which is rare, is parsed
-// by net/http.
-func (res *response) readBody(r *bufio.Reader, head, method string, l limits) error {
-	if method == http.MethodHead || res.status == http.StatusNoContent || res.status == http.StatusNotModified {
-		return nil
-	}
-	length, known, err := res.length()
-	if err != nil {
-		return err
-	}
-	if !known {
+// readBody reads a body of a length that heads.Head.Length returned. A body that is chunked or
+// ends with the connection is parsed by net/http.
+func (res *response) readBody(r *bufio.Reader, head string, length int, method string, l limits) error {
+	switch {
+	case length < 0:
 		return res.readUnsized(r, head, method, l)
-	}
-	if length > l.bodyBytes {
+	case length > l.bodyBytes:
 		return errTooLong
 	}
+	var err error
 	res.body, err = l.read(r, length)
 	if err == nil && len(res.body) < length {
 		err = io.ErrUnexpectedEOF
@@ -114,23 +108,6 @@
 	return errors.Wrap(err, "read response body")
 }
 
-// length returns the length of the body, if the head states it.
-func (res *response) length() (n int, known bool, err error) {
-	for _, f := range res.fields {
-		switch {
-		case strings.EqualFold(f.Name, "Transfer-Encoding"):
-			return 0, false, nil
-		case strings.EqualFold(f.Name, "Content-Length"):
-			v, err := strconv.Atoi(f.Value)
-			if err != nil || v < 0 || known && v != n {
-				return 0, false, errors.Errorf("invalid content length %q", shorten(f.Value))
-			}
-			n, known = v, true
-		}
-	}
-	return n, known, nil
-}
-
 // readUnsized reads a body that is chunked or ends with the connection. net/http parses
 // the whole response, so it gets the head once more.
 func (res *response) readUnsized(r *bufio.Reader, head, method string, l limits) error {
--- a/io/front/head_test.go
+++ b/io/front/head_test.go
@@ -7,7 +7,11 @@
 
 // TestOddHeads guards against a response of a replica whose head is broken reaching a caller.
 func TestOddHeads(t *testing.T) {
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
 	for _, rest := range []string{
+		"Content-Length: +2\r\n\r\nok",
+		"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"Transfer-Encodinh: chunked\r\nKeep-Alive: timeout=10\r\n\r\n" + chunks,
 		"Content-Length: 2\r\nno field\r\n\r\nok",
 		"Content-Length: 2\r\nX Y: z\r\n\r\nok",
 		"Content-Length: 2\r\nX\x01Y: z\r\n\r\nok",
--- a/io/heads/heads.go
+++ b/io/heads/heads.go
@@ -7,11 +7,12 @@
 //
 //	var b heads.Buffer
 //	n, complete, err := b.Add(received) // until complete
-//	h, err := heads.Parse(b.String())
-//	body := received[n:]
+//	h, err := heads.Parse(b.String(), http.MethodGet)
+//	switch h.Length() { ... } // of the body, which begins at received[n:]
 package heads
 
 import (
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -20,15 +21,24 @@
 	"oriolebarrow/core"
 )
 
+// Lengths of bodies whose head states no number of bytes.
+const (
+	Chunked    = -1 // the body has chunks, of which the last one is empty
+	UntilClose = -2 // the body ends with the connection
+)
+
 // Head is the parsed head of a response, final or interim.
 type Head struct {
 	status int
 	fields []core.Field
+	http10 bool
 	reuse  bool
+	length int
 }
 
-// Parse parses a head with the empty line that ends it.
-func Parse(text string) (Head, error) {
+// Parse parses the head of a response to a request with a method, with the empty line that
+// ends it.
+func Parse(text, method string) (Head, error) {
 	line, rest := cutLine(text)
 	h, err := parseStatusLine(line)
 	if err != nil {
@@ -46,12 +56,13 @@
 		}
 		h.fields = append(h.fields, core.Field{Name: name, Value: strings.Trim(value, " \t")})
 	}
-	for _, f := range h.fields {
-		if strings.EqualFold(f.Name, "Connection") && hasToken(f.Value, "close") {
-			h.reuse = false
-		}
+	f, err := parseFraming(h.fields)
+	if err != nil {
+		return Head{}, err
 	}
-	return h, nil
+	h.reuse = !h.http10 && !f.closes
+	h.length, err = h.bodyLength(f, method)
+	return h, err
 }
 
 // Status returns the status.
@@ -63,6 +74,64 @@
 // Reuse reports whether the connection can carry another request after the response.
 func (h *Head) Reuse() bool { return h.reuse }
 
+// Length returns the length of the body in bytes, Chunked or UntilClose.
+func (h *Head) Length() int { return h.length }
+
+// bodyLength returns the length of the body. A head that contradicts itself is an error: the
+// field that states the length may be missing or wrong.
+func (h *Head) bodyLength(f framing, method string) (int, error) {
+	interim := h.status < http.StatusOK
+	empty := interim || h.status == http.StatusNoContent
+	switch {
+	case f.chunked && (h.http10 || f.sized):
+		return 0, errors.New("chunks in a response of HTTP/1.0 or with a content length")
+	case empty && (f.chunked || f.length > 0):
+		return 0, errors.Errorf("body in a response with status %d", h.status)
+	case empty, method == http.MethodHead, h.status == http.StatusNotModified:
+		return 0, nil
+	case f.chunked:
+		return Chunked, nil
+	case f.sized:
+		return f.length, nil
+	case f.keepsOpen && !f.closes:
+		return 0, errors.New("no length of the body, though the connection stays open")
+	}
+	return UntilClose, nil
+}
+
+// framing is what the fields of a head state on the end of the response.
+type framing struct {
+	sized, chunked bool
+	length         int // set if sized is
+	closes         bool
+	keepsOpen      bool // stated explicitly
+}
+
+func parseFraming(fields []core.Field) (framing, error) {
+	var f framing
+	for _, field := range fields {
+		switch {
+		case strings.EqualFold(field.Name, "Content-Length"):
+			n, err := strconv.Atoi(field.Value)
+			if err != nil || !digits(field.Value) || f.sized && n != f.length {
+				return framing{}, errors.Errorf("invalid content length %q", shorten(field.Value))
+			}
+			f.sized, f.length = true, n
+		case strings.EqualFold(field.Name, "Transfer-Encoding"):
+			if f.chunked || !strings.EqualFold(field.Value, "chunked") {
+				return framing{}, errors.Errorf("invalid transfer encoding %q", shorten(field.Value))
+			}
+			f.chunked = true
+		case strings.EqualFold(field.Name, "Connection"):
+			f.closes = f.closes || hasToken(field.Value, "close")
+			f.keepsOpen = f.keepsOpen || hasToken(field.Value, "keep-alive")
+		case strings.EqualFold(field.Name, "Keep-Alive"):
+			f.keepsOpen = true
+		}
+	}
+	return f, nil
+}
+
 // cutLine returns the first line of a text without its end, and the text after it.
 func cutLine(text string) (line, rest string) {
 	line, rest, _ = strings.Cut(text, "\n")
@@ -76,7 +145,7 @@
 	if !ok || !valid || !validText(reason) || proto != "HTTP/1.1" && proto != "HTTP/1.0" {
 		return Head{}, errors.Errorf("invalid status line %q", shorten(line))
 	}
-	return Head{status: status, reuse: proto == "HTTP/1.1"}, nil
+	return Head{status: status, http10: proto == "HTTP/1.0"}, nil
 }
 
 // parseStatus parses the three digits of a status that HTTP defines.
