fix(io/remote): bound the heads of backend servers' answers

A backend server that sends a head without end made a host of the product's own interface keep up to 10 MiB for each call, charged to nobody: with many calls the host runs out of memory, and the requests of other callers end with it.

Cause: http.Transport allows 10 MiB for a head, also for short fields, each of which costs several times its size as an entry of a map. The bodies were bounded and charged before.

--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -26,6 +26,7 @@
 
 	"oriolebarrow/core"
 	"oriolebarrow/core/pause"
+	"oriolebarrow/io/heads"
 )
 
 const (
@@ -115,11 +116,12 @@
 	connections = max(1, connections)
 	client := &http.Client{
 		Transport: &http.Transport{
-			DialContext:         c.dialer(connections),
-			MaxConnsPerHost:     connections,
-			MaxIdleConnsPerHost: connections,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+			DialContext:            c.dialer(connections),
+			MaxConnsPerHost:        connections,
+			MaxIdleConnsPerHost:    connections,
+			IdleConnTimeout:        idleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: heads.MaxBytes, // 10 MiB in net/http
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
