fix(io/remote): reject broken heads of backend servers' answers

A host of the product's own interface took an answer with a broken head for rows, or for proof that a call had not run: an order could then run a second time on another server.

Cause: net/http accepts folded lines, names with blanks, other versions of the protocol, and a head without a length whose connection stays open.

Change: the connection checks the head of each response with heads.Parse, as io/client does, and fails instead of returning its last bytes to net/http. The trace of a request tells it when a response begins.

--- a/io/heads/buffer.go
+++ b/io/heads/buffer.go
@@ -55,5 +55,10 @@
 // String returns the bytes added.
 func (b *Buffer) String() string { return string(b.head) }
 
-// Reset empties the buffer.
-func (b *Buffer) Reset() { b.head, b.line = b.head[:0], 0 }
+// Reset empties the buffer. It keeps no more memory than most heads need.
+func (b *Buffer) Reset() {
+	b.head, b.line = b.head[:0], 0
+	if cap(b.head) > usualBytes {
+		b.head = nil
+	}
+}
--- a/io/remote/conns.go
+++ b/io/remote/conns.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 
 	"oriolebarrow/core"
+	"oriolebarrow/io/heads"
 )
 
 // connCounter counts the open connections by address. It has its own lock, since
@@ -52,11 +54,59 @@
 	}}, nil
 }
 
-// countedConn calls onClose when it is closed for the first time.
+// countedConn is a connection that checks the heads of responses, which net/http does not do
+// strictly, and calls onClose when it is closed for the first time.
 type countedConn struct {
 	net.Conn
 	once    sync.Once
 	onClose func()
+
+	mu     sync.Mutex   // guards the fields below
+	method string       // of the request whose response has not begun; empty if none
+	head   heads.Buffer // the start of that response
+}
+
+// expectResponse makes c check the response to a request that is about to be sent.
+func (c *countedConn) expectResponse(method string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.method = method
+	c.head.Reset()
+}
+
+// Read implements the Read method of net.Conn. It fails instead of returning the end of a head
+// that breaks the protocol.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if headErr := c.check(p[:n]); headErr != nil {
+		return 0, headErr
+	}
+	return n, err
+}
+
+// check checks received bytes up to the end of the final head of a response.
+func (c *countedConn) check(received []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.method != "" && len(received) > 0 {
+		n, complete, err := c.head.Add(received)
+		if err != nil {
+			return err
+		}
+		if !complete {
+			return nil
+		}
+		received = received[n:]
+		h, err := heads.Parse(c.head.String(), c.method)
+		if err != nil {
+			return err
+		}
+		c.head.Reset()
+		if h.Status() >= http.StatusOK {
+			c.method = ""
+		}
+	}
+	return nil
 }
 
 // Close implements the Close method of net.Conn.
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -372,9 +372,13 @@
 		reader = body
 		size = n
 	}
-	var conn atomic.Pointer[net.Conn]
+	var conn atomic.Pointer[countedConn]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			got := info.Conn.(*countedConn) // what dialer returns
+			got.expectResponse(r.method)
+			conn.Store(got)
+		},
 	})
 	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+r.address+r.path, reader)
 	if err != nil {
@@ -403,7 +407,7 @@
 	if resp.Header.Get(CallIDHeader) != callID {
 		c.meter.Count("remote_wrong_call", 1)
 		// The response to this call may still come, so no other call can use the connection.
-		_ = (*conn.Load()).Close()
+		_ = conn.Load().Close()
 		return &core.CallError{Op: r.op, Target: r.address, Reason: core.ReasonWrongAnswer, Cause: errOtherCall}
 	}
 	if resp.StatusCode != http.StatusOK {
