fix(io/remote): reject a switch of protocols that nobody asked for

A backend server that answered 101 with an Upgrade field and then nothing held a call beyond its deadline, and its slot with it.

Cause: net/http hands the connection over to the caller with such a response, and its body no longer ends with the context of the request.

Change: heads.Parse rejects the status, for both clients; io/client did so before.

Evidence: in TestProtocolSwitch, with a deadline of one second, the call ended after 1 h, when the stand-in closed the connection; with the fix it ends at once.

--- a/io/client/response.go
+++ b/io/client/response.go
@@ -51,9 +51,6 @@
 		if res := newResponse(parsed); res.status >= 200 {
 			return res, res.readBody(r, head, parsed.Length(), method, l)
 		}
-		if parsed.Status() == http.StatusSwitchingProtocols {
-			return response{}, errors.New("unexpected protocol switch")
-		}
 	}
 	return response{}, errors.New("too many interim responses")
 }
--- a/io/heads/heads.go
+++ b/io/heads/heads.go
@@ -56,6 +56,9 @@
 		}
 		h.fields = append(h.fields, core.Field{Name: name, Value: strings.Trim(value, " \t")})
 	}
+	if h.status == http.StatusSwitchingProtocols {
+		return Head{}, errors.New("unexpected protocol switch") // no request asks for one
+	}
 	f, err := parseFraming(h.fields)
 	if err != nil {
 		return Head{}, err
--- a/io/remote/head_test.go
+++ b/io/remote/head_test.go
@@ -1,6 +1,7 @@
 package remote_test
 
 import (
+	"context"
 	"errors"
 	"strings"
 	"testing"
@@ -51,3 +52,23 @@
 		})
 	})
 }
+
+// TestProtocolSwitch guards against a call that waits for the rest of an answer beyond its
+// deadline: a server that claims to switch protocols, and then sends nothing, must not hold it.
+func TestProtocolSwitch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pipeServer{response: "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n", silence: time.Hour}
+		client := remote.New(remote.Options{Connections: 1, Dial: p.dial})
+		begin := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := client.Read(ctx, "b", core.ReadCall{Snapshot: 41, Shard: 3, Deadline: begin.Add(time.Second)})
+		took := time.Since(begin)
+		client.Close()
+		p.wg.Wait()
+		var call *core.CallError
+		if !errors.As(err, &call) || call.NotRun || took > time.Second {
+			t.Errorf("error %v after %v, want one that proves nothing within a second", err, took)
+		}
+	})
+}
--- a/io/remote/response_test.go
+++ b/io/remote/response_test.go
@@ -22,6 +22,7 @@
 type pipeServer struct {
 	response string
 	delay    time.Duration
+	silence  time.Duration // before the connection is closed
 
 	mu        sync.Mutex
 	openConns int
@@ -44,6 +45,7 @@
 		_, _ = io.Copy(io.Discard, req.Body)
 		time.Sleep(p.delay)
 		_, _ = io.WriteString(server, echoCallID(p.response, req))
+		time.Sleep(p.silence)
 	})
 	return &countedConn{Conn: client, parent: p}, nil
 }
