--- a/io/heads/heads.go
+++ b/io/heads/heads.go
@@ -86,7 +86,7 @@
 	interim := h.status < http.StatusOK
 	empty := interim || h.status == http.StatusNoContent
 	switch {
-	case f.chunked && (h.http10 || f.sized):
+	case f.chunked && (h.http10 || f.sized()):
 		return 0, errors.New("chunks in a response of HTTP/1.0 or with a content length")
 	case empty && (f.chunked || f.length > 0):
 		return 0, errors.Errorf("body in a response with status %d", h.status)
@@ -94,7 +94,7 @@
 		return 0, nil
 	case f.chunked:
 		return Chunked, nil
-	case f.sized:
+	case f.sized():
 		return f.length, nil
 	case f.keepsOpen && !f.closes:
 		return 0, errors.New("no length of the body, though the connection stays open")
@@ -104,22 +104,26 @@
 
 // framing is what the fields of a head state on the end of the response.
 type framing struct {
-	sized, chunked bool
-	length         int // set if sized is
-	closes         bool
-	keepsOpen      bool // stated explicitly
+	chunked   bool
+	size      string // as the head states it; empty if it does not
+	length    int    // size as a number
+	closes    bool
+	keepsOpen bool // stated explicitly
 }
 
+// sized reports whether the head states the number of bytes of the body.
+func (f *framing) sized() bool { return f.size != "" }
+
 func parseFraming(fields []core.Field) (framing, error) {
 	var f framing
 	for _, field := range fields {
 		switch {
 		case strings.EqualFold(field.Name, "Content-Length"):
 			n, err := strconv.Atoi(field.Value)
-			if err != nil || !digits(field.Value) || f.sized && n != f.length {
+			if err != nil || !digits(field.Value) || f.sized() && f.size != field.Value {
 				return framing{}, errors.Errorf("invalid content length %q", shorten(field.Value))
 			}
-			f.sized, f.length = true, n
+			f.size, f.length = field.Value, n
 		case strings.EqualFold(field.Name, "Transfer-Encoding"):
 			if f.chunked || !strings.EqualFold(field.Value, "chunked") {
 				return framing{}, errors.Errorf("invalid transfer encoding %q", shorten(field.Value))
