fix(bench/soak): sockets don't count as a host that reads without end

Cause: the replica stops at 16 MiB, 8 MiB for the host's limit on a body and as much for the sockets between them.

Change: the stand-ins limit the buffers of their sockets to 128 KiB. The sender moves to standin/flood, for other stand-ins.

--- a/bench/soak/export_test.go
+++ b/bench/soak/export_test.go
@@ -3,11 +3,11 @@
 import (
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"oriolebarrow/core"
 	"oriolebarrow/platform"
+	"oriolebarrow/standin/flood"
 )
 
 // Proxy exposes proxy to tests.
@@ -52,11 +52,13 @@
 	return c.g.report.BrokenPromises
 }
 
-// SendEndless makes a replica send an endless response.
-func (c Checker) SendEndless(w http.ResponseWriter) {
+// SendEndless makes a replica send an endless response, until a write takes longer than
+// writeTimeout. It returns how many bytes were accepted.
+func (c Checker) SendEndless(w http.ResponseWriter, writeTimeout time.Duration) int64 {
 	r := &replica{instance: core.Instance{ID: "i-1"}}
 	c.g.replicas = append(c.g.replicas, r)
-	r.sendEndless(w, "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", endlessChunkBytes))
+	r.sendEndless(w, flood.Body("HTTP/1.1 200 OK\r\n\r\n", flood.Options{Max: maxEndlessBytes, Interval: endlessInterval, WriteTimeout: writeTimeout}))
+	return r.maxAccepted.Load()
 }
 
 // AddColdRequests records requests that a cold replica gets at given times.
--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"oriolebarrow/standin/flood"
 )
 
 // Fault is what a proxy does to its connections.
@@ -129,6 +131,7 @@
 
 // add registers a connection. It returns false if new connections are to be reset.
 func (p *proxy) add(c net.Conn) bool {
+	flood.LimitBuffers(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.fault == Reset {
--- a/bench/soak/replica.go
+++ b/bench/soak/replica.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"oriolebarrow/core"
+	"oriolebarrow/standin/flood"
 )
 
 const (
@@ -96,15 +96,11 @@
 const waitSeconds = "0.8"
 
 const (
-	// An endless response is sent in chunks of endlessChunkBytes, one every endlessInterval:
-	// fast enough to exceed each of a host's limits within a second.
-	endlessChunkBytes = 16 << 10
-	endlessInterval   = time.Millisecond
-	// endlessWriteTimeout ends a write to a host that is paused and does not read.
-	endlessWriteTimeout = 30 * time.Second
 	// maxEndlessBytes is how much of one response a host may accept: its limit on a body, plus
 	// what the sockets between replica and host buffer.
 	maxEndlessBytes = 16 << 20
+	// endlessInterval is short enough to exceed each of a host's limits within a second.
+	endlessInterval = time.Millisecond
 )
 
 // replica is a stand-in for a backend server on the users' platform. Hosts reach it through a
@@ -247,12 +243,13 @@
 	case <-req.Context().Done():
 	}
 	h.Set(r.names.Stamp, r.journal.add(id, r.instance))
+	endless := flood.Options{Max: maxEndlessBytes, Interval: endlessInterval}
 	switch fault {
 	case replicaEndlessHead:
-		r.sendEndless(w, "HTTP/1.1 200 OK\r\n", "X-More: "+strings.Repeat("x", endlessChunkBytes)+"\r\n")
+		r.sendEndless(w, flood.Head("HTTP/1.1 200 OK\r\n", endless))
 		return
 	case replicaEndlessBody:
-		r.sendEndless(w, "HTTP/1.1 200 OK\r\n"+r.names.RequestID+": "+id+"\r\n\r\n", strings.Repeat("x", endlessChunkBytes))
+		r.sendEndless(w, flood.Body("HTTP/1.1 200 OK\r\n"+r.names.RequestID+": "+id+"\r\n\r\n", endless))
 		return
 	case replicaFails:
 		w.WriteHeader(http.StatusInternalServerError)
@@ -295,24 +292,9 @@
 	}
 }
 
-// sendEndless sends first and then next again and again, until the host closes the
-// connection or has accepted more than maxEndlessBytes.
-func (r *replica) sendEndless(w http.ResponseWriter, first, next string) {
-	c, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return // the host closed the connection
-	}
-	defer func() { _ = c.Close() }()
-	sent := int64(0)
-	for text := first; sent <= maxEndlessBytes; text = next {
-		_ = c.SetWriteDeadline(time.Now().Add(endlessWriteTimeout)) // if this fails, the write fails too
-		n, err := io.WriteString(c, text)
-		sent += int64(n)
-		if err != nil {
-			break
-		}
-		time.Sleep(endlessInterval)
-	}
+// sendEndless sends an endless response and records how much of it a host accepted.
+func (r *replica) sendEndless(w http.ResponseWriter, endless flood.Response) {
+	sent := endless.Send(w)
 	for {
 		largest := r.maxAccepted.Load()
 		if sent <= largest || r.maxAccepted.CompareAndSwap(largest, sent) {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -246,7 +246,7 @@
 					_ = near.Close()
 				}()
 				checker := soak.NewChecker()
-				checker.SendEndless(hijackWriter{conn: far})
+				checker.SendEndless(hijackWriter{conn: far}, time.Minute)
 				broken := strings.Join(checker.BrokenPromises(), "; ")
 				if (broken == "") != (c.want == "") || !strings.Contains(broken, c.want) {
 					t.Errorf("got %q, want %q", broken, c.want)
@@ -256,6 +256,43 @@
 	}
 }
 
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// TestEndlessResponseToPausedHost guards against sockets between a replica and a host that take
+// up so much of an endless response that a host which is paused seems to read it. What they
+// take must be far less than the allowance for it, half of the bytes that a host may accept.
+func TestEndlessResponseToPausedHost(t *testing.T) {
+	const bodyLimit, allowance = 8 << 20, 4 << 20
+	replicas, hosts := listen(t), listen(t)
+	p := soak.StartProxy(hosts, func() (net.Conn, error) { return net.Dial("tcp", replicas.Addr().String()) })
+	defer p.Close()
+	host, err := net.Dial("tcp", hosts.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = host.Close() }()
+	go func() { _, _ = io.CopyN(io.Discard, host, bodyLimit) }() // and is paused then
+	far, err := replicas.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	checker := soak.NewChecker()
+	if n := checker.SendEndless(hijackWriter{conn: far}, time.Second); n > bodyLimit+allowance {
+		t.Errorf("%d bytes were sent to a host that read %d, want at most %d more", n, bodyLimit, allowance)
+	}
+	if broken := checker.BrokenPromises(); len(broken) != 0 {
+		t.Errorf("got %q, want no broken promise", broken)
+	}
+}
+
 // TestColdChecks guards against a run that passes although a cold replica got too many requests in
 // a second, and against one that fails although it did not.
 func TestColdChecks(t *testing.T) {
