test(bench/crowd): replicas and backend servers that send bytes without end

Six cases with real processes: heads and bodies without end to one gateway host, to four of them that divide queries, and to four hosts of the product's own interface, a quarter of whose answers have no end. The crowd and the bounds are those of the other cases.

--- a/bench/crowd/crowd.go
+++ b/bench/crowd/crowd.go
@@ -205,6 +205,9 @@
 // replica answers as a backend server does.
 func (h *Host) replica(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // fails only if the host has left
+	if answerEndless(w, r, h.names) {
+		return
+	}
 	w.Header().Set(h.names.Instance, "i-1")
 	w.Header().Set(h.names.RequestID, r.Header.Get(h.names.RequestID))
 	w.Header().Set(h.names.Stamp, "stamp")
--- a/bench/crowd/fleet.go
+++ b/bench/crowd/fleet.go
@@ -79,7 +79,7 @@
 		doc.Routes[0].Gather = append(doc.Routes[0].Gather, s)
 		doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: s, HealthPath: "/healthz", Connections: 40})
 		for j := range 2 {
-			r := part{names: platform.Names(), id: fmt.Sprintf("i-%d-%d", i, j), stalls: j == 0}
+			r := part{names: platform.Names(), id: fmt.Sprintf("i-%d-%d", i, j), faulty: j == 0}
 			a := address(standInIP, 9000+2*i+j)
 			if err := f.serve(a, r); err != nil {
 				return err
@@ -104,15 +104,18 @@
 type part struct {
 	names  core.HeaderNames
 	id     string
-	stalls bool // does not serve queries to StalledPath
+	faulty bool // does not serve queries to StalledPath, HeadQueryPath and BodyQueryPath
 }
 
 // ServeHTTP implements http.Handler.
 func (p part) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if p.stalls && r.URL.Path == StalledPath {
+	if p.faulty && r.URL.Path == StalledPath {
 		time.Sleep(stallTime)
 	}
 	_, _ = io.Copy(io.Discard, r.Body) // fails only if the host has left
+	if p.faulty && answerEndless(w, r, p.names) {
+		return
+	}
 	time.Sleep(replicaWork)
 	h := w.Header()
 	h.Set(p.names.Instance, p.id)
--- a/bench/crowd/fleet_test.go
+++ b/bench/crowd/fleet_test.go
@@ -205,6 +205,21 @@
 	})
 }
 
+func startServeFleet(t *testing.T, rowBytes int) *crowd.Fleet {
+	t.Helper()
+	f, err := crowd.StartServeFleet(crowd.Options{Program: program, Dir: t.TempDir()}, rowBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// serveNames returns the fields of a request that name the caller and the service.
+func serveNames() string {
+	return fmt.Sprintf(`"caller":%q,"service":%q`, crowd.ServeCaller, crowd.ServeService)
+}
+
 // serveRequest returns a request to the product's own interface.
 func serveRequest(path, body string) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
@@ -219,7 +234,7 @@
 // TestServeFleet guards against hosts of the product's own interface that end because of the
 // copies of what their clients sent, or of what the backend servers answered.
 func TestServeFleet(t *testing.T) {
-	names := fmt.Sprintf(`"caller":%q,"service":%q`, crowd.ServeCaller, crowd.ServeService)
+	names := serveNames()
 	query := serveRequest("/v1/query", padded(names))
 	smallQuery := serveRequest("/v1/query", "{"+names+`,"body":{}}`)
 	for name, c := range map[string]struct {
@@ -233,12 +248,7 @@
 		"large rows, unread": {largeRowBytes, unread(smallQuery)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f, err := crowd.StartServeFleet(crowd.Options{Program: program, Dir: t.TempDir()}, c.rowBytes)
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(f.Close)
-			misuseFleet(t, f, c.send, nil)
+			misuseFleet(t, startServeFleet(t, c.rowBytes), c.send, nil)
 		})
 	}
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -24,6 +24,7 @@
 
 	"oriolebarrow/core"
 	"oriolebarrow/io/remote"
+	"oriolebarrow/standin/flood"
 )
 
 const (
@@ -35,19 +36,22 @@
 
 // Faults is the state of one server and the faults that it simulates.
 type Faults struct {
-	State      string          `json:"state"`       // ready, cold or draining
-	SlowFactor float64         `json:"slow_factor"` // multiplies every service time
-	ColdFactor float64         `json:"cold_factor"` // multiplies service times of a cold server
-	Shed       float64         `json:"shed"`        // share of calls refused as busy
-	Corrupt    float64         `json:"corrupt"`     // share of answers with a flipped byte
-	Truncate   float64         `json:"truncate"`    // share of answers cut to half their length
-	WrongShard float64         `json:"wrong_shard"` // share of answers for another shard
-	Reset      float64         `json:"reset"`       // share of calls that run but whose connection closes without an answer
-	Lost       bool            `json:"lost"`        // every connection closes without an answer
-	Stuck      bool            `json:"stuck"`       // calls end only when they are cancelled
-	Snapshots  []SnapshotState `json:"snapshots"`   // snapshots that the server holds
-	LoadLagMS  int64           `json:"load_lag_ms"` // minimum age of the reported load
-	LoadBias   int             `json:"load_bias"`   // added to the reported load
+	State      string  `json:"state"`       // ready, cold or draining
+	SlowFactor float64 `json:"slow_factor"` // multiplies every service time
+	ColdFactor float64 `json:"cold_factor"` // multiplies service times of a cold server
+	Shed       float64 `json:"shed"`        // share of calls refused as busy
+	Corrupt    float64 `json:"corrupt"`     // share of answers with a flipped byte
+	Truncate   float64 `json:"truncate"`    // share of answers cut to half their length
+	WrongShard float64 `json:"wrong_shard"` // share of answers for another shard
+	Reset      float64 `json:"reset"`       // share of calls that run but whose connection closes without an answer
+	// EndlessHead and EndlessBody are shares of answers whose head or body has no end.
+	EndlessHead float64         `json:"endless_head"`
+	EndlessBody float64         `json:"endless_body"`
+	Lost        bool            `json:"lost"`        // every connection closes without an answer
+	Stuck       bool            `json:"stuck"`       // calls end only when they are cancelled
+	Snapshots   []SnapshotState `json:"snapshots"`   // snapshots that the server holds
+	LoadLagMS   int64           `json:"load_lag_ms"` // minimum age of the reported load
+	LoadBias    int             `json:"load_bias"`   // added to the reported load
 }
 
 // SnapshotState lists the shards of one snapshot that a server holds.
@@ -378,6 +382,16 @@
 	if s.chance(f.Reset) && closeConn(w) {
 		return
 	}
+	const head = "HTTP/1.1 200 OK\r\n"
+	o := flood.Options{Interval: time.Millisecond}
+	switch {
+	case s.chance(f.EndlessHead):
+		flood.Head(head, o).Send(w)
+		return
+	case s.chance(f.EndlessBody):
+		flood.Body(head+remote.CallIDHeader+": "+w.Header().Get(remote.CallIDHeader)+"\r\n\r\n", o).Send(w)
+		return
+	}
 	w.Header().Set(remote.ChecksumHeader, remote.Checksum(raw))
 	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 	switch {
