test(bench/soak): responses with spoilt heads, backend servers without end

Replicas answer with heads that don't tell where the body ends or hold a line that is no field; backend servers with heads and bodies without end.

--- a/bench/soak/gateway.go
+++ b/bench/soak/gateway.go
@@ -231,7 +231,7 @@
 	}
 	return target{
 		name:   "all replicas of orders",
-		faults: []string{replicaRepeats, replicaWaits, replicaLeaves, replicaCold},
+		faults: []string{replicaRepeats, replicaWaits, replicaLeaves, replicaCold, replicaSpoils},
 		set: func(fault string) {
 			for _, r := range replicas {
 				r.setFault(fault)
--- a/bench/soak/replica.go
+++ b/bench/soak/replica.go
@@ -118,7 +118,8 @@
 	retire      func(core.InstanceID) // removes an entry
 	lifetime    atomic.Int64
 	lives       lifetimes
-	left        atomic.Bool // it has said in this lifetime that it leaves
+	left        atomic.Bool   // it has said in this lifetime that it leaves
+	spoilt      atomic.Uint64 // responses with a spoilt head
 }
 
 func newReplica(in core.Instance, listenAddress string, names core.HeaderNames, j *journal, publish func(core.Instance), retire func(core.InstanceID)) (*replica, error) {
@@ -145,7 +146,7 @@
 
 // target returns the replica, with its proxy, as a target of disturbances.
 func (r *replica) target() target {
-	ownFaults := []string{replicaSlow, replicaSheds, replicaFails, replicaLoses, replicaExtra, replicaEndlessHead, replicaEndlessBody, replicaRepeats, replicaWaits, replicaLeaves, replicaCold}
+	ownFaults := []string{replicaSlow, replicaSheds, replicaFails, replicaLoses, replicaExtra, replicaEndlessHead, replicaEndlessBody, replicaRepeats, replicaWaits, replicaLeaves, replicaCold, replicaSpoils}
 	proxyFaults := proxyFaultNames()
 	return target{
 		name:   "replica " + string(r.instance.ID),
@@ -260,6 +261,10 @@
 	if req.Method == http.MethodGet {
 		answer = bytes.Join(records(r.instance.Service, id), nil)
 	}
+	if fault == replicaSpoils {
+		r.sendSpoilt(w, answer)
+		return
+	}
 	_, _ = w.Write(answer) // the server's next read reports a closed connection
 	if fault == replicaExtra {
 		if c, rw, err := http.NewResponseController(w).Hijack(); err == nil {
--- a/bench/soak/serve.go
+++ b/bench/soak/serve.go
@@ -198,6 +198,9 @@
 		"truncates":  func(f *server.Faults) { f.Truncate = 0.5 },
 		"corrupts":   func(f *server.Faults) { f.Corrupt = 0.5 },
 		"hangs":      func(f *server.Faults) { f.Stuck = true },
+
+		replicaEndlessHead: func(f *server.Faults) { f.EndlessHead = 0.5 },
+		replicaEndlessBody: func(f *server.Faults) { f.EndlessBody = 0.5 },
 	}
 	names := proxyFaultNames()
 	for name := range serverFaults {
@@ -220,6 +223,7 @@
 func (s *serve) clearServerFaults(i int) {
 	s.backends.UpdateFaults(s.serverAddresses[i], func(f *server.Faults) {
 		f.SlowFactor, f.Shed, f.Reset, f.Truncate, f.Corrupt, f.Stuck = 1, 0, 0, 0, 0, false
+		f.EndlessHead, f.EndlessBody = 0, 0
 	})
 	s.serverProxies[i].setFault(NoFault)
 }
