--- a/io/heads/heads.go
+++ b/io/heads/heads.go
@@ -83,8 +83,7 @@
 // bodyLength returns the length of the body. A head that contradicts itself is an error: the
 // field that states the length may be missing or wrong.
 func (h *Head) bodyLength(f framing, method string) (int, error) {
-	interim := h.status < http.StatusOK
-	empty := interim || h.status == http.StatusNoContent
+	empty := h.status < http.StatusOK || h.status == http.StatusNoContent
 	switch {
 	case f.chunked && (h.http10 || f.sized()):
 		return 0, errors.New("chunks in a response of HTTP/1.0 or with a content length")
