fix(io/client): reject a body that goes on after its stated length

Callers could get a 200 with the first part of a replica's body, if its Content-Length had been damaged to a smaller number.

Cause: what followed a response was only a reason not to use the connection again.

Change: if bytes have arrived that begin no response, the stated length is in doubt and the response is an error that proves nothing. A late or second response may follow, as before. The last byte of a body is read through the buffer of the connection, so that what arrived with it is seen. Bytes that arrive later are not, so this does not find every such response.

Ruled out: accepting the response if other bytes follow; a caller that gets an error for a response that was whole can repeat a safe request, one that gets a part of a body can't know.

Evidence: 30 cases of TestTrailingBytes failed before, with bodies of 1 to 20000 bytes; all pass with it. The soak's replicas send such a response too.

--- a/bench/soak/spoil.go
+++ b/bench/soak/spoil.go
@@ -14,6 +14,7 @@
 	"Transfer-Encodinh: chunked\r\nKeep-Alive: timeout=9\r\n\r\n%[2]s",
 	"Content-Length: -0\r\n\r\n%[3]s",
 	"Content-Length: +1\r\n\r\n%[3]s",
+	"Content-Length: 1\r\n\r\n%[3]s",
 	"Content-Length: %[1]d\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
 	"Content-Length: 1\r\nno field\r\n\r\n%[3]s",
 	"Content-Length: 1\r\nX\x01Y: z\r\n\r\n%[3]s",
--- a/io/client/head_test.go
+++ b/io/client/head_test.go
@@ -143,3 +143,29 @@
 		accepts(t, headStart+"Keep-Alive: timeout=10\r\nTransfer-Encoding: "+value+"\r\n\r\n"+chunks)
 	}
 }
+
+// TestTrailingBytes guards against a length that is shorter than the body in a response that is
+// accepted: bytes that begin no response follow it. A late or extra response may follow.
+func TestTrailingBytes(t *testing.T) {
+	for _, size := range []int{1, 100, 4000, 4096, 5000, 20_000} {
+		body := strings.Repeat("b", size)
+		for _, length := range []int{0, size / 2, size - 1} {
+			rejects(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", headStart, length, body))
+		}
+		whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", headStart, size, body)
+		rejects(t, whole+"\r\n")
+		rejects(t, whole+"http/1.1 200 OK")
+		for _, next := range []string{"", "H", "HTTP/1.1", otherResponse, okResponse} {
+			inBubble(t, "accepted", func(t *testing.T) {
+				r := &cutReplica{text: whole + next}
+				cl := client.New(client.Options{Names: names, Dial: r.dial})
+				defer cl.Close()
+				if got := send(cl, "r"); got.Err != nil || string(got.Reply.Body) != body {
+					t.Errorf("%d bytes before %q: got error %v and %d bytes", size, next, got.Err, len(got.Reply.Body))
+				}
+			})
+		}
+	}
+	// The length of chunks is not in doubt.
+	accepts(t, headStart+"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\nmore")
+}
--- a/io/client/response.go
+++ b/io/client/response.go
@@ -98,13 +98,41 @@
 		return errTooLong
 	}
 	var err error
-	res.body, err = l.read(r, length)
-	if err == nil && len(res.body) < length {
+	res.body, err = l.read(&sizedBody{read: r, left: length}, length)
+	switch {
+	case err == nil && len(res.body) < length:
 		err = io.ErrUnexpectedEOF
+	case err == nil && method != http.MethodHead && res.status != http.StatusNotModified && !responseFollows(r):
+		err = errors.New("bytes that begin no response follow the body, whose length may be wrong")
 	}
 	return errors.Wrap(err, "read response body")
 }
 
+// sizedBody reads a body of a known length. The last byte comes from the buffer of the
+// connection, so that what has arrived with it is in the buffer.
+type sizedBody struct {
+	read *bufio.Reader
+	left int // bytes
+}
+
+// Read implements io.Reader.
+func (b *sizedBody) Read(p []byte) (int, error) {
+	if b.left > 1 {
+		p = p[:min(len(p), b.left-1)]
+	}
+	n, err := b.read.Read(p)
+	b.left -= n
+	return n, err
+}
+
+// responseFollows reports whether what has arrived after a response, if anything, may be the
+// start of another one.
+func responseFollows(r *bufio.Reader) bool {
+	const start = "HTTP/"
+	next, err := r.Peek(min(r.Buffered(), len(start)))
+	return err == nil && strings.HasPrefix(start, string(next))
+}
+
 // readUnsized reads a body that is chunked or ends with the connection. net/http parses
 // the whole response, so it gets the head once more.
 func (res *response) readUnsized(r *bufio.Reader, head, method string, l limits) error {
