--- a/io/client/response.go
+++ b/io/client/response.go
@@ -212,12 +212,3 @@
 	}
 	return &l
 }
-
-// shorten limits the length of a text of a replica in an error.
-func shorten(s string) string {
-	const maxLen = 80
-	if len(s) > maxLen {
-		return s[:maxLen]
-	}
-	return s
-}
