--- a/io/heads/buffer.go
+++ b/io/heads/buffer.go
@@ -38,10 +38,11 @@
 		}
 		b.head = append(b.head, p[n:n+end]...)
 		n += end
-		if b.head[len(b.head)-1] != '\n' {
+		line := b.head[b.line:]
+		if line[len(line)-1] != '\n' {
 			continue
 		}
-		if line := string(b.head[b.line:]); line == "\r\n" || line == "\n" {
+		if len(line) == 1 || len(line) == 2 && line[0] == '\r' {
 			return n, true, nil
 		}
 		b.line = len(b.head)
@@ -49,9 +50,6 @@
 	return n, false, nil
 }
 
-// Len returns the number of bytes added.
-func (b *Buffer) Len() int { return len(b.head) }
-
 // String returns the bytes added.
 func (b *Buffer) String() string { return string(b.head) }
 
